--- /dev/null
+++ b/api/src/main/java/org/mimosahinge/api/config/Snapshot.java
@@ -0,0 +1,50 @@
+package org.mimosahinge.api.config;
+
+import java.util.Collections;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.SortedMap;
+import java.util.TreeMap;
+import org.mimosahinge.api.contract.Route;
+import org.mimosahinge.api.contract.Service;
+import org.mimosahinge.api.world.Endpoint;
+
+/**
+ * Everything that a traffic thread needs for its decisions, immutable.
+ *
+ * @param version configuration version in force; 0 before the first
+ * @param sections sections by team
+ * @param services services by name
+ * @param serviceRevisions section revision by service
+ * @param routes routes, longest path prefix first
+ * @param moves moves by service
+ * @param endpoints known endpoints by service
+ * @param halts halt marks
+ * @param provenCurrent whether callers' calls may be routed by this version
+ */
+public record Snapshot(
+        long version,
+        SortedMap<String, RevisedSection> sections,
+        Map<String, Service> services,
+        Map<String, Long> serviceRevisions,
+        List<Route> routes,
+        Map<String, MoveState> moves,
+        Map<String, List<Endpoint>> endpoints,
+        Set<HaltMark> halts,
+        boolean provenCurrent) {
+    /** The snapshot of a node that has just started. */
+    public static final Snapshot EMPTY =
+            new Snapshot(0, new TreeMap<>(), Map.of(), Map.of(), List.of(), Map.of(), Map.of(), Set.of(), false);
+
+    /** Copies the collections. */
+    public Snapshot {
+        sections = Collections.unmodifiableSortedMap(new TreeMap<>(sections));
+        services = Map.copyOf(services);
+        serviceRevisions = Map.copyOf(serviceRevisions);
+        routes = List.copyOf(routes);
+        moves = Map.copyOf(moves);
+        endpoints = Map.copyOf(endpoints);
+        halts = Set.copyOf(halts);
+    }
+}
--- /dev/null
+++ b/api/src/main/java/org/mimosahinge/api/config/package-info.java
@@ -0,0 +1,2 @@
+/** Versions of the configuration and what nodes keep of them. */
+package org.mimosahinge.api.config;
--- /dev/null
+++ b/api/src/main/java/org/mimosahinge/api/error/package-info.java
@@ -0,0 +1,2 @@
+/** Typed failures with stable codes. */
+package org.mimosahinge.api.error;
--- /dev/null
+++ b/api/src/main/java/org/mimosahinge/api/platform/TableService.java
@@ -0,0 +1,28 @@
+package org.mimosahinge.api.platform;
+
+import java.util.concurrent.CompletionStage;
+
+/**
+ * The platform's transactional table service.
+ *
+ * <p>Stages complete exceptionally with {@link org.mimosahinge.api.error.PlatformException}. Its code tells whether a
+ * write certainly did not happen ({@code platform_unavailable}) or may have happened ({@code platform_answer_lost}).
+ */
+public interface TableService {
+
+    /**
+     * Commits a transaction.
+     *
+     * @param transaction conditions and writes
+     * @return the outcome
+     */
+    CompletionStage<TransactionResult> commit(Transaction transaction);
+
+    /**
+     * Reads rows from one consistent view.
+     *
+     * @param request keys and prefixes
+     * @return the rows found
+     */
+    CompletionStage<ReadResult> read(ReadRequest request);
+}
--- /dev/null
+++ b/api/src/main/java/org/mimosahinge/api/platform/package-info.java
@@ -0,0 +1,2 @@
+/** The platform's table service and object store. */
+package org.mimosahinge.api.platform;
--- /dev/null
+++ b/api/src/main/java/org/mimosahinge/api/world/BackendServer.java
@@ -0,0 +1,21 @@
+package org.mimosahinge.api.world;
+
+import java.util.Set;
+
+/**
+ * A backend server process as it announces itself to the node beside it.
+ *
+ * @param service the service it belongs to
+ * @param version the backend server version it runs
+ * @param address its HTTP address
+ * @param slots calls that it runs at the same time
+ * @param connections open connections that it accepts
+ * @param resources names of the resources it offers
+ */
+public record BackendServer(
+        String service, String version, HostPort address, int slots, int connections, Set<String> resources) {
+    /** Copies the resources. */
+    public BackendServer {
+        resources = Set.copyOf(resources);
+    }
+}
--- /dev/null
+++ b/api/src/main/java/org/mimosahinge/api/world/HostPort.java
@@ -0,0 +1,34 @@
+package org.mimosahinge.api.world;
+
+import org.mimosahinge.api.error.InvalidAddressException;
+
+/**
+ * A TCP address given by IP number and port.
+ *
+ * @param host the IP number
+ * @param port the TCP port, 1 to 65535
+ */
+public record HostPort(String host, int port) {
+    /**
+     * Parses {@code host:port}.
+     *
+     * @param text the address
+     * @return the parsed address
+     */
+    public static HostPort parse(String text) {
+        int colon = text.lastIndexOf(':');
+        if (colon <= 0) {
+            throw new InvalidAddressException(text);
+        }
+        try {
+            return new HostPort(text.substring(0, colon), Integer.parseInt(text.substring(colon + 1)));
+        } catch (NumberFormatException e) {
+            throw new InvalidAddressException(text);
+        }
+    }
+
+    @Override
+    public String toString() {
+        return host + ":" + port;
+    }
+}
