Add frames, whole-message HTTP and key=value logging

Daemon, command-line client, platform client and stand-ins share these. Frames are records of one sealed interface, so decisions stay apart from their encoding.

--- /dev/null
+++ b/net/src/main/java/org/mimosahinge/net/frame/Frame.java
@@ -0,0 +1,156 @@
+package org.mimosahinge.net.frame;
+
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.SortedMap;
+import org.mimosahinge.api.config.ConfigUpdate;
+import org.mimosahinge.api.config.HaltMark;
+import org.mimosahinge.api.contract.CallClass;
+import org.mimosahinge.api.world.Endpoint;
+import org.mimosahinge.api.world.Node;
+
+/** A message between two daemons. */
+public sealed interface Frame {
+
+    /** What a connection between two daemons is used for. */
+    enum Purpose {
+        /** Configuration, membership and reports. */
+        CONTROL,
+        /** Calls. */
+        CALLS
+    }
+
+    /**
+     * First frame of each connection in both directions.
+     *
+     * @param purpose use of the connection
+     * @param node the sending node
+     * @param version configuration version in force there
+     * @param provenCurrent whether that node has proof that its version is current
+     * @param interests services whose routes the sender's subtree needs; empty means all
+     */
+    record Hello(Purpose purpose, Node node, long version, boolean provenCurrent, Set<String> interests)
+            implements Frame {}
+
+    /**
+     * Keeps a connection alive.
+     *
+     * @param sequence counts the sender's heartbeats
+     */
+    record Heartbeat(long sequence) implements Frame {}
+
+    /**
+     * A step to a later configuration version.
+     *
+     * @param update the step
+     * @param headAtContact head version proven by the sender when the receiver connected; 0 without proof
+     */
+    record Config(ConfigUpdate update, long headAtContact) implements Frame {}
+
+    /**
+     * Asks for full state.
+     *
+     * @param version version held
+     */
+    record ConfigRequest(long version) implements Frame {}
+
+    /**
+     * Tells that the head row has moved.
+     *
+     * @param version the new version
+     */
+    record HeadHint(long version) implements Frame {}
+
+    /**
+     * States of endpoints; the highest stamp wins.
+     *
+     * @param endpoints the states
+     */
+    record Endpoints(List<Endpoint> endpoints) implements Frame {}
+
+    /**
+     * Halt marks, which are only ever added.
+     *
+     * @param marks the marks
+     */
+    record Halts(Set<HaltMark> marks) implements Frame {}
+
+    /**
+     * What the sender's subtree has in force.
+     *
+     * @param versions nodes of the subtree by version in force
+     */
+    record Report(SortedMap<Long, Integer> versions) implements Frame {}
+
+    /**
+     * Starts a call.
+     *
+     * @param callId number of the call on this connection
+     * @param endpointId the chosen endpoint
+     * @param service the service
+     * @param callClass priority
+     * @param deadlineMs time left in milliseconds
+     * @param method HTTP method
+     * @param uri path and query
+     * @param headers headers by lower-case name
+     * @param hasBody whether body frames follow
+     */
+    record CallStart(
+            long callId,
+            String endpointId,
+            String service,
+            CallClass callClass,
+            int deadlineMs,
+            String method,
+            String uri,
+            Map<String, String> headers,
+            boolean hasBody)
+            implements Frame {}
+
+    /**
+     * Part of a request's or response's body.
+     *
+     * @param callId the call
+     * @param bytes the content
+     * @param last whether the body ends here
+     */
+    record Body(long callId, byte[] bytes, boolean last) implements Frame {}
+
+    /**
+     * Allows the other end to send more of a body.
+     *
+     * @param callId the call
+     * @param bytes additional bytes
+     */
+    record Credit(long callId, int bytes) implements Frame {}
+
+    /**
+     * The sender no longer needs the response.
+     *
+     * @param callId the call
+     */
+    record Cancel(long callId) implements Frame {}
+
+    /**
+     * Starts a response; body frames follow.
+     *
+     * @param callId the call
+     * @param status HTTP status
+     * @param headers headers by lower-case name
+     * @param contentLength announced length in bytes, -1 when unknown
+     * @param loadPermille load that the backend server last reported, 0 to 1000
+     */
+    record ResponseStart(long callId, int status, Map<String, String> headers, long contentLength, int loadPermille)
+            implements Frame {}
+
+    /**
+     * The call ended without a whole response.
+     *
+     * @param callId the call
+     * @param code stable code of the failure
+     * @param notRun whether the call certainly did not run
+     * @param message what failed
+     */
+    record CallFailure(long callId, String code, boolean notRun, String message) implements Frame {}
+}
--- /dev/null
+++ b/net/src/main/java/org/mimosahinge/net/frame/package-info.java
@@ -0,0 +1,2 @@
+/** Frames between daemons and their MessagePack encoding. */
+package org.mimosahinge.net.frame;
--- /dev/null
+++ b/net/src/main/java/org/mimosahinge/net/http/HttpMessageClient.java
@@ -0,0 +1,206 @@
+package org.mimosahinge.net.http;
+
+import io.netty.bootstrap.Bootstrap;
+import io.netty.buffer.ByteBufUtil;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.socket.SocketChannel;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import io.netty.handler.codec.http.DefaultFullHttpRequest;
+import io.netty.handler.codec.http.FullHttpResponse;
+import io.netty.handler.codec.http.HttpClientCodec;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpObjectAggregator;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.HttpVersion;
+import java.time.Duration;
+import java.util.ArrayDeque;
+import java.util.HashMap;
+import java.util.Locale;
+import java.util.Map;
+import java.util.Queue;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ConcurrentLinkedQueue;
+import java.util.concurrent.TimeUnit;
+import org.mimosahinge.api.world.HostPort;
+
+/**
+ * Sends whole HTTP/1.1 messages and keeps idle connections for reuse.
+ *
+ * <p>Stages fail with {@link HttpExchangeException}, which tells whether the request had been sent.
+ */
+public final class HttpMessageClient implements AutoCloseable {
+
+    private static final int MAX_BODY_BYTES = 2 << 20;
+
+    private final EventLoopGroup group;
+    private final Duration timeout;
+    private final Map<HostPort, Queue<Channel>> idle = new ConcurrentHashMap<>();
+
+    private HttpMessageClient(EventLoopGroup group, Duration timeout) {
+        this.group = group;
+        this.timeout = timeout;
+    }
+
+    /**
+     * Creates a client.
+     *
+     * @param group event loops of the connections
+     * @param timeout limit of one exchange, connect included
+     * @return the client
+     */
+    public static HttpMessageClient create(EventLoopGroup group, Duration timeout) {
+        return new HttpMessageClient(group, timeout);
+    }
+
+    /**
+     * Sends a request.
+     *
+     * @param target the server
+     * @param request the request
+     * @return the response
+     */
+    public CompletionStage<HttpMessageResponse> send(HostPort target, HttpMessageRequest request) {
+        Exchange exchange = new Exchange(target, request);
+        Channel reused = takeIdle(target);
+        if (reused != null) {
+            reused.eventLoop().execute(() -> exchange.start(reused));
+            return exchange.result;
+        }
+        new Bootstrap()
+                .group(group)
+                .channel(NioSocketChannel.class)
+                .option(ChannelOption.TCP_NODELAY, true)
+                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) timeout.toMillis())
+                .handler(new ChannelInitializer<SocketChannel>() {
+                    @Override
+                    protected void initChannel(SocketChannel connection) {
+                        connection
+                                .pipeline()
+                                .addLast(
+                                        new HttpClientCodec(),
+                                        new HttpObjectAggregator(MAX_BODY_BYTES),
+                                        new ResponseHandler());
+                    }
+                })
+                .connect(target.host(), target.port())
+                .addListener((ChannelFuture connected) -> {
+                    if (connected.isSuccess()) {
+                        exchange.start(connected.channel());
+                    } else {
+                        exchange.result.completeExceptionally(HttpExchangeException.notSent(target, connected.cause()));
+                    }
+                });
+        return exchange.result;
+    }
+
+    private Channel takeIdle(HostPort target) {
+        Queue<Channel> channels = idle.get(target);
+        Channel channel = channels == null ? null : channels.poll();
+        while (channel != null && !channel.isActive()) {
+            channel = channels.poll();
+        }
+        return channel;
+    }
+
+    private void keep(HostPort target, Channel channel) {
+        idle.computeIfAbsent(target, key -> new ConcurrentLinkedQueue<>()).add(channel);
+    }
+
+    @Override
+    public void close() {
+        idle.values().forEach(channels -> channels.forEach(Channel::close));
+        idle.clear();
+    }
+
+    private final class Exchange {
+        private final HostPort target;
+        private final HttpMessageRequest request;
+        private final CompletableFuture<HttpMessageResponse> result = new CompletableFuture<>();
+
+        Exchange(HostPort target, HttpMessageRequest request) {
+            this.target = target;
+            this.request = request;
+        }
+
+        void start(Channel channel) {
+            channel.pipeline().get(ResponseHandler.class).expect(this, channel);
+            DefaultFullHttpRequest message = new DefaultFullHttpRequest(
+                    HttpVersion.HTTP_1_1,
+                    HttpMethod.valueOf(request.method()),
+                    request.uri(),
+                    Unpooled.wrappedBuffer(request.body()));
+            message.headers().set(HttpHeaderNames.HOST, target.toString());
+            request.headers().forEach((name, value) -> message.headers().set(name, value));
+            HttpUtil.setContentLength(message, request.body().length);
+            channel.writeAndFlush(message);
+            var timer = channel.eventLoop()
+                    .schedule(
+                            () -> {
+                                channel.close();
+                            },
+                            timeout.toMillis(),
+                            TimeUnit.MILLISECONDS);
+            result.whenComplete((response, failure) -> timer.cancel(false));
+        }
+    }
+
+    private final class ResponseHandler extends SimpleChannelInboundHandler<FullHttpResponse> {
+
+        private final Queue<Exchange> expected = new ArrayDeque<>(1);
+
+        void expect(Exchange exchange, Channel channel) {
+            expected.add(exchange);
+            if (!channel.isActive()) {
+                fail(null);
+            }
+        }
+
+        @Override
+        protected void channelRead0(ChannelHandlerContext context, FullHttpResponse message) {
+            Exchange exchange = expected.poll();
+            if (exchange == null) {
+                context.close();
+                return;
+            }
+            Map<String, String> headers = new HashMap<>();
+            message.headers()
+                    .forEach(header -> headers.put(header.getKey().toLowerCase(Locale.ROOT), header.getValue()));
+            HttpMessageResponse response =
+                    new HttpMessageResponse(message.status().code(), headers, ByteBufUtil.getBytes(message.content()));
+            if (HttpUtil.isKeepAlive(message)) {
+                keep(exchange.target, context.channel());
+            } else {
+                context.close();
+            }
+            exchange.result.complete(response);
+        }
+
+        @Override
+        public void channelInactive(ChannelHandlerContext context) {
+            fail(null);
+        }
+
+        @Override
+        public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+            fail(cause);
+            context.close();
+        }
+
+        private void fail(Throwable cause) {
+            Exchange exchange = expected.poll();
+            if (exchange != null) {
+                exchange.result.completeExceptionally(HttpExchangeException.noResponse(exchange.target, cause));
+            }
+        }
+    }
+}
--- /dev/null
+++ b/net/src/main/java/org/mimosahinge/net/log/package-info.java
@@ -0,0 +1,2 @@
+/** Log lines of key=value pairs. */
+package org.mimosahinge.net.log;
