Add the parser of sections and settings and the operator port's bodies

Sections and settings are read into values with locations, so that every problem names its line, column and path and none hides another. The records in api.operator are shared by the daemon and the command-line client.

--- /dev/null
+++ b/api/src/main/java/org/mimosahinge/api/document/Cursor.java
@@ -0,0 +1,81 @@
+package org.mimosahinge.api.document;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import org.mimosahinge.api.document.Value.ArrayValue;
+import org.mimosahinge.api.document.Value.Kind;
+import org.mimosahinge.api.document.Value.Member;
+import org.mimosahinge.api.document.Value.ObjectValue;
+import org.mimosahinge.api.document.Value.Scalar;
+import org.mimosahinge.api.error.ErrorCode;
+
+/**
+ * A value together with its path and the problems of its file.
+ *
+ * @param value the value
+ * @param path the path from the root
+ * @param problems receives findings about the value
+ */
+record Cursor(Value value, String path, Problems problems) {
+
+    /** Reads a value of one type, or reports why it cannot. */
+    @FunctionalInterface
+    interface Reader<T> {
+        /**
+         * Reads a value.
+         *
+         * @param cursor the value to read
+         * @return the result; empty when the value has no usable content and a problem was reported
+         */
+        Optional<T> read(Cursor cursor);
+    }
+
+    void report(ErrorCode code, String expected) {
+        // What was skipped is reported where it was skipped.
+        if (!(value instanceof Value.Skipped)) {
+            problems.add(code, value.at(), path, found(), expected);
+        }
+    }
+
+    Optional<String> scalar(Kind kind) {
+        return value instanceof Scalar scalar && scalar.kind() == kind ? Optional.of(scalar.text()) : Optional.empty();
+    }
+
+    Optional<List<Cursor>> items() {
+        if (!(value instanceof ArrayValue array)) {
+            return Optional.empty();
+        }
+        List<Cursor> items = new ArrayList<>();
+        for (Value item : array.items()) {
+            items.add(new Cursor(item, path + "[" + items.size() + "]", problems));
+        }
+        return Optional.of(items);
+    }
+
+    List<Cursor> members(String name) {
+        if (!(value instanceof ObjectValue object)) {
+            return List.of();
+        }
+        return object.members().stream()
+                .filter(member -> member.name().equals(name))
+                .map(this::member)
+                .toList();
+    }
+
+    Cursor member(Member member) {
+        return new Cursor(member.value(), path.isEmpty() ? member.name() : path + "." + member.name(), problems);
+    }
+
+    String found() {
+        if (value instanceof ObjectValue) {
+            return "an object";
+        }
+        if (value instanceof ArrayValue) {
+            return "an array";
+        }
+        return value instanceof Scalar scalar
+                ? scalar.kind() == Kind.TEXT ? "\"" + scalar.text() + "\"" : scalar.text()
+                : "a skipped value";
+    }
+}
--- /dev/null
+++ b/api/src/main/java/org/mimosahinge/api/document/DocumentCheck.java
@@ -0,0 +1,101 @@
+package org.mimosahinge.api.document;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.function.Function;
+import org.mimosahinge.api.contract.Route;
+import org.mimosahinge.api.contract.Section;
+import org.mimosahinge.api.contract.Service;
+import org.mimosahinge.api.error.ErrorCode;
+import org.mimosahinge.api.error.Problem;
+
+/** Checks a whole candidate document: what no section can tell alone. */
+public final class DocumentCheck {
+    private final Map<String, Section> sections;
+    private final List<Problem> problems = new ArrayList<>();
+
+    private DocumentCheck(Map<String, Section> sections) {
+        this.sections = new TreeMap<>(sections);
+    }
+
+    /**
+     * Checks all sections together.
+     *
+     * <p>A problem's file is the team of its section; its line and column are 0, see {@link ProblemLocator}.
+     *
+     * @param sections sections by team
+     * @return all problems, by team; empty when the document is consistent
+     */
+    public static List<Problem> check(Map<String, Section> sections) {
+        DocumentCheck check = new DocumentCheck(sections);
+        check.teams();
+        check.unique("services", "name", Section::services, Service::name);
+        check.unique("routes", "pathPrefix", Section::routes, Route::pathPrefix);
+        check.references();
+        return List.copyOf(check.problems);
+    }
+
+    private void teams() {
+        sections.forEach((team, section) -> {
+            if (!team.equals(section.team())) {
+                report(ErrorCode.INVALID_VALUE, team, "team", section.team(), team);
+            }
+        });
+    }
+
+    private <T> void unique(String list, String field, Function<Section, List<T>> items, Function<T, String> value) {
+        Map<String, String> owners = new HashMap<>();
+        sections.forEach((team, section) -> {
+            int index = 0;
+            for (T item : items.apply(section)) {
+                String owner = owners.putIfAbsent(value.apply(item), team);
+                if (owner != null) {
+                    String path = list + "[" + index + "]." + field;
+                    report(ErrorCode.DUPLICATE_NAME, team, path, value.apply(item), "a value not used by " + owner);
+                }
+                index++;
+            }
+        });
+    }
+
+    private void references() {
+        Set<String> services = new HashSet<>();
+        Set<String> resources = new HashSet<>();
+        sections.values().forEach(section -> {
+            section.services().forEach(service -> services.add(service.name()));
+            resources.addAll(section.resources());
+        });
+        sections.forEach((team, section) -> {
+            for (int i = 0; i < section.routes().size(); i++) {
+                Route route = section.routes().get(i);
+                String path = "routes[" + i + "]";
+                if (!services.contains(route.service())) {
+                    report(
+                            ErrorCode.DANGLING_REFERENCE,
+                            team,
+                            path + ".service",
+                            route.service(),
+                            "a service of some section");
+                }
+                route.resources().stream()
+                        .filter(resource -> !resources.contains(resource))
+                        .sorted()
+                        .forEach(resource -> report(
+                                ErrorCode.DANGLING_REFERENCE,
+                                team,
+                                path + ".resources",
+                                resource,
+                                "a resource of some section"));
+            }
+        });
+    }
+
+    private void report(ErrorCode code, String team, String path, String found, String expected) {
+        problems.add(new Problem(code, team, 0, 0, path, "\"" + found + "\"", expected));
+    }
+}
--- /dev/null
+++ b/api/src/main/java/org/mimosahinge/api/document/Fields.java
@@ -0,0 +1,97 @@
+package org.mimosahinge.api.document;
+
+import java.util.HashSet;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import org.mimosahinge.api.document.Value.Member;
+import org.mimosahinge.api.document.Value.ObjectValue;
+import org.mimosahinge.api.error.ErrorCode;
+
+/** Reads the fields of one object and reports missing, repeated and unknown ones. */
+final class Fields {
+    private final Cursor cursor;
+    private final ObjectValue object;
+    private final Set<String> known = new LinkedHashSet<>();
+
+    private Fields(Cursor cursor, ObjectValue object) {
+        this.cursor = cursor;
+        this.object = object;
+    }
+
+    /** Makes a record from the fields of an object. */
+    @FunctionalInterface
+    interface Content<T> {
+        /**
+         * Reads the fields.
+         *
+         * @param fields the fields
+         * @return the record; empty when a needed field has no usable content
+         */
+        Optional<T> read(Fields fields);
+    }
+
+    static <T> Cursor.Reader<T> object(Content<T> content) {
+        return cursor -> {
+            if (!(cursor.value() instanceof ObjectValue object)) {
+                cursor.report(ErrorCode.INVALID_VALUE, "an object");
+                return Optional.empty();
+            }
+            Fields fields = new Fields(cursor, object);
+            Optional<T> result = content.read(fields);
+            fields.reportUnexpected();
+            return result;
+        };
+    }
+
+    <T> Optional<T> required(String name, Cursor.Reader<T> reader) {
+        Optional<Optional<T>> read = read(name, reader);
+        // The missing part of a cut object may well hold the field.
+        if (read.isEmpty() && object.complete()) {
+            cursor.problems()
+                    .add(ErrorCode.MISSING_FIELD, object.at(), cursor.path(), "no field \"" + name + "\"", name);
+        }
+        return read.orElse(Optional.empty());
+    }
+
+    <T> Optional<T> optional(String name, T fallback, Cursor.Reader<T> reader) {
+        return read(name, reader).orElse(Optional.of(fallback));
+    }
+
+    /** Returns the first value of a field. */
+    Optional<Cursor> value(String name) {
+        return cursor.members(name).stream().findFirst();
+    }
+
+    private <T> Optional<Optional<T>> read(String name, Cursor.Reader<T> reader) {
+        known.add(name);
+        // A repeated field is reported below; its further values are read for their own problems.
+        List<Optional<T>> all = cursor.members(name).stream().map(reader::read).toList();
+        return all.stream().findFirst();
+    }
+
+    private void reportUnexpected() {
+        Set<String> seen = new HashSet<>();
+        for (Member member : object.members()) {
+            String path = cursor.member(member).path();
+            if (!known.contains(member.name())) {
+                cursor.problems()
+                        .add(
+                                ErrorCode.UNKNOWN_FIELD,
+                                member.at(),
+                                path,
+                                "\"" + member.name() + "\"",
+                                "one of " + String.join(", ", known));
+            } else if (!seen.add(member.name())) {
+                cursor.problems()
+                        .add(
+                                ErrorCode.DUPLICATE_FIELD,
+                                member.at(),
+                                path,
+                                "a second \"" + member.name() + "\"",
+                                "each field once");
+            }
+        }
+    }
+}
--- /dev/null
+++ b/api/src/main/java/org/mimosahinge/api/document/ProblemLocator.java
@@ -0,0 +1,57 @@
+package org.mimosahinge.api.document;
+
+import java.util.List;
+import java.util.Optional;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+import org.mimosahinge.api.error.Problem;
+
+/** Adds line and column to problems that were found in a section after it was parsed. */
+public final class ProblemLocator {
+    private static final Pattern STEP = Pattern.compile("\\[([0-9]+)]|([^.\\[]+)");
+
+    private ProblemLocator() {}
+
+    /**
+     * Locates problems in the text that the section was parsed from.
+     *
+     * @param file name of the file or submission
+     * @param json the text of the section
+     * @param problems problems of this section
+     * @return the problems with file, line and column; a path that the text lacks keeps line 0
+     */
+    public static List<Problem> locate(String file, byte[] json, List<Problem> problems) {
+        Optional<Cursor> root =
+                TreeReader.read(json, new Problems(file)).map(value -> new Cursor(value, "", new Problems(file)));
+        return problems.stream()
+                .map(problem -> {
+                    Location at = root.flatMap(cursor -> find(cursor, problem.path()))
+                            .map(cursor -> cursor.value().at())
+                            .orElse(new Location(0, 0));
+                    return new Problem(
+                            problem.code(),
+                            file,
+                            at.line(),
+                            at.column(),
+                            problem.path(),
+                            problem.found(),
+                            problem.expected());
+                })
+                .toList();
+    }
+
+    private static Optional<Cursor> find(Cursor root, String path) {
+        Optional<Cursor> cursor = Optional.of(root);
+        Matcher steps = STEP.matcher(path);
+        while (steps.find()) {
+            String index = steps.group(1);
+            String name = steps.group(2);
+            cursor = cursor.flatMap(from -> index == null
+                    ? from.members(name).stream().findFirst()
+                    : from.items()
+                            .flatMap(items ->
+                                    items.stream().skip(Long.parseLong(index)).findFirst()));
+        }
+        return cursor;
+    }
+}
--- /dev/null
+++ b/api/src/main/java/org/mimosahinge/api/document/SectionParser.java
@@ -0,0 +1,40 @@
+package org.mimosahinge.api.document;
+
+import java.util.Optional;
+import org.mimosahinge.api.contract.Section;
+import org.mimosahinge.api.document.Cursor.Reader;
+
+/** Parses a team's section and writes it in its canonical form. */
+public final class SectionParser {
+    private SectionParser() {}
+
+    /**
+     * Parses a section and checks it on its own.
+     *
+     * @param file name of the file or submission, for problems
+     * @param json JSON with comments in UTF-8
+     * @return the section
+     * @throws org.mimosahinge.api.error.InvalidDocumentException with all problems found
+     */
+    public static Section parse(String file, byte[] json) {
+        return parse(file, json, SectionReader.SECTION);
+    }
+
+    /**
+     * Writes a section in its canonical form, which parses back to an equal section.
+     *
+     * @param section the section
+     * @return JSON in UTF-8
+     */
+    public static byte[] toJson(Section section) {
+        return SectionWriter.write(section);
+    }
+
+    static <T> T parse(String file, byte[] json, Reader<T> reader) {
+        Problems problems = new Problems(file);
+        Optional<T> result =
+                TreeReader.read(json, problems).flatMap(root -> reader.read(new Cursor(root, "", problems)));
+        problems.throwIfAny();
+        return result.orElseThrow();
+    }
+}
--- /dev/null
+++ b/api/src/main/java/org/mimosahinge/api/document/SectionWriter.java
@@ -0,0 +1,94 @@
+package org.mimosahinge.api.document;
+
+import com.fasterxml.jackson.core.JsonFactory;
+import com.fasterxml.jackson.core.JsonGenerator;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.util.Collection;
+import java.util.Map;
+import java.util.TreeSet;
+import org.mimosahinge.api.contract.CallClass;
+import org.mimosahinge.api.contract.Move;
+import org.mimosahinge.api.contract.Route;
+import org.mimosahinge.api.contract.Section;
+import org.mimosahinge.api.contract.Service;
+
+/** Writes sections so that equal sections have equal bytes, and so equal object hashes. */
+final class SectionWriter {
+    private static final JsonFactory FACTORY = new JsonFactory();
+
+    private SectionWriter() {}
+
+    static byte[] write(Section section) {
+        ByteArrayOutputStream bytes = new ByteArrayOutputStream();
+        try (JsonGenerator out = FACTORY.createGenerator(bytes)) {
+            out.writeStartObject();
+            out.writeStringField("team", section.team());
+            names(out, "resources", new TreeSet<>(section.resources()));
+            out.writeArrayFieldStart("services");
+            for (Service service : section.services()) {
+                service(out, service);
+            }
+            out.writeEndArray();
+            out.writeArrayFieldStart("routes");
+            for (Route route : section.routes()) {
+                route(out, route);
+            }
+            out.writeEndArray();
+            out.writeEndObject();
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+        return bytes.toByteArray();
+    }
+
+    private static void service(JsonGenerator out, Service service) throws IOException {
+        out.writeStartObject();
+        out.writeStringField("name", service.name());
+        names(out, "versions", service.versions());
+        out.writeStringField("current", service.current());
+        if (service.move().isPresent()) {
+            Move move = service.move().get();
+            out.writeObjectFieldStart("move");
+            out.writeStringField("to", move.to());
+            out.writeStringField("start", move.start().toString());
+            out.writeStringField("deadline", move.deadline().toString());
+            out.writeEndObject();
+        }
+        out.writeObjectFieldStart("limits");
+        out.writeNumberField("queue", service.limits().queue());
+        out.writeNumberField("retryPercent", service.limits().retryPercent());
+        out.writeEndObject();
+        out.writeEndObject();
+    }
+
+    private static void route(JsonGenerator out, Route route) throws IOException {
+        out.writeStartObject();
+        out.writeStringField("name", route.name());
+        out.writeStringField("pathPrefix", route.pathPrefix());
+        out.writeStringField("service", route.service());
+        out.writeStringField("callClass", name(route.callClass()));
+        out.writeStringField("timeout", Durations.format(route.timeout()));
+        out.writeBooleanField("idempotent", route.idempotent());
+        out.writeBooleanField("atMostOnce", route.atMostOnce());
+        names(out, "resources", new TreeSet<>(route.resources()));
+        out.writeEndObject();
+    }
+
+    private static void names(JsonGenerator out, String field, Collection<String> names) throws IOException {
+        out.writeArrayFieldStart(field);
+        for (String name : names) {
+            out.writeString(name);
+        }
+        out.writeEndArray();
+    }
+
+    private static String name(CallClass callClass) {
+        return SectionReader.CALL_CLASSES.entrySet().stream()
+                .filter(entry -> entry.getValue() == callClass)
+                .map(Map.Entry::getKey)
+                .findFirst()
+                .orElseThrow();
+    }
+}
--- /dev/null
+++ b/api/src/main/java/org/mimosahinge/api/operator/ErrorBody.java
@@ -0,0 +1,59 @@
+package org.mimosahinge.api.operator;
+
+import java.util.List;
+import org.mimosahinge.api.error.InvalidDocumentException;
+import org.mimosahinge.api.error.MimosahingeException;
+import org.mimosahinge.api.error.Problem;
+import org.mimosahinge.api.error.SectionConflictException;
+
+/**
+ * Body of every refused request.
+ *
+ * @param code the stable code
+ * @param message what failed
+ * @param path the place in the document; empty when the failure has none
+ * @param found what stands there; empty when the failure has none
+ * @param expected what may stand there; for a conflict the section's current revision
+ * @param line the line, from 1; 0 when unknown
+ * @param column the column, from 1; 0 when unknown
+ * @param problems every problem of an invalid document; empty for other failures
+ */
+public record ErrorBody(
+        String code,
+        String message,
+        String path,
+        String found,
+        String expected,
+        int line,
+        int column,
+        List<Problem> problems) {
+    /** Copies the problems. */
+    public ErrorBody {
+        problems = problems == null ? List.of() : List.copyOf(problems);
+    }
+
+    /**
+     * Describes a failure.
+     *
+     * @param failure the failure
+     * @return the body
+     */
+    public static ErrorBody of(MimosahingeException failure) {
+        String code = failure.code().code();
+        if (failure instanceof InvalidDocumentException invalid) {
+            Problem first = invalid.problems().get(0);
+            return new ErrorBody(
+                    code,
+                    failure.getMessage(),
+                    first.path(),
+                    first.found(),
+                    first.expected(),
+                    first.line(),
+                    first.column(),
+                    invalid.problems());
+        }
+        String expected =
+                failure instanceof SectionConflictException conflict ? Long.toString(conflict.currentRevision()) : "";
+        return new ErrorBody(code, failure.getMessage(), "", "", expected, 0, 0, List.of());
+    }
+}
--- /dev/null
+++ b/api/src/main/java/org/mimosahinge/api/operator/package-info.java
@@ -0,0 +1,2 @@
+/** Bodies of requests and responses on a daemon's operator port. */
+package org.mimosahinge.api.operator;
--- /dev/null
+++ b/api/src/main/java/org/mimosahinge/api/settings/package-info.java
@@ -0,0 +1,2 @@
+/** Settings of a daemon. */
+package org.mimosahinge.api.settings;
