Add the MessagePack codec of frames

A frame is a list of plain values without names; the length prefix is bounded at 1 MiB before anything is allocated. Truncated frames, lengths outside the limit and arbitrary bytes end in a typed failure.

--- /dev/null
+++ b/net/src/main/java/org/mimosahinge/net/frame/ConfigFields.java
@@ -0,0 +1,72 @@
+package org.mimosahinge.net.frame;
+
+import java.time.Instant;
+import java.util.Set;
+import java.util.SortedMap;
+import java.util.TreeMap;
+import org.mimosahinge.api.config.ConfigUpdate;
+import org.mimosahinge.api.config.HaltMark;
+import org.mimosahinge.api.config.MovePhase;
+import org.mimosahinge.api.config.MoveState;
+import org.mimosahinge.api.config.RevisedSection;
+import org.mimosahinge.api.document.SectionParser;
+
+/** Packs and unpacks configuration updates, moves and halt marks. */
+final class ConfigFields {
+
+    private ConfigFields() {}
+
+    static void packUpdate(Packer out, ConfigUpdate update) {
+        out.integer(update.baseVersion()).integer(update.version());
+        out.list(update.sections().values(), ConfigFields::packSection);
+        out.list(update.removedTeams(), Packer::text);
+        out.list(update.moves().values(), ConfigFields::packMove);
+    }
+
+    static ConfigUpdate unpackUpdate(Unpacker in) {
+        long base = in.integer();
+        long version = in.integer();
+        SortedMap<String, RevisedSection> sections = new TreeMap<>();
+        in.list(ConfigFields::unpackSection)
+                .forEach(section -> sections.put(section.section().team(), section));
+        Set<String> removed = Set.copyOf(in.list(Unpacker::text));
+        SortedMap<String, MoveState> moves = new TreeMap<>();
+        in.list(ConfigFields::unpackMove).forEach(move -> moves.put(move.service(), move));
+        return new ConfigUpdate(base, version, sections, removed, moves);
+    }
+
+    private static void packSection(Packer out, RevisedSection revised) {
+        out.integer(revised.revision()).bytes(Deflate.compress(SectionParser.toJson(revised.section())));
+    }
+
+    private static RevisedSection unpackSection(Unpacker in) {
+        long revision = in.integer();
+        return new RevisedSection(revision, SectionParser.parse("frame", Deflate.decompress(in.bytes())));
+    }
+
+    private static void packMove(Packer out, MoveState move) {
+        out.text(move.service()).text(move.from()).text(move.to()).integer(move.sectionRevision());
+        out.integer(move.sharePermille()).integer(move.phase().ordinal()).text(move.reason());
+        out.integer(move.since().toEpochMilli());
+    }
+
+    private static MoveState unpackMove(Unpacker in) {
+        return new MoveState(
+                in.text(),
+                in.text(),
+                in.text(),
+                in.integer(),
+                in.smallInteger(),
+                in.constant(MovePhase.values()),
+                in.text(),
+                Instant.ofEpochMilli(in.integer()));
+    }
+
+    static void packHalt(Packer out, HaltMark mark) {
+        out.text(mark.service()).text(mark.version()).integer(mark.sectionRevision());
+    }
+
+    static HaltMark unpackHalt(Unpacker in) {
+        return new HaltMark(in.text(), in.text(), in.integer());
+    }
+}
--- /dev/null
+++ b/net/src/main/java/org/mimosahinge/net/frame/FrameCodec.java
@@ -0,0 +1,139 @@
+package org.mimosahinge.net.frame;
+
+import java.util.Set;
+import java.util.SortedMap;
+import java.util.TreeMap;
+import org.mimosahinge.api.contract.CallClass;
+import org.mimosahinge.api.error.FrameException;
+import org.mimosahinge.api.error.MimosahingeException;
+
+/** Turns frames into MessagePack values and back; the length prefix is added by {@link FrameEncoder}. */
+public final class FrameCodec {
+
+    /** Largest frame without its length prefix; a longer announcement closes the connection. */
+    public static final int MAX_FRAME_BYTES = 1 << 20;
+
+    private FrameCodec() {}
+
+    /**
+     * Encodes a frame.
+     *
+     * @param frame the frame
+     * @return its bytes without the length prefix
+     */
+    public static byte[] encode(Frame frame) {
+        try (Packer out = new Packer()) {
+            out.integer(FrameType.of(frame).number());
+            pack(out, frame);
+            return out.toBytes();
+        }
+    }
+
+    /**
+     * Decodes a frame.
+     *
+     * @param content bytes without the length prefix
+     * @return the frame
+     */
+    public static Frame decode(byte[] content) {
+        try (Unpacker in = new Unpacker(content)) {
+            return unpack(FrameType.of(in.smallInteger()), in);
+        } catch (FrameException e) {
+            throw e;
+        } catch (MimosahingeException | IllegalArgumentException | NullPointerException e) {
+            throw new FrameException("Malformed frame: " + e.getMessage());
+        }
+    }
+
+    private static void pack(Packer out, Frame frame) {
+        if (frame instanceof Frame.CallStart call) {
+            packCallStart(out, call);
+        } else if (frame instanceof Frame.Body body) {
+            out.integer(body.callId()).bytes(body.bytes()).flag(body.last());
+        } else if (frame instanceof Frame.Credit credit) {
+            out.integer(credit.callId()).integer(credit.bytes());
+        } else if (frame instanceof Frame.Cancel cancel) {
+            out.integer(cancel.callId());
+        } else if (frame instanceof Frame.ResponseStart response) {
+            out.integer(response.callId()).integer(response.status()).texts(response.headers());
+            out.integer(response.contentLength()).integer(response.loadPermille());
+        } else if (frame instanceof Frame.CallFailure failure) {
+            out.integer(failure.callId())
+                    .text(failure.code())
+                    .flag(failure.notRun())
+                    .text(failure.message());
+        } else {
+            packControl(out, frame);
+        }
+    }
+
+    private static void packControl(Packer out, Frame frame) {
+        if (frame instanceof Frame.Hello hello) {
+            out.integer(hello.purpose().ordinal());
+            WorldFields.packNode(out, hello.node());
+            out.integer(hello.version()).flag(hello.provenCurrent()).list(hello.interests(), Packer::text);
+        } else if (frame instanceof Frame.Heartbeat heartbeat) {
+            out.integer(heartbeat.sequence());
+        } else if (frame instanceof Frame.Config config) {
+            ConfigFields.packUpdate(out, config.update());
+            out.integer(config.headAtContact());
+        } else if (frame instanceof Frame.ConfigRequest request) {
+            out.integer(request.version());
+        } else if (frame instanceof Frame.HeadHint hint) {
+            out.integer(hint.version());
+        } else if (frame instanceof Frame.Endpoints endpoints) {
+            out.list(endpoints.endpoints(), WorldFields::packEndpoint);
+        } else if (frame instanceof Frame.Halts halts) {
+            out.list(halts.marks(), ConfigFields::packHalt);
+        } else if (frame instanceof Frame.Report report) {
+            out.list(report.versions().entrySet(), (packer, entry) -> packer.integer(entry.getKey())
+                    .integer(entry.getValue()));
+        }
+    }
+
+    private static void packCallStart(Packer out, Frame.CallStart call) {
+        out.integer(call.callId()).text(call.endpointId()).text(call.service());
+        out.integer(call.callClass().ordinal()).integer(call.deadlineMs());
+        out.text(call.method()).text(call.uri()).texts(call.headers()).flag(call.hasBody());
+    }
+
+    private static Frame unpack(FrameType type, Unpacker in) {
+        return switch (type) {
+            case CALL_START -> new Frame.CallStart(
+                    in.integer(),
+                    in.text(),
+                    in.text(),
+                    in.constant(CallClass.values()),
+                    in.smallInteger(),
+                    in.text(),
+                    in.text(),
+                    in.texts(),
+                    in.flag());
+            case BODY -> new Frame.Body(in.integer(), in.bytes(), in.flag());
+            case CREDIT -> new Frame.Credit(in.integer(), in.smallInteger());
+            case CANCEL -> new Frame.Cancel(in.integer());
+            case RESPONSE_START -> new Frame.ResponseStart(
+                    in.integer(), in.smallInteger(), in.texts(), in.integer(), in.smallInteger());
+            case CALL_FAILURE -> new Frame.CallFailure(in.integer(), in.text(), in.flag(), in.text());
+            case HELLO -> new Frame.Hello(
+                    in.constant(Frame.Purpose.values()),
+                    WorldFields.unpackNode(in),
+                    in.integer(),
+                    in.flag(),
+                    Set.copyOf(in.list(Unpacker::text)));
+            case HEARTBEAT -> new Frame.Heartbeat(in.integer());
+            case CONFIG -> new Frame.Config(ConfigFields.unpackUpdate(in), in.integer());
+            case CONFIG_REQUEST -> new Frame.ConfigRequest(in.integer());
+            case HEAD_HINT -> new Frame.HeadHint(in.integer());
+            case ENDPOINTS -> new Frame.Endpoints(in.list(WorldFields::unpackEndpoint));
+            case HALTS -> new Frame.Halts(Set.copyOf(in.list(ConfigFields::unpackHalt)));
+            case REPORT -> new Frame.Report(unpackVersions(in));
+        };
+    }
+
+    private static SortedMap<Long, Integer> unpackVersions(Unpacker in) {
+        SortedMap<Long, Integer> versions = new TreeMap<>();
+        in.list(entry -> versions.put(entry.integer(), entry.smallInteger()));
+        return versions;
+    }
+}
--- /dev/null
+++ b/net/src/main/java/org/mimosahinge/net/frame/FrameDecoder.java
@@ -0,0 +1,33 @@
+package org.mimosahinge.net.frame;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.handler.codec.ByteToMessageDecoder;
+import java.util.List;
+import org.mimosahinge.api.error.FrameException;
+
+/** Reads frames with a length prefix of four bytes; a malformed frame fails the connection. */
+public final class FrameDecoder extends ByteToMessageDecoder {
+
+    private static final int PREFIX_BYTES = 4;
+
+    @Override
+    protected void decode(ChannelHandlerContext context, ByteBuf in, List<Object> out) {
+        if (in.readableBytes() < PREFIX_BYTES) {
+            return;
+        }
+        int length = in.getInt(in.readerIndex());
+        if (length <= 0 || length > FrameCodec.MAX_FRAME_BYTES) {
+            // Later bytes have no frame boundary, so they must not be parsed again.
+            in.skipBytes(in.readableBytes());
+            throw new FrameException("Frame length " + length + " is not in 1.." + FrameCodec.MAX_FRAME_BYTES);
+        }
+        if (in.readableBytes() < PREFIX_BYTES + length) {
+            return;
+        }
+        in.skipBytes(PREFIX_BYTES);
+        byte[] content = new byte[length];
+        in.readBytes(content);
+        out.add(FrameCodec.decode(content));
+    }
+}
--- /dev/null
+++ b/net/src/test/java/org/mimosahinge/net/frame/FrameCodecTest.java
@@ -0,0 +1,147 @@
+package org.mimosahinge.net.frame;
+
+import static org.junit.jupiter.api.Assertions.assertArrayEquals;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+
+import io.netty.buffer.Unpooled;
+import io.netty.channel.embedded.EmbeddedChannel;
+import io.netty.handler.codec.DecoderException;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.stream.Stream;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.MethodSource;
+import org.junit.jupiter.params.provider.ValueSource;
+import org.mimosahinge.api.config.ConfigUpdate;
+import org.mimosahinge.api.config.HaltMark;
+import org.mimosahinge.api.config.MovePhase;
+import org.mimosahinge.api.config.MoveState;
+import org.mimosahinge.api.config.RevisedSection;
+import org.mimosahinge.api.contract.CallClass;
+import org.mimosahinge.api.contract.Limits;
+import org.mimosahinge.api.contract.Route;
+import org.mimosahinge.api.contract.Section;
+import org.mimosahinge.api.contract.Service;
+import org.mimosahinge.api.error.FrameException;
+import org.mimosahinge.api.world.AvailabilityZone;
+import org.mimosahinge.api.world.BackendServer;
+import org.mimosahinge.api.world.Endpoint;
+import org.mimosahinge.api.world.EndpointState;
+import org.mimosahinge.api.world.HostPort;
+import org.mimosahinge.api.world.Node;
+import org.mimosahinge.api.world.NodeId;
+import org.mimosahinge.api.world.Region;
+import org.mimosahinge.api.world.Stamp;
+
+/** Guards against frames that change on the wire and against malformed input that harms the receiver. */
+class FrameCodecTest {
+
+    private static final Node NODE = new Node(
+            new NodeId("n1"),
+            7,
+            new AvailabilityZone("ch-west-1", new Region("ch-west")),
+            new HostPort("127.0.0.1", 9));
+
+    static Stream<Frame> frames() {
+        BackendServer server =
+                new BackendServer("listings", "v1", new HostPort("127.0.0.1", 80), 20, 130, Set.of("index"));
+        Section section = new Section(
+                "listings",
+                Set.of("index"),
+                List.of(new Service("listings", List.of("v1"), "v1", Optional.empty(), Limits.DEFAULT)),
+                List.of(new Route(
+                        "browse",
+                        "/listings",
+                        "listings",
+                        CallClass.INTERACTIVE,
+                        Duration.ofSeconds(2),
+                        true,
+                        false,
+                        Set.of("index"))));
+        MoveState move = new MoveState(
+                "listings", "v1", "v2", 3, 20, MovePhase.RUNNING, "canary", Instant.ofEpochMilli(1_700_000_000_000L));
+        ConfigUpdate update = new ConfigUpdate(
+                4,
+                5,
+                new TreeMap<>(Map.of("listings", new RevisedSection(3, section))),
+                Set.of("archive"),
+                new TreeMap<>(Map.of("listings", move)));
+        return Stream.of(
+                new Frame.Hello(Frame.Purpose.CALLS, NODE, 12, true, Set.of("ledger")),
+                new Frame.Heartbeat(99),
+                new Frame.Config(update, 5),
+                new Frame.ConfigRequest(3),
+                new Frame.HeadHint(6),
+                new Frame.Endpoints(
+                        List.of(new Endpoint("n1/a", server, NODE, EndpointState.READY, new Stamp(7, Long.MAX_VALUE)))),
+                new Frame.Halts(Set.of(new HaltMark("listings", "v2", 3))),
+                new Frame.Report(new TreeMap<>(Map.of(4L, 2, 5L, 9))),
+                new Frame.CallStart(
+                        1, "n1/a", "ledger", CallClass.CONFIRMATION, 500, "POST", "/c", Map.of("a", "b"), true),
+                new Frame.Credit(1, 65_536),
+                new Frame.Cancel(1),
+                new Frame.ResponseStart(1, 200, Map.of("etag", "\"x\""), -1, 700),
+                new Frame.CallFailure(1, "overloaded", true, "queue full"));
+    }
+
+    @ParameterizedTest
+    @MethodSource("frames")
+    void everyFrameIsDecodedAsItWasEncoded(Frame frame) {
+        assertEquals(frame, FrameCodec.decode(FrameCodec.encode(frame)));
+    }
+
+    @ParameterizedTest
+    @MethodSource("frames")
+    void frameThatEndsEarlyIsRejected(Frame frame) {
+        byte[] whole = FrameCodec.encode(frame);
+        for (int length = 0; length < whole.length; length++) {
+            byte[] part = java.util.Arrays.copyOf(whole, length);
+            assertThrows(FrameException.class, () -> FrameCodec.decode(part));
+        }
+    }
+
+    @ParameterizedTest
+    @ValueSource(ints = {0, -1, Integer.MAX_VALUE, FrameCodec.MAX_FRAME_BYTES + 1})
+    void announcedLengthOutsideTheLimitFailsTheConnection(int length) {
+        EmbeddedChannel channel = new EmbeddedChannel(new FrameDecoder());
+        DecoderException failure = assertThrows(
+                DecoderException.class,
+                () -> channel.writeInbound(Unpooled.buffer().writeInt(length).writeZero(64)));
+        assertEquals(FrameException.class, failure.getCause().getClass());
+    }
+
+    @ParameterizedTest
+    @ValueSource(ints = {1, 2, 3, 7, 4096})
+    void bodyArrivesUnchangedInPiecesOfAnySize(int piece) {
+        EmbeddedChannel sender = new EmbeddedChannel(new FrameEncoder());
+        byte[] content = new byte[10_000];
+        new java.util.Random(1).nextBytes(content);
+        sender.writeOutbound(new Frame.Body(3, content, true));
+        io.netty.buffer.ByteBuf wire = sender.readOutbound();
+        EmbeddedChannel receiver = new EmbeddedChannel(new FrameDecoder());
+        while (wire.isReadable()) {
+            receiver.writeInbound(wire.readBytes(Math.min(piece, wire.readableBytes())));
+        }
+        Frame.Body body = receiver.readInbound();
+        assertArrayEquals(content, body.bytes());
+        assertFalse(receiver.finish());
+    }
+
+    @Property(tries = 2000, seed = "42")
+    void arbitraryBytesAreDecodedOrRejectedWithATypedFailure(@ForAll byte[] garbage) {
+        try {
+            FrameCodec.decode(garbage);
+        } catch (FrameException e) {
+            assertFalse(e.getMessage().isEmpty());
+        }
+    }
+}
--- /dev/null
+++ b/net/src/test/java/org/mimosahinge/net/log/EventLogTest.java
@@ -0,0 +1,31 @@
+package org.mimosahinge.net.log;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+/** Guards against values that break the one-line key=value form. */
+class EventLogTest {
+
+    @ParameterizedTest
+    @CsvSource(
+            quoteCharacter = '`',
+            value = {
+                "plain,plain",
+                "two words,`\"two words\"`",
+                "a=b,`\"a=b\"`",
+                "say \"x\",`\"say \\\"x\\\"\"`",
+                "``,`\"\"`"
+            })
+    void valueIsQuotedWhenNeeded(String value, String written) {
+        assertEquals("event=tested key=" + written, EventLog.format("tested", "key", value));
+    }
+
+    @ParameterizedTest
+    @CsvSource({"1", "2"})
+    void lineBreakInsideValueStaysOnOneLine(int breaks) {
+        String line = EventLog.format("tested", "key", "a" + "\n".repeat(breaks) + "b");
+        assertEquals(1, line.lines().count());
+    }
+}
