--- /dev/null
+++ b/core/src/main/java/org/mimosahinge/core/config/AcceptDecision.java
@@ -0,0 +1,75 @@
+package org.mimosahinge.core.config;
+
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.SortedMap;
+import java.util.TreeMap;
+import org.mimosahinge.api.config.Head;
+import org.mimosahinge.api.config.MoveState;
+import org.mimosahinge.api.config.SectionRef;
+import org.mimosahinge.api.contract.Section;
+import org.mimosahinge.core.lease.Stored;
+
+/**
+ * Decides on writes to the head row.
+ *
+ * <p>The same decision serves the first attempt and reading back after a lost response: the operation identifier in the
+ * section row tells that an earlier attempt took effect. An earlier attempt that is still under way cannot take effect
+ * after a later one, because both are conditional on the same row revisions.
+ */
+public final class AcceptDecision {
+    private AcceptDecision() {}
+
+    /**
+     * Decides on a submission.
+     *
+     * @param view the platform's state, read after the last attempt
+     * @param submission the submission
+     * @return the rows to write, or why nothing is written
+     */
+    public static AcceptResult decide(AcceptView view, Submission submission) {
+        SectionRow row = view.row().value();
+        if (row.operationIds().contains(submission.operationId())) {
+            return new AcceptResult.AlreadyAccepted(row.revision());
+        }
+        if (row.revision() != submission.baseRevision()) {
+            return new AcceptResult.Conflict(row.revision());
+        }
+        SectionRow next = row.next(submission.hash(), submission.operationId());
+        Head head = view.head().value();
+        SortedMap<String, SectionRef> references = new TreeMap<>(head.sections());
+        references.put(next.team(), next.reference());
+        SortedMap<String, MoveState> moves = new TreeMap<>(head.moves());
+        MoveCarryOver.apply(moves, Optional.ofNullable(view.sections().get(next.team())), submission, next.revision());
+        Map<String, Section> candidate = new HashMap<>(view.sections());
+        candidate.put(next.team(), submission.section());
+        List<String> unresolved = References.unresolved(candidate.values(), moves.values());
+        return unresolved.isEmpty()
+                ? new AcceptResult.Write(
+                        new Stored<>(view.head().rowRevision(), new Head(head.version() + 1, references, moves)),
+                        new Stored<>(view.row().rowRevision(), next))
+                : new AcceptResult.Unresolved(unresolved);
+    }
+
+    /**
+     * Decides on a controller's record of a move; the caller adds the condition on its lease.
+     *
+     * @param head the head row that was read
+     * @param state the move's new state
+     * @return the head to write on condition of the row revision, empty when operators have changed the move meanwhile
+     *     or the state is recorded already
+     */
+    public static Optional<Stored<Head>> record(Stored<Head> head, MoveState state) {
+        MoveState held = head.value().moves().get(state.service());
+        if (held == null || held.sectionRevision() != state.sectionRevision() || held.equals(state)) {
+            return Optional.empty();
+        }
+        SortedMap<String, MoveState> moves = new TreeMap<>(head.value().moves());
+        moves.put(state.service(), state);
+        return Optional.of(new Stored<>(
+                head.rowRevision(),
+                new Head(head.value().version() + 1, head.value().sections(), moves)));
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/mimosahinge/core/config/AcceptView.java
@@ -0,0 +1,20 @@
+package org.mimosahinge.core.config;
+
+import java.util.Map;
+import org.mimosahinge.api.config.Head;
+import org.mimosahinge.api.contract.Section;
+import org.mimosahinge.core.lease.Stored;
+
+/**
+ * What one consistent read of the platform says about a submission.
+ *
+ * @param head the head row
+ * @param row the section's row
+ * @param sections contents of all sections of this head by team
+ */
+public record AcceptView(Stored<Head> head, Stored<SectionRow> row, Map<String, Section> sections) {
+    /** Copies the sections. */
+    public AcceptView {
+        sections = Map.copyOf(sections);
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/mimosahinge/core/config/References.java
@@ -0,0 +1,79 @@
+package org.mimosahinge.core.config;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.mimosahinge.api.config.MovePhase;
+import org.mimosahinge.api.config.MoveState;
+import org.mimosahinge.api.contract.Route;
+import org.mimosahinge.api.contract.Section;
+import org.mimosahinge.api.contract.Service;
+
+/** Finds references between sections that do not resolve. */
+final class References {
+    private References() {}
+
+    /**
+     * Lists what does not resolve in a set of sections with their moves.
+     *
+     * @param sections all sections of one version
+     * @param moves all moves of the same version
+     * @return one message per unresolved reference, empty when the set is closed
+     */
+    static List<String> unresolved(Collection<Section> sections, Collection<MoveState> moves) {
+        List<String> found = new ArrayList<>();
+        Map<String, Service> services = new HashMap<>();
+        Set<String> resources = new HashSet<>();
+        for (Section section : sections) {
+            resources.addAll(section.resources());
+            for (Service service : section.services()) {
+                if (services.put(service.name(), service) != null) {
+                    found.add("service \"" + service.name() + "\" is defined by two sections");
+                }
+            }
+        }
+        services.values().forEach(service -> checkService(service, found));
+        sections.forEach(section ->
+                section.routes().forEach(route -> checkRoute(section.team(), route, services, resources, found)));
+        moves.forEach(move -> checkMove(move, services, found));
+        return found;
+    }
+
+    private static void checkService(Service service, List<String> found) {
+        requireVersion(service, service.current(), found);
+        service.move().ifPresent(move -> requireVersion(service, move.to(), found));
+    }
+
+    private static void checkRoute(
+            String team, Route route, Map<String, Service> services, Set<String> resources, List<String> found) {
+        String place = "route \"" + team + "/" + route.name() + "\" refers to ";
+        if (!services.containsKey(route.service())) {
+            found.add(place + "unknown service \"" + route.service() + "\"");
+        }
+        route.resources().stream()
+                .filter(resource -> !resources.contains(resource))
+                .sorted()
+                .forEach(resource -> found.add(place + "unknown resource \"" + resource + "\""));
+    }
+
+    private static void checkMove(MoveState move, Map<String, Service> services, List<String> found) {
+        Service service = services.get(move.service());
+        if (service == null) {
+            found.add("move of unknown service \"" + move.service() + "\"");
+        } else if (move.phase() == MovePhase.PLANNED || move.phase() == MovePhase.RUNNING) {
+            // A move that has ended may name a version that a later section revision removed.
+            requireVersion(service, move.from(), found);
+            requireVersion(service, move.to(), found);
+        }
+    }
+
+    private static void requireVersion(Service service, String version, List<String> found) {
+        if (!service.versions().contains(version)) {
+            found.add("service \"" + service.name() + "\" has no version \"" + version + "\"");
+        }
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/mimosahinge/core/config/SnapshotBuilder.java
@@ -0,0 +1,226 @@
+package org.mimosahinge.core.config;
+
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.SortedMap;
+import java.util.TreeMap;
+import java.util.stream.Collectors;
+import org.mimosahinge.api.config.ConfigUpdate;
+import org.mimosahinge.api.config.HaltMark;
+import org.mimosahinge.api.config.MoveState;
+import org.mimosahinge.api.config.RevisedSection;
+import org.mimosahinge.api.config.Snapshot;
+import org.mimosahinge.api.contract.Route;
+import org.mimosahinge.api.contract.Section;
+import org.mimosahinge.api.contract.Service;
+import org.mimosahinge.api.error.UpdateRejectedException;
+import org.mimosahinge.api.world.Endpoint;
+
+/** Derives the next snapshot from the current one; the result is complete or the change is refused. */
+public final class SnapshotBuilder {
+    private static final Comparator<Route> LONGEST_PREFIX_FIRST = Comparator.comparingInt(
+                    (Route route) -> -route.pathPrefix().length())
+            .thenComparing(Route::pathPrefix)
+            .thenComparing(Route::name);
+
+    private SnapshotBuilder() {}
+
+    /** How an update relates to the version in force. */
+    public enum Fit {
+        /** The update applies. */
+        NEXT,
+        /** The version in force is the same or later; the update is ignored. */
+        STALE,
+        /** Updates are missing in between; the node asks for full state. */
+        GAP
+    }
+
+    /**
+     * Tells whether an update applies to a snapshot.
+     *
+     * @param current the snapshot in force
+     * @param update the update received
+     * @return how the update fits
+     */
+    public static Fit fit(Snapshot current, ConfigUpdate update) {
+        if (update.version() <= current.version()) {
+            return Fit.STALE;
+        }
+        return update.full() || update.baseVersion() == current.version() ? Fit.NEXT : Fit.GAP;
+    }
+
+    /**
+     * Applies an update of a later version.
+     *
+     * @param current the snapshot in force
+     * @param update a delta based on the version in force, or full state
+     * @return the snapshot of the update's version; endpoints and proof are kept
+     */
+    public static Snapshot apply(Snapshot current, ConfigUpdate update) {
+        Fit fit = fit(current, update);
+        if (fit != Fit.NEXT) {
+            throw rejected(current, update, fit == Fit.STALE ? "the version is not newer" : "the base does not match");
+        }
+        SortedMap<String, RevisedSection> sections = new TreeMap<>();
+        if (!update.full()) {
+            sections.putAll(current.sections());
+            sections.keySet().removeAll(update.removedTeams());
+        }
+        sections.putAll(update.sections());
+        return assemble(current, update, sections);
+    }
+
+    /**
+     * Adds sections of the version in force after the node's interest has grown.
+     *
+     * <p>A version number alone does not say which sections a node holds, so {@link #apply} cannot do this. A late
+     * answer to a narrower request is refused, because it would take sections away.
+     *
+     * @param current the snapshot in force
+     * @param update full state of the same version with at least the sections in force
+     * @return the snapshot with all sections of the update
+     */
+    public static Snapshot widen(Snapshot current, ConfigUpdate update) {
+        if (!update.full() || update.version() != current.version()) {
+            throw rejected(current, update, "only full state of the same version can add sections");
+        }
+        if (!update.sections().keySet().containsAll(current.sections().keySet())) {
+            throw rejected(current, update, "it holds fewer sections");
+        }
+        return assemble(current, update, update.sections());
+    }
+
+    /**
+     * Records the state of an endpoint if its stamp is the highest seen.
+     *
+     * <p>An endpoint that is gone stays as a tombstone, so that a late older state cannot revive it. With equal stamps
+     * the later {@link org.mimosahinge.api.world.EndpointState} wins, which makes the result independent of the order
+     * of arrival.
+     *
+     * @param current the snapshot in force
+     * @param endpoint the endpoint's state
+     * @return the snapshot with this state, or the same snapshot when nothing changes
+     */
+    public static Snapshot withEndpoint(Snapshot current, Endpoint endpoint) {
+        return withEndpoints(current, Endpoints.merge(current.endpoints(), endpoint));
+    }
+
+    /**
+     * Removes all endpoints of a failed node.
+     *
+     * @param current the snapshot in force
+     * @param removal the node and the incarnation that failed
+     * @return the snapshot in which this and earlier incarnations have no live endpoint
+     */
+    public static Snapshot withRemoval(Snapshot current, NodeRemoval removal) {
+        return withEndpoints(current, Endpoints.remove(current.endpoints(), removal));
+    }
+
+    /**
+     * Forgets tombstones.
+     *
+     * @param current the snapshot in force
+     * @param endpointIds tombstones that are older than any update may be delayed
+     * @return the snapshot without these tombstones; live endpoints stay
+     */
+    public static Snapshot withoutTombstones(Snapshot current, Set<String> endpointIds) {
+        return withEndpoints(current, Endpoints.prune(current.endpoints(), endpointIds));
+    }
+
+    /**
+     * Adds a halt mark unless a newer section revision has cleared it already.
+     *
+     * @param current the snapshot in force
+     * @param mark the mark
+     * @return the snapshot with the mark, or the same snapshot when nothing changes
+     */
+    public static Snapshot withHalt(Snapshot current, HaltMark mark) {
+        if (cleared(mark, current.serviceRevisions()) || current.halts().contains(mark)) {
+            return current;
+        }
+        Set<HaltMark> halts = new HashSet<>(current.halts());
+        halts.add(mark);
+        return copy(current, current.endpoints(), halts, current.provenCurrent());
+    }
+
+    /**
+     * Sets whether callers' calls may be routed by the version in force.
+     *
+     * @param current the snapshot in force
+     * @param provenCurrent whether the version is proven to be current enough
+     * @return the snapshot with this proof
+     */
+    public static Snapshot withProof(Snapshot current, boolean provenCurrent) {
+        return current.provenCurrent() == provenCurrent
+                ? current
+                : copy(current, current.endpoints(), current.halts(), provenCurrent);
+    }
+
+    private static Snapshot assemble(
+            Snapshot current, ConfigUpdate update, SortedMap<String, RevisedSection> sections) {
+        SortedMap<String, MoveState> moves = update.moves();
+        List<Section> contents =
+                sections.values().stream().map(RevisedSection::section).toList();
+        List<String> unresolved = References.unresolved(contents, moves.values());
+        if (!unresolved.isEmpty()) {
+            throw rejected(current, update, String.join("; ", unresolved));
+        }
+        Map<String, Service> services = new HashMap<>();
+        Map<String, Long> revisions = new HashMap<>();
+        sections.values().forEach(revised -> revised.section().services().forEach(service -> {
+            services.put(service.name(), service);
+            revisions.put(service.name(), revised.revision());
+        }));
+        List<Route> routes = contents.stream()
+                .flatMap(section -> section.routes().stream())
+                .sorted(LONGEST_PREFIX_FIRST)
+                .toList();
+        Set<HaltMark> halts = current.halts().stream()
+                .filter(mark -> !cleared(mark, revisions))
+                .collect(Collectors.toUnmodifiableSet());
+        return new Snapshot(
+                update.version(),
+                sections,
+                services,
+                revisions,
+                routes,
+                moves,
+                current.endpoints(),
+                halts,
+                current.provenCurrent());
+    }
+
+    // Marks of unknown services are kept: they may arrive over the tree before the section does.
+    private static boolean cleared(HaltMark mark, Map<String, Long> revisions) {
+        return mark.sectionRevision() < revisions.getOrDefault(mark.service(), 0L);
+    }
+
+    private static Snapshot withEndpoints(Snapshot current, Map<String, List<Endpoint>> endpoints) {
+        return endpoints == current.endpoints()
+                ? current
+                : copy(current, endpoints, current.halts(), current.provenCurrent());
+    }
+
+    private static Snapshot copy(
+            Snapshot current, Map<String, List<Endpoint>> endpoints, Set<HaltMark> halts, boolean provenCurrent) {
+        return new Snapshot(
+                current.version(),
+                current.sections(),
+                current.services(),
+                current.serviceRevisions(),
+                current.routes(),
+                current.moves(),
+                endpoints,
+                halts,
+                provenCurrent);
+    }
+
+    private static UpdateRejectedException rejected(Snapshot current, ConfigUpdate update, String reason) {
+        return new UpdateRejectedException("Update to version " + update.version() + " based on " + update.baseVersion()
+                + " does not apply to version " + current.version() + ": " + reason);
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/mimosahinge/core/config/UpdateBuilder.java
@@ -0,0 +1,84 @@
+package org.mimosahinge.core.config;
+
+import java.util.Set;
+import java.util.SortedMap;
+import java.util.TreeMap;
+import java.util.stream.Collectors;
+import org.mimosahinge.api.config.ConfigUpdate;
+import org.mimosahinge.api.config.MoveState;
+import org.mimosahinge.api.config.RevisedSection;
+import org.mimosahinge.api.config.Snapshot;
+
+/**
+ * Builds the updates that a parent sends to its children.
+ *
+ * <p>With an interest the child holds a subset of the sections but always the version number of the whole. An update is
+ * sent for every version, also when it carries no section, so that comparing version numbers stays a valid proof of
+ * being current. A delta is valid only for a child whose interest has not changed since its base version; a child with
+ * a new interest gets full state.
+ */
+public final class UpdateBuilder {
+    private UpdateBuilder() {}
+
+    /**
+     * Builds a delta for a child that holds everything.
+     *
+     * @param from the version that the child holds
+     * @param to the later version
+     * @return the delta
+     */
+    public static ConfigUpdate between(Snapshot from, Snapshot to) {
+        return between(from, to, Interest.ALL);
+    }
+
+    /**
+     * Builds a delta for a child with an interest.
+     *
+     * @param from the version that the child holds
+     * @param to the later version
+     * @param interest the child's interest at both versions
+     * @return the delta
+     */
+    public static ConfigUpdate between(Snapshot from, Snapshot to, Interest interest) {
+        SortedMap<String, RevisedSection> held = interest.select(from.sections());
+        SortedMap<String, RevisedSection> wanted = interest.select(to.sections());
+        SortedMap<String, RevisedSection> changed = new TreeMap<>(wanted);
+        changed.values()
+                .removeIf(revised -> revised.equals(held.get(revised.section().team())));
+        Set<String> removed = held.keySet().stream()
+                .filter(team -> !wanted.containsKey(team))
+                .collect(Collectors.toUnmodifiableSet());
+        return new ConfigUpdate(from.version(), to.version(), changed, removed, moves(to, wanted));
+    }
+
+    /**
+     * Builds full state.
+     *
+     * @param snapshot the version to send
+     * @return the update
+     */
+    public static ConfigUpdate full(Snapshot snapshot) {
+        return full(snapshot, Interest.ALL);
+    }
+
+    /**
+     * Builds full state for a child with an interest.
+     *
+     * @param snapshot the version to send
+     * @param interest the child's interest
+     * @return the update
+     */
+    public static ConfigUpdate full(Snapshot snapshot, Interest interest) {
+        return between(Snapshot.EMPTY, snapshot, interest);
+    }
+
+    private static SortedMap<String, MoveState> moves(Snapshot to, SortedMap<String, RevisedSection> wanted) {
+        SortedMap<String, MoveState> moves = new TreeMap<>(to.moves());
+        Set<String> services = wanted.values().stream()
+                .flatMap(revised -> revised.section().services().stream())
+                .map(service -> service.name())
+                .collect(Collectors.toUnmodifiableSet());
+        moves.keySet().retainAll(services);
+        return moves;
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/mimosahinge/core/config/package-info.java
@@ -0,0 +1,2 @@
+/** Decisions about accepting, distributing and applying configuration versions. */
+package org.mimosahinge.core.config;
--- /dev/null
+++ b/core/src/main/java/org/mimosahinge/core/fanout/ReconnectBackoff.java
@@ -0,0 +1,28 @@
+package org.mimosahinge.core.fanout;
+
+import java.util.function.DoubleSupplier;
+
+/**
+ * Delay before a reconnect, with full jitter so that nodes that failed together do not return together.
+ *
+ * @param baseMs upper bound of the first delay in milliseconds
+ * @param capMs upper bound of every delay in milliseconds
+ */
+public record ReconnectBackoff(long baseMs, long capMs) {
+    private static final int MAX_DOUBLINGS = 30;
+
+    /** Stays below the 3 s in which an orphan has to re-attach, for the first few attempts. */
+    public static final ReconnectBackoff DEFAULT = new ReconnectBackoff(200, 5_000);
+
+    /**
+     * Returns the delay before an attempt.
+     *
+     * @param attempt failed attempts so far
+     * @param random source of numbers from 0 inclusive to 1 exclusive
+     * @return the delay in milliseconds, from 0 to below the bound of this attempt
+     */
+    public long delayMs(int attempt, DoubleSupplier random) {
+        long bound = Math.min(capMs, baseMs << Math.min(attempt, MAX_DOUBLINGS));
+        return (long) (random.getAsDouble() * bound);
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/mimosahinge/core/fanout/package-info.java
@@ -0,0 +1,2 @@
+/** Shape and pacing of the distribution tree. */
+package org.mimosahinge.core.fanout;
--- /dev/null
+++ b/core/src/main/java/org/mimosahinge/core/lease/LeaseAction.java
@@ -0,0 +1,36 @@
+package org.mimosahinge.core.lease;
+
+/** What to do about a lease. */
+public sealed interface LeaseAction {
+
+    /**
+     * Write the row to take the lease, on condition of the revision.
+     *
+     * @param row the new row and the revision that it must have before
+     */
+    record Acquire(Stored<LeaseRow> row) implements LeaseAction {}
+
+    /**
+     * Write the row unchanged to extend the lease, on condition of the revision.
+     *
+     * @param row the row and the revision that it must have before
+     */
+    record Renew(Stored<LeaseRow> row) implements LeaseAction {}
+
+    /**
+     * Write the row without a holder and stop acting, on condition of the revision.
+     *
+     * @param row the new row and the revision that it must have before
+     */
+    record Release(Stored<LeaseRow> row) implements LeaseAction {}
+
+    /** Stop acting in the role without a write. */
+    record GiveUp() implements LeaseAction {}
+
+    /**
+     * Decide again later.
+     *
+     * @param untilNanos the earliest time at which another decision is possible without a new read
+     */
+    record Await(long untilNanos) implements LeaseAction {}
+}
--- /dev/null
+++ b/core/src/main/java/org/mimosahinge/core/lease/LeaseTiming.java
@@ -0,0 +1,13 @@
+package org.mimosahinge.core.lease;
+
+/**
+ * Durations of a lease, in milliseconds.
+ *
+ * @param ttlMs time to live
+ * @param renewMs interval between renewals
+ * @param marginMs how much earlier than others the holder considers the lease lost
+ */
+public record LeaseTiming(long ttlMs, long renewMs, long marginMs) {
+    /** The margin of a tenth covers clocks that differ in rate by far more than the usual 100 ppm. */
+    public static final LeaseTiming DEFAULT = new LeaseTiming(3_000, 1_000, 300);
+}
--- /dev/null
+++ b/core/src/main/java/org/mimosahinge/core/lease/package-info.java
@@ -0,0 +1,2 @@
+/** Decisions about roles held by lease. */
+package org.mimosahinge.core.lease;
--- /dev/null
+++ b/core/src/main/java/org/mimosahinge/core/membership/package-info.java
@@ -0,0 +1,2 @@
+/** Decisions about which nodes are alive. */
+package org.mimosahinge.core.membership;
