Add the stand-in of the platform and its client

An outage closes connections without a response; with "refuse" it also closes the listening port.

The client reports platform_unavailable only after a failed connect, 429 or 503; every other failure leaves the outcome of a write open.

--- /dev/null
+++ b/net/src/main/java/org/mimosahinge/net/platform/PlatformClient.java
@@ -0,0 +1,138 @@
+package org.mimosahinge.net.platform;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import java.util.Map;
+import java.util.concurrent.CompletionException;
+import java.util.concurrent.CompletionStage;
+import org.mimosahinge.api.error.PlatformException;
+import org.mimosahinge.api.platform.ObjectHash;
+import org.mimosahinge.api.platform.ObjectStore;
+import org.mimosahinge.api.platform.ReadRequest;
+import org.mimosahinge.api.platform.ReadResult;
+import org.mimosahinge.api.platform.TableService;
+import org.mimosahinge.api.platform.Transaction;
+import org.mimosahinge.api.platform.TransactionResult;
+import org.mimosahinge.api.world.HostPort;
+import org.mimosahinge.net.http.HttpExchangeException;
+import org.mimosahinge.net.http.HttpMessageClient;
+import org.mimosahinge.net.http.HttpMessageRequest;
+import org.mimosahinge.net.http.HttpMessageResponse;
+
+/**
+ * Reaches the table service and the object store over HTTP.
+ *
+ * <p>A failed connect and the statuses 429 and 503 mean that nothing was written. Every other failure leaves it open
+ * whether a write took effect.
+ */
+public final class PlatformClient implements TableService, ObjectStore {
+
+    private final HttpMessageClient http;
+    private final HostPort address;
+
+    private PlatformClient(HttpMessageClient http, HostPort address) {
+        this.http = http;
+        this.address = address;
+    }
+
+    /**
+     * Creates a client.
+     *
+     * @param http sends the messages; the caller closes it
+     * @param address the platform's address
+     * @return the client
+     */
+    public static PlatformClient create(HttpMessageClient http, HostPort address) {
+        return new PlatformClient(http, address);
+    }
+
+    /** Turns a response's body into a record. */
+    @FunctionalInterface
+    private interface BodyReader<T> {
+        T read(String json) throws JsonProcessingException;
+    }
+
+    @Override
+    public CompletionStage<TransactionResult> commit(Transaction transaction) {
+        String operation = "commit";
+        return send(
+                        operation,
+                        HttpMessageRequest.json("POST", PlatformJson.TRANSACTIONS, PlatformJson.write(transaction)))
+                .thenApply(response -> switch (response.status()) {
+                    case 200 -> decode(operation, response, PlatformJson::committed);
+                    case 409 -> decode(operation, response, PlatformJson::conflict);
+                    default -> throw unexpected(operation, response);
+                });
+    }
+
+    @Override
+    public CompletionStage<ReadResult> read(ReadRequest request) {
+        String operation = "read";
+        return send(operation, HttpMessageRequest.json("POST", PlatformJson.READS, PlatformJson.write(request)))
+                .thenApply(response -> decode(operation, success(operation, response), PlatformJson::readResult));
+    }
+
+    @Override
+    public CompletionStage<ObjectHash> put(byte[] content) {
+        ObjectHash hash = ObjectHash.of(content);
+        String operation = "put of object " + hash;
+        HttpMessageRequest request = new HttpMessageRequest("PUT", PlatformJson.OBJECTS + hash, Map.of(), content);
+        return send(operation, request).thenApply(response -> {
+            success(operation, response);
+            return hash;
+        });
+    }
+
+    @Override
+    public CompletionStage<byte[]> get(ObjectHash hash) {
+        String operation = "get of object " + hash;
+        return send(operation, HttpMessageRequest.get(PlatformJson.OBJECTS + hash))
+                .thenApply(response -> {
+                    // A store that has lost an object is as lasting a fault as one that returns other content.
+                    if (response.status() == 404
+                            || !ObjectHash.of(success(operation, response).body())
+                                    .equals(hash)) {
+                        throw PlatformException.corrupt(hash.hex());
+                    }
+                    return response.body();
+                });
+    }
+
+    private CompletionStage<HttpMessageResponse> send(String operation, HttpMessageRequest request) {
+        return http.send(address, request).handle((response, failure) -> {
+            if (failure != null) {
+                throw classify(operation, failure);
+            }
+            if (response.status() == 429 || response.status() == 503) {
+                throw PlatformException.unavailable(operation, null);
+            }
+            return response;
+        });
+    }
+
+    private static PlatformException classify(String operation, Throwable failure) {
+        Throwable cause = failure instanceof CompletionException ? failure.getCause() : failure;
+        boolean notSent = cause instanceof HttpExchangeException exchange && !exchange.sent();
+        return notSent
+                ? PlatformException.unavailable(operation, cause)
+                : PlatformException.answerLost(operation, cause);
+    }
+
+    private static HttpMessageResponse success(String operation, HttpMessageResponse response) {
+        if (response.status() / 100 != 2) {
+            throw unexpected(operation, response);
+        }
+        return response;
+    }
+
+    private static PlatformException unexpected(String operation, HttpMessageResponse response) {
+        return PlatformException.answerLost(operation + " with status " + response.status(), null);
+    }
+
+    private static <T> T decode(String operation, HttpMessageResponse response, BodyReader<T> reader) {
+        try {
+            return reader.read(response.text());
+        } catch (JsonProcessingException e) {
+            throw PlatformException.answerLost(operation, e);
+        }
+    }
+}
--- /dev/null
+++ b/standin/src/main/java/org/mimosahinge/standin/platform/DroppedConnectionException.java
@@ -0,0 +1,14 @@
+package org.mimosahinge.standin.platform;
+
+import org.mimosahinge.api.error.ErrorCode;
+import org.mimosahinge.api.error.MimosahingeException;
+
+/** A fault asks for the connection to close without a response; the HTTP server closes it when a handler throws. */
+final class DroppedConnectionException extends MimosahingeException {
+
+    private static final long serialVersionUID = 1L;
+
+    DroppedConnectionException() {
+        super(ErrorCode.CONNECTION_LOST, "Fault closes the connection without a response");
+    }
+}
--- /dev/null
+++ b/standin/src/main/java/org/mimosahinge/standin/platform/Fault.java
@@ -0,0 +1,75 @@
+package org.mimosahinge.standin.platform;
+
+/**
+ * A fault of the platform.
+ *
+ * @param kind what goes wrong
+ * @param forMs how long the fault lasts; 0 means until it is cleared
+ * @param delayMs added delay of a slow platform
+ * @param count how many writes lose their response; 0 means all while the fault lasts
+ * @param refuse whether an outage also closes the listening port, so that connects are refused until it ends
+ */
+public record Fault(Kind kind, long forMs, long delayMs, int count, boolean refuse) {
+
+    /** What goes wrong. */
+    public enum Kind {
+        /** Requests are not executed and their connections close without a response. */
+        OUTAGE,
+        /** Requests are executed after a delay. */
+        SLOW,
+        /** Writes take effect and their connections close without a response. */
+        LOSE_ANSWER,
+        /** Ends every fault. */
+        NONE
+    }
+
+    /**
+     * Requests get no response.
+     *
+     * @param forMs duration, 0 until cleared
+     * @return the fault
+     */
+    public static Fault outage(long forMs) {
+        return new Fault(Kind.OUTAGE, forMs, 0, 0, false);
+    }
+
+    /**
+     * Connects are refused.
+     *
+     * @param forMs duration, 0 until cleared in-process
+     * @return the fault
+     */
+    public static Fault refused(long forMs) {
+        return new Fault(Kind.OUTAGE, forMs, 0, 0, true);
+    }
+
+    /**
+     * Requests take longer.
+     *
+     * @param forMs duration, 0 until cleared
+     * @param delayMs added delay
+     * @return the fault
+     */
+    public static Fault slow(long forMs, long delayMs) {
+        return new Fault(Kind.SLOW, forMs, delayMs, 0, false);
+    }
+
+    /**
+     * The next writes take effect without a response.
+     *
+     * @param count how many writes
+     * @return the fault
+     */
+    public static Fault loseAnswer(int count) {
+        return new Fault(Kind.LOSE_ANSWER, 0, 0, count, false);
+    }
+
+    /**
+     * Ends every fault.
+     *
+     * @return the fault
+     */
+    public static Fault none() {
+        return new Fault(Kind.NONE, 0, 0, 0, false);
+    }
+}
--- /dev/null
+++ b/standin/src/main/java/org/mimosahinge/standin/platform/package-info.java
@@ -0,0 +1,2 @@
+/** Stand-in of the platform: a table service and an object store in memory. */
+package org.mimosahinge.standin.platform;
