--- /dev/null
+++ b/core/src/main/java/org/mimosahinge/core/move/Counts.java
@@ -0,0 +1,94 @@
+package org.mimosahinge.core.move;
+
+import java.util.Arrays;
+
+/** An immutable vector of counters that adds element by element. */
+public final class Counts {
+    private final long[] values;
+
+    private Counts(long[] values) {
+        this.values = values;
+    }
+
+    /**
+     * Creates a vector of zeros.
+     *
+     * @param size number of counters
+     * @return the vector
+     */
+    public static Counts zeros(int size) {
+        return new Counts(new long[size]);
+    }
+
+    /**
+     * Creates a vector from values.
+     *
+     * @param values the counters, copied
+     * @return the vector
+     */
+    public static Counts of(long... values) {
+        return new Counts(values.clone());
+    }
+
+    /**
+     * Returns the number of counters.
+     *
+     * @return the size
+     */
+    public int size() {
+        return values.length;
+    }
+
+    /**
+     * Returns one counter.
+     *
+     * @param index position of the counter
+     * @return its value
+     */
+    public long at(int index) {
+        return values[index];
+    }
+
+    /**
+     * Adds two vectors of the same size.
+     *
+     * @param other the other vector
+     * @return the sum
+     */
+    public Counts plus(Counts other) {
+        long[] sum = values.clone();
+        for (int i = 0; i < sum.length; i++) {
+            sum[i] += other.values[i];
+        }
+        return new Counts(sum);
+    }
+
+    /**
+     * Sums the counters from a position to the end.
+     *
+     * @param start first position
+     * @return the sum
+     */
+    public long sumFrom(int start) {
+        long sum = 0;
+        for (int i = start; i < values.length; i++) {
+            sum += values[i];
+        }
+        return sum;
+    }
+
+    @Override
+    public boolean equals(Object other) {
+        return other instanceof Counts && Arrays.equals(values, ((Counts) other).values);
+    }
+
+    @Override
+    public int hashCode() {
+        return Arrays.hashCode(values);
+    }
+
+    @Override
+    public String toString() {
+        return Arrays.toString(values);
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/mimosahinge/core/move/LatencyHistogram.java
@@ -0,0 +1,87 @@
+package org.mimosahinge.core.move;
+
+/**
+ * Latencies in logarithmic buckets, two per factor of two, from 1 ms to 65 s.
+ *
+ * <p>A bucket spans a factor of 1.41, which separates a version that is twice as slow and keeps reports small.
+ *
+ * @param counts calls per bucket; the last one also holds everything slower
+ */
+public record LatencyHistogram(Counts counts) {
+    /** Number of buckets. */
+    public static final int BUCKETS = 32;
+
+    /** A histogram without calls. */
+    public static final LatencyHistogram EMPTY = new LatencyHistogram(Counts.zeros(BUCKETS));
+
+    private static final double LOG_OF_BUCKET = Math.log(2) / 2;
+
+    /**
+     * Returns the bucket of a latency.
+     *
+     * @param latencyMs the latency in milliseconds
+     * @return position of the bucket
+     */
+    public static int bucket(double latencyMs) {
+        return latencyMs <= 1 ? 0 : Math.min(BUCKETS - 1, (int) (Math.log(latencyMs) / LOG_OF_BUCKET));
+    }
+
+    /**
+     * Merges two histograms.
+     *
+     * @param other the other histogram
+     * @return the sum
+     */
+    public LatencyHistogram plus(LatencyHistogram other) {
+        return new LatencyHistogram(counts.plus(other.counts));
+    }
+
+    /**
+     * Returns the number of calls recorded.
+     *
+     * @return the number of calls
+     */
+    public long total() {
+        return counts.sumFrom(0);
+    }
+
+    /**
+     * Counts the calls in a bucket and all slower ones.
+     *
+     * @param bucket position of the bucket
+     * @return the number of calls
+     */
+    public long countFrom(int bucket) {
+        return counts.sumFrom(bucket);
+    }
+
+    /**
+     * Finds the first bucket above a quantile.
+     *
+     * @param quantile the quantile, 0 to 1
+     * @return position of a bucket with at most {@code 1 - quantile} of the calls in it and in slower ones
+     */
+    public int bucketAbove(double quantile) {
+        double allowed = (1 - quantile) * total();
+        long above = 0;
+        int bucket = BUCKETS;
+        while (bucket > 0 && above + counts.at(bucket - 1) <= allowed) {
+            bucket--;
+            above += counts.at(bucket);
+        }
+        return bucket;
+    }
+
+    /**
+     * Estimates the sum of all latencies from the middle of each bucket.
+     *
+     * @return the sum in milliseconds
+     */
+    public double sumMs() {
+        double sum = 0;
+        for (int i = 0; i < BUCKETS; i++) {
+            sum += counts.at(i) * Math.exp((i + 0.5) * LOG_OF_BUCKET);
+        }
+        return sum;
+    }
+}
