Carry a call from a caller over two nodes to a backend server

A request is routed by path prefix, version and endpoint, and streamed over one frame connection per event loop and node, or straight to a backend server beside the node. Bodies flow under windows of 64 KiB in both directions.

--- /dev/null
+++ b/core/src/main/java/org/mimosahinge/core/poison/package-info.java
@@ -0,0 +1,2 @@
+/** Requests that crash backend servers. */
+package org.mimosahinge.core.poison;
--- /dev/null
+++ b/core/src/main/java/org/mimosahinge/core/routing/Choice.java
@@ -0,0 +1,13 @@
+package org.mimosahinge.core.routing;
+
+import org.mimosahinge.api.world.Endpoint;
+import org.mimosahinge.api.world.Proximity;
+
+/**
+ * A chosen endpoint.
+ *
+ * @param endpoint the endpoint
+ * @param proximity its distance from the choosing node
+ * @param candidates number of endpoints that were eligible at that distance
+ */
+public record Choice(Endpoint endpoint, Proximity proximity, int candidates) {}
--- /dev/null
+++ b/core/src/main/java/org/mimosahinge/core/routing/EndpointChoosers.java
@@ -0,0 +1,147 @@
+package org.mimosahinge.core.routing;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.atomic.AtomicInteger;
+import org.mimosahinge.api.config.Snapshot;
+import org.mimosahinge.api.world.Endpoint;
+import org.mimosahinge.api.world.EndpointState;
+import org.mimosahinge.api.world.Proximity;
+
+/** The standard endpoint choice and its alternatives. */
+public final class EndpointChoosers {
+
+    /** After this time a load report no longer counts; backend servers report with every response. */
+    static final long REPORT_LIFETIME_MS = 2_000;
+
+    /** Time until a new endpoint counts with all of its slots, so that caches and pools can warm up. */
+    static final long RAMP_MS = 10_000;
+
+    /** Share of its slots with which a new endpoint starts; it must get some calls to warm up. */
+    private static final double RAMP_START = 0.1;
+
+    private static final int FULL_PERMILLE = 1000;
+    private static final Proximity[] NEAREST_FIRST = Proximity.values();
+
+    private EndpointChoosers() {}
+
+    /**
+     * Nearest endpoints with room, by two random choices.
+     *
+     * <p>Zone comes before region and region before link. A distance without room is passed over; when no distance has
+     * room, the nearest one takes the call and its queue decides.
+     *
+     * @return the chooser
+     */
+    public static EndpointChooser standard() {
+        return (request, snapshot, loads, random) -> {
+            List<Endpoint> eligible = eligible(request, snapshot);
+            List<Endpoint> nearest = List.of();
+            for (Proximity proximity : NEAREST_FIRST) {
+                List<Endpoint> candidates = new ArrayList<>(eligible.size());
+                for (Endpoint endpoint : eligible) {
+                    if (proximity(request, endpoint) == proximity) {
+                        candidates.add(endpoint);
+                    }
+                }
+                if (nearest.isEmpty()) {
+                    nearest = candidates;
+                }
+                List<Endpoint> withRoom = new ArrayList<>(candidates.size());
+                for (Endpoint endpoint : candidates) {
+                    if (hasRoom(endpoint, loads.load(endpoint.id()))) {
+                        withRoom.add(endpoint);
+                    }
+                }
+                if (!withRoom.isEmpty()) {
+                    return choice(request, twoChoices(withRoom, loads, random), withRoom.size());
+                }
+            }
+            if (nearest.isEmpty()) {
+                return Optional.empty();
+            }
+            return choice(request, twoChoices(nearest, loads, random), nearest.size());
+        };
+    }
+
+    /**
+     * Baseline: endpoints in turn, whatever their distance and load.
+     *
+     * @return the chooser
+     */
+    public static EndpointChooser roundRobin() {
+        AtomicInteger turn = new AtomicInteger();
+        return (request, snapshot, loads, random) -> {
+            List<Endpoint> eligible = eligible(request, snapshot);
+            if (eligible.isEmpty()) {
+                return Optional.empty();
+            }
+            return choice(
+                    request, eligible.get(Math.floorMod(turn.getAndIncrement(), eligible.size())), eligible.size());
+        };
+    }
+
+    /**
+     * Baseline: the endpoint that reports the least load, whatever the report's age.
+     *
+     * @return the chooser
+     */
+    public static EndpointChooser leastReportedLoad() {
+        return (request, snapshot, loads, random) -> {
+            List<Endpoint> eligible = eligible(request, snapshot);
+            return eligible.stream()
+                    .min(Comparator.comparingInt(
+                            endpoint -> loads.load(endpoint.id()).reportedPermille()))
+                    .flatMap(endpoint -> choice(request, endpoint, eligible.size()));
+        };
+    }
+
+    private static List<Endpoint> eligible(ChoiceRequest request, Snapshot snapshot) {
+        List<Endpoint> found = new ArrayList<>();
+        for (Endpoint endpoint : snapshot.endpoints().getOrDefault(request.service(), List.of())) {
+            if (endpoint.state() == EndpointState.READY
+                    && endpoint.server().version().equals(request.version())
+                    && !request.excluded().contains(endpoint.id())) {
+                found.add(endpoint);
+            }
+        }
+        return found;
+    }
+
+    private static Optional<Choice> choice(ChoiceRequest request, Endpoint endpoint, int candidates) {
+        return Optional.of(new Choice(endpoint, proximity(request, endpoint), candidates));
+    }
+
+    private static Proximity proximity(ChoiceRequest request, Endpoint endpoint) {
+        return Proximity.between(request.zone(), endpoint.node().zone());
+    }
+
+    private static boolean hasRoom(Endpoint endpoint, EndpointLoad load) {
+        boolean reportedFull = load.reportedPermille() >= FULL_PERMILLE && load.reportAgeMs() < REPORT_LIFETIME_MS;
+        return load.outstanding() < endpoint.server().slots() && !reportedFull;
+    }
+
+    private static Endpoint twoChoices(List<Endpoint> candidates, LoadView loads, RandomSource random) {
+        int size = candidates.size();
+        int first = random.nextInt(size);
+        if (size == 1) {
+            return candidates.get(first);
+        }
+        int second = (first + 1 + random.nextInt(size - 1)) % size;
+        Endpoint one = candidates.get(first);
+        Endpoint other = candidates.get(second);
+        return score(one, loads.load(one.id())) <= score(other, loads.load(other.id())) ? one : other;
+    }
+
+    /** Expected occupation; own calls count fully, the report loses weight with its age. */
+    private static double score(Endpoint endpoint, EndpointLoad load) {
+        double ramp = load.readyForMs() >= RAMP_MS
+                ? 1
+                : RAMP_START + (1 - RAMP_START) * Math.max(0, load.readyForMs()) / RAMP_MS;
+        double own = (load.outstanding() + 1) / (Math.max(1, endpoint.server().slots()) * ramp);
+        double freshness = Math.max(0, 1 - (double) load.reportAgeMs() / REPORT_LIFETIME_MS);
+        return own + freshness * load.reportedPermille() / FULL_PERMILLE;
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/mimosahinge/core/routing/RandomSource.java
@@ -0,0 +1,14 @@
+package org.mimosahinge.core.routing;
+
+/** Source of random numbers; tests use a seeded one. */
+@FunctionalInterface
+public interface RandomSource {
+
+    /**
+     * Draws a number.
+     *
+     * @param bound upper bound, exclusive and positive
+     * @return a number from 0 to below the bound
+     */
+    int nextInt(int bound);
+}
--- /dev/null
+++ b/core/src/main/java/org/mimosahinge/core/routing/VersionPicker.java
@@ -0,0 +1,78 @@
+package org.mimosahinge.core.routing;
+
+import java.util.List;
+import java.util.Optional;
+import java.util.function.Predicate;
+import org.mimosahinge.api.config.HaltMark;
+import org.mimosahinge.api.config.MoveState;
+import org.mimosahinge.api.config.Snapshot;
+import org.mimosahinge.api.contract.Service;
+import org.mimosahinge.api.world.Endpoint;
+import org.mimosahinge.api.world.EndpointState;
+
+/** Picks the backend server version of a call by the share of the service's move. */
+public final class VersionPicker {
+
+    private static final int WHOLE_PERMILLE = 1000;
+
+    private VersionPicker() {}
+
+    /**
+     * Picks a version for a new call.
+     *
+     * <p>A halted version is never picked. A version without a ready endpoint gives way to the other one.
+     *
+     * @param service the service
+     * @param snapshot configuration in force
+     * @param random source of the draw against the share
+     * @return the version, empty when no version may take the call
+     */
+    public static Optional<String> pick(Service service, Snapshot snapshot, RandomSource random) {
+        Predicate<String> usable = version -> !halted(service.name(), version, snapshot);
+        MoveState move = snapshot.moves().get(service.name());
+        if (move == null) {
+            return Optional.of(service.current()).filter(usable);
+        }
+        boolean moved = random.nextInt(WHOLE_PERMILLE) < share(move);
+        String first = moved ? move.to() : move.from();
+        String second = moved ? move.from() : move.to();
+        // A version that was taken back, withdrawn or not yet started is no substitute for the old one.
+        Predicate<String> substitute = version -> usable.test(version) && (moved || share(move) > 0);
+        Predicate<String> ready = version -> hasReady(service.name(), version, snapshot);
+        return Optional.of(first)
+                .filter(usable.and(ready))
+                .or(() -> Optional.of(second).filter(substitute.and(ready)))
+                .or(() -> Optional.of(first).filter(usable));
+    }
+
+    private static int share(MoveState move) {
+        return switch (move.phase()) {
+            case RUNNING -> move.sharePermille();
+            case DONE -> WHOLE_PERMILLE;
+            case PLANNED, TAKEN_BACK, CANCELLED -> 0;
+        };
+    }
+
+    private static boolean hasReady(String service, String version, Snapshot snapshot) {
+        for (Endpoint endpoint : snapshot.endpoints().getOrDefault(service, List.of())) {
+            if (endpoint.state() == EndpointState.READY
+                    && endpoint.server().version().equals(version)) {
+                return true;
+            }
+        }
+        return false;
+    }
+
+    private static boolean halted(String service, String version, Snapshot snapshot) {
+        long revision = snapshot.serviceRevisions().getOrDefault(service, 0L);
+        for (HaltMark mark : snapshot.halts()) {
+            // Only a section revision newer than the mark lifts it.
+            if (mark.sectionRevision() >= revision
+                    && mark.service().equals(service)
+                    && mark.version().equals(version)) {
+                return true;
+            }
+        }
+        return false;
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/mimosahinge/daemon/traffic/BackendConnection.java
@@ -0,0 +1,174 @@
+package org.mimosahinge.daemon.traffic;
+
+import io.netty.buffer.ByteBufUtil;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.handler.codec.http.DefaultHttpContent;
+import io.netty.handler.codec.http.DefaultHttpRequest;
+import io.netty.handler.codec.http.DefaultLastHttpContent;
+import io.netty.handler.codec.http.HttpContent;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpObject;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpStatusClass;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.HttpVersion;
+import io.netty.handler.codec.http.LastHttpContent;
+import io.netty.util.ReferenceCountUtil;
+import java.util.Map;
+import org.mimosahinge.net.frame.Frame;
+
+/** One HTTP/1.1 connection to a backend server, used by one call at a time. */
+final class BackendConnection extends ChannelInboundHandlerAdapter {
+
+    /** Receives what happens on the connection for the call that uses it. */
+    interface User {
+        void started(int status, Map<String, String> headers);
+
+        void received(byte[] bytes, boolean last);
+
+        void written(int bytes);
+
+        void readComplete();
+
+        void lost();
+    }
+
+    private static final byte[] NOTHING = {};
+
+    private Channel channel;
+    private User user;
+    private boolean keepAlive;
+    private boolean requestSent;
+    private boolean informational;
+
+    @Override
+    public void handlerAdded(ChannelHandlerContext context) {
+        channel = context.channel();
+    }
+
+    boolean usable() {
+        return channel.isActive();
+    }
+
+    /** Sends a request's head and binds the connection to the call. */
+    void send(Frame.CallStart start, int deadlineMs, User next) {
+        user = next;
+        keepAlive = false;
+        requestSent = !start.hasBody();
+        DefaultHttpRequest request =
+                new DefaultHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.valueOf(start.method()), start.uri());
+        HeaderMaps.copy(start.headers(), request.headers());
+        request.headers().set(HeaderMaps.DEADLINE, deadlineMs);
+        if (start.hasBody() && !request.headers().contains(HttpHeaderNames.CONTENT_LENGTH)) {
+            HttpUtil.setTransferEncodingChunked(request, true);
+        }
+        channel.write(request);
+        if (!start.hasBody()) {
+            channel.write(LastHttpContent.EMPTY_LAST_CONTENT);
+        }
+    }
+
+    void body(byte[] bytes, boolean last) {
+        requestSent |= last;
+        var buffer = Unpooled.wrappedBuffer(bytes);
+        User sender = user;
+        channel.write(last ? new DefaultLastHttpContent(buffer) : new DefaultHttpContent(buffer))
+                .addListener(written -> {
+                    if (written.isSuccess() && sender == user) {
+                        sender.written(bytes.length);
+                    }
+                });
+    }
+
+    void flush() {
+        channel.flush();
+    }
+
+    void reading(boolean wanted) {
+        channel.config().setAutoRead(wanted);
+    }
+
+    /** Tells whether another call may use the connection after the response is complete. */
+    boolean reusable() {
+        return keepAlive && requestSent && usable();
+    }
+
+    void release() {
+        user = null;
+        reading(true);
+    }
+
+    void close() {
+        user = null;
+        channel.close();
+    }
+
+    @Override
+    public void channelRead(ChannelHandlerContext context, Object message) {
+        try {
+            if (user == null || ((HttpObject) message).decoderResult().isFailure()) {
+                lost();
+                context.close();
+                return;
+            }
+            if (message instanceof HttpResponse response) {
+                started(response);
+            }
+            if (message instanceof HttpContent content) {
+                content(content);
+            }
+        } finally {
+            ReferenceCountUtil.release(message);
+        }
+    }
+
+    private void started(HttpResponse response) {
+        informational = response.status().codeClass() == HttpStatusClass.INFORMATIONAL;
+        if (!informational) {
+            keepAlive = HttpUtil.isKeepAlive(response);
+            user.started(response.status().code(), HeaderMaps.from(response.headers()));
+        }
+    }
+
+    private void content(HttpContent content) {
+        boolean last = content instanceof LastHttpContent;
+        if (informational) {
+            informational = !last;
+            return;
+        }
+        int size = content.content().readableBytes();
+        if (user != null && (size > 0 || last)) {
+            user.received(size == 0 ? NOTHING : ByteBufUtil.getBytes(content.content()), last);
+        }
+    }
+
+    @Override
+    public void channelReadComplete(ChannelHandlerContext context) {
+        if (user != null) {
+            user.readComplete();
+        }
+    }
+
+    @Override
+    public void channelInactive(ChannelHandlerContext context) {
+        lost();
+    }
+
+    @Override
+    public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+        lost();
+        context.close();
+    }
+
+    private void lost() {
+        User last = user;
+        user = null;
+        if (last != null) {
+            last.lost();
+        }
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/mimosahinge/daemon/traffic/BackendPool.java
@@ -0,0 +1,71 @@
+package org.mimosahinge.daemon.traffic;
+
+import io.netty.bootstrap.Bootstrap;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
+import io.netty.channel.socket.SocketChannel;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import io.netty.handler.codec.http.HttpClientCodec;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.function.Consumer;
+import org.mimosahinge.api.world.HostPort;
+
+/** Kept connections to one backend server on one event loop. */
+final class BackendPool {
+
+    /** A backend server beside the node answers at once or is down. */
+    private static final int CONNECT_TIMEOUT_MS = 1_000;
+
+    private final EventLoop loop;
+    private final HostPort address;
+    private final Deque<BackendConnection> idle = new ArrayDeque<>();
+
+    BackendPool(EventLoop loop, HostPort address) {
+        this.loop = loop;
+        this.address = address;
+    }
+
+    /** Hands over a kept connection at once or a new one later; null tells that none could be opened. */
+    void acquire(Consumer<BackendConnection> receiver) {
+        // The connection used last is the least likely one to have been closed for idleness.
+        for (BackendConnection kept = idle.pollLast(); kept != null; kept = idle.pollLast()) {
+            if (kept.usable()) {
+                receiver.accept(kept);
+                return;
+            }
+        }
+        BackendConnection connection = new BackendConnection();
+        new Bootstrap()
+                .group(loop)
+                .channel(NioSocketChannel.class)
+                .option(ChannelOption.TCP_NODELAY, true)
+                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MS)
+                .handler(new ChannelInitializer<SocketChannel>() {
+                    @Override
+                    protected void initChannel(SocketChannel channel) {
+                        channel.pipeline().addLast(new HttpClientCodec(), connection);
+                    }
+                })
+                .connect(address.host(), address.port())
+                .addListener((ChannelFuture connected) -> receiver.accept(connected.isSuccess() ? connection : null));
+    }
+
+    /** Takes a connection back after its call. */
+    void release(BackendConnection connection) {
+        if (connection.reusable()) {
+            connection.release();
+            idle.addLast(connection);
+        } else {
+            connection.close();
+        }
+    }
+
+    /** Closes kept connections; they may share the fault of one that stopped delivering. */
+    void closeIdle() {
+        idle.forEach(BackendConnection::close);
+        idle.clear();
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/mimosahinge/daemon/traffic/CallRequest.java
@@ -0,0 +1,13 @@
+package org.mimosahinge.daemon.traffic;
+
+import java.util.Map;
+
+/**
+ * Head of a caller's request.
+ *
+ * @param method HTTP method
+ * @param uri path and query
+ * @param headers end-to-end headers by lower-case name
+ * @param hasBody whether a body follows
+ */
+record CallRequest(String method, String uri, Map<String, String> headers, boolean hasBody) {}
--- /dev/null
+++ b/daemon/src/main/java/org/mimosahinge/daemon/traffic/CallerConnection.java
@@ -0,0 +1,240 @@
+package org.mimosahinge.daemon.traffic;
+
+import io.netty.buffer.ByteBufUtil;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFutureListener;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.handler.codec.TooLongFrameException;
+import io.netty.handler.codec.http.DefaultFullHttpResponse;
+import io.netty.handler.codec.http.DefaultHttpContent;
+import io.netty.handler.codec.http.DefaultHttpResponse;
+import io.netty.handler.codec.http.DefaultLastHttpContent;
+import io.netty.handler.codec.http.FullHttpResponse;
+import io.netty.handler.codec.http.HttpContent;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpObject;
+import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.HttpVersion;
+import io.netty.handler.codec.http.LastHttpContent;
+import io.netty.util.ReferenceCountUtil;
+import java.util.ArrayDeque;
+import java.util.Queue;
+import org.mimosahinge.api.error.CallException;
+import org.mimosahinge.net.frame.Frame;
+
+/** A caller's HTTP/1.1 connection; serves one request after the other. */
+final class CallerConnection extends SimpleChannelInboundHandler<HttpObject> {
+
+    /** Pipelined messages that may wait; a caller that sends more is not read until some are served. */
+    private static final int MAX_PIPELINED = 64;
+
+    private final TrafficLoop loop;
+    private final TrafficPlane plane;
+    private final Queue<HttpObject> pipelined = new ArrayDeque<>();
+    private Channel channel;
+    private Turn turn;
+
+    CallerConnection(TrafficPlane plane, TrafficLoop loop) {
+        super(false);
+        this.plane = plane;
+        this.loop = loop;
+    }
+
+    @Override
+    public void channelActive(ChannelHandlerContext context) {
+        channel = context.channel();
+        plane.callerConnected(channel);
+    }
+
+    @Override
+    protected void channelRead0(ChannelHandlerContext context, HttpObject message) {
+        if (turn != null && turn.requestComplete) {
+            pipelined.add(message);
+            updateReading();
+        } else {
+            take(message);
+        }
+    }
+
+    private void take(HttpObject message) {
+        try {
+            if (message.decoderResult().isFailure()) {
+                malformed(message.decoderResult().cause());
+                return;
+            }
+            if (message instanceof HttpRequest request) {
+                turn = new Turn(request);
+                turn.begin();
+            }
+            if (message instanceof HttpContent content && turn != null) {
+                turn.content(content);
+            }
+        } finally {
+            ReferenceCountUtil.release(message);
+        }
+    }
+
+    private void malformed(Throwable cause) {
+        if (turn != null) {
+            turn.call.callerLeft();
+        }
+        if (turn != null && turn.responseStarted) {
+            channel.close();
+            return;
+        }
+        boolean tooLong = cause instanceof TooLongFrameException;
+        channel.writeAndFlush(ErrorResponses.malformed(tooLong)).addListener(ChannelFutureListener.CLOSE);
+        channel.config().setAutoRead(false);
+    }
+
+    private void updateReading() {
+        channel.config().setAutoRead(pipelined.size() < MAX_PIPELINED && (turn == null || turn.requestWindow.open()));
+    }
+
+    @Override
+    public void channelReadComplete(ChannelHandlerContext context) {
+        if (turn != null) {
+            turn.call.flushRequest();
+        }
+    }
+
+    @Override
+    public void channelInactive(ChannelHandlerContext context) {
+        pipelined.forEach(ReferenceCountUtil::release);
+        pipelined.clear();
+        if (turn != null) {
+            turn.call.callerLeft();
+        }
+    }
+
+    @Override
+    public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+        context.close();
+    }
+
+    private void next() {
+        turn = null;
+        while (!pipelined.isEmpty() && (turn == null || !turn.requestComplete)) {
+            take(pipelined.poll());
+        }
+        if (turn != null) {
+            turn.call.flushRequest();
+        }
+        updateReading();
+    }
+
+    /** One request and its response. */
+    private final class Turn implements CallerSink {
+
+        private final EntryCall call;
+        private final boolean keepAlive;
+        private final boolean head;
+        private final FlowWindow requestWindow = new FlowWindow();
+        private boolean requestComplete;
+        private boolean responseStarted;
+        private boolean answered;
+
+        Turn(HttpRequest request) {
+            keepAlive = HttpUtil.isKeepAlive(request);
+            head = request.method().name().equals("HEAD");
+            boolean hasBody = HttpUtil.isTransferEncodingChunked(request) || HttpUtil.getContentLength(request, 0L) > 0;
+            if (HttpUtil.is100ContinueExpected(request)) {
+                channel.writeAndFlush(new DefaultFullHttpResponse(
+                        HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE, Unpooled.EMPTY_BUFFER));
+            }
+            call = new EntryCall(
+                    loop,
+                    new CallRequest(
+                            request.method().name(), request.uri(), HeaderMaps.from(request.headers()), hasBody),
+                    this);
+        }
+
+        void begin() {
+            call.begin();
+        }
+
+        void content(HttpContent content) {
+            boolean last = content instanceof LastHttpContent;
+            int size = content.content().readableBytes();
+            if (!answered && (size > 0 || last)) {
+                requestWindow.sent(size);
+                call.requestBody(ByteBufUtil.getBytes(content.content()), last);
+                updateReading();
+            }
+            requestComplete = last;
+            if (last && answered) {
+                next();
+            }
+        }
+
+        @Override
+        public void started(Frame.ResponseStart start) {
+            responseStarted = true;
+            DefaultHttpResponse response =
+                    new DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(start.status()));
+            HeaderMaps.copy(start.headers(), response.headers());
+            boolean bodyless = head || start.status() == 204 || start.status() == 304;
+            if (!bodyless && start.contentLength() < 0) {
+                HttpUtil.setTransferEncodingChunked(response, true);
+            }
+            prepare(response);
+            channel.write(response);
+        }
+
+        @Override
+        public void body(byte[] bytes, boolean last) {
+            var buffer = Unpooled.wrappedBuffer(bytes);
+            var written = channel.write(last ? new DefaultLastHttpContent(buffer) : new DefaultHttpContent(buffer));
+            if (last) {
+                finish(written);
+            } else {
+                written.addListener(done -> call.responseCredit(bytes.length));
+            }
+        }
+
+        @Override
+        public void credit(int bytes) {
+            requestWindow.granted(bytes);
+            updateReading();
+        }
+
+        @Override
+        public void failed(CallException failure) {
+            responseStarted = true;
+            FullHttpResponse response = ErrorResponses.of(failure);
+            prepare(response);
+            finish(channel.writeAndFlush(response));
+        }
+
+        @Override
+        public void cut() {
+            answered = true;
+            channel.close();
+        }
+
+        @Override
+        public void flush() {
+            channel.flush();
+        }
+
+        private void prepare(io.netty.handler.codec.http.HttpResponse response) {
+            if (!keepAlive || plane.draining()) {
+                response.headers().set(HttpHeaderNames.CONNECTION, "close");
+            }
+        }
+
+        private void finish(io.netty.channel.ChannelFuture written) {
+            answered = true;
+            if (!keepAlive || plane.draining()) {
+                channel.flush();
+                written.addListener(ChannelFutureListener.CLOSE);
+            } else if (requestComplete) {
+                next();
+            }
+        }
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/mimosahinge/daemon/traffic/ErrorResponses.java
@@ -0,0 +1,60 @@
+package org.mimosahinge.daemon.traffic;
+
+import io.netty.buffer.Unpooled;
+import io.netty.handler.codec.http.DefaultFullHttpResponse;
+import io.netty.handler.codec.http.FullHttpResponse;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.HttpVersion;
+import java.nio.charset.StandardCharsets;
+import org.mimosahinge.api.error.CallException;
+import org.mimosahinge.api.error.ErrorCode;
+
+/** Responses of the node itself. */
+final class ErrorResponses {
+
+    private ErrorResponses() {}
+
+    static FullHttpResponse of(CallException failure) {
+        FullHttpResponse response =
+                json(failure.code().httpStatus(), failure.code().code(), failure.getMessage());
+        response.headers().set(HeaderMaps.OUTCOME, failure.notRun() ? HeaderMaps.NOT_RUN : "unknown");
+        return response;
+    }
+
+    /** Answers a request that could not be parsed and was therefore not forwarded. */
+    static FullHttpResponse malformed(boolean tooLong) {
+        FullHttpResponse response = tooLong
+                ? json(431, ErrorCode.TOO_LARGE.code(), "Request line or headers are too long")
+                : json(400, ErrorCode.SYNTAX.code(), "Request is not valid HTTP/1.1");
+        response.headers().set(HeaderMaps.OUTCOME, HeaderMaps.NOT_RUN);
+        response.headers().set(HttpHeaderNames.CONNECTION, "close");
+        return response;
+    }
+
+    private static FullHttpResponse json(int status, String code, String message) {
+        String text = "{\"code\":\"" + code + "\",\"message\":\"" + escaped(message) + "\"}";
+        FullHttpResponse response = new DefaultFullHttpResponse(
+                HttpVersion.HTTP_1_1,
+                HttpResponseStatus.valueOf(status),
+                Unpooled.wrappedBuffer(text.getBytes(StandardCharsets.UTF_8)));
+        response.headers().set(HttpHeaderNames.CONTENT_TYPE, "application/json");
+        HttpUtil.setContentLength(response, response.content().readableBytes());
+        return response;
+    }
+
+    private static String escaped(String message) {
+        StringBuilder text = new StringBuilder(message.length());
+        message.chars().forEach(c -> {
+            if (c == '"' || c == '\\') {
+                text.append('\\').append((char) c);
+            } else if (c < ' ') {
+                text.append(String.format("\\u%04x", c));
+            } else {
+                text.append((char) c);
+            }
+        });
+        return text.toString();
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/mimosahinge/daemon/traffic/HeaderMaps.java
@@ -0,0 +1,63 @@
+package org.mimosahinge.daemon.traffic;
+
+import io.netty.handler.codec.http.HttpHeaders;
+import java.util.HashMap;
+import java.util.Locale;
+import java.util.Map;
+import java.util.Set;
+
+/** Maps HTTP headers to headers by lower-case name and back, without those of one connection. */
+final class HeaderMaps {
+
+    static final String OUTCOME = "x-mimosahinge-outcome";
+    static final String NOT_RUN = "not-run";
+    static final String DEADLINE = "x-deadline-ms";
+
+    private static final Set<String> HOP_BY_HOP = Set.of(
+            "connection", "keep-alive", "proxy-connection", "te", "trailer", "transfer-encoding", "upgrade", "expect");
+
+    /** Separates several values that must not be joined by commas; cannot occur in a header's value. */
+    private static final String SEPARATOR = "\n";
+
+    private static final String SET_COOKIE = "set-cookie";
+
+    private HeaderMaps() {}
+
+    static Map<String, String> from(HttpHeaders headers) {
+        Map<String, String> map = new HashMap<>();
+        var entries = headers.iteratorAsString();
+        while (entries.hasNext()) {
+            var entry = entries.next();
+            String name = entry.getKey().toLowerCase(Locale.ROOT);
+            map.merge(name, entry.getValue(), (a, b) -> a + (name.equals(SET_COOKIE) ? SEPARATOR : ", ") + b);
+        }
+        String named = map.get("connection");
+        if (named != null) {
+            for (String name : named.split(",", -1)) {
+                map.remove(name.strip().toLowerCase(Locale.ROOT));
+            }
+        }
+        map.keySet().removeAll(HOP_BY_HOP);
+        return map;
+    }
+
+    static void copy(Map<String, String> map, HttpHeaders headers) {
+        map.forEach((name, value) -> {
+            if (name.equals(SET_COOKIE)) {
+                for (String cookie : value.split(SEPARATOR, -1)) {
+                    headers.add(name, cookie);
+                }
+            } else {
+                headers.set(name, value);
+            }
+        });
+    }
+
+    static long contentLength(Map<String, String> headers) {
+        try {
+            return Long.parseLong(headers.getOrDefault("content-length", "-1"));
+        } catch (NumberFormatException e) {
+            return -1;
+        }
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/mimosahinge/daemon/traffic/PeerConnection.java
@@ -0,0 +1,200 @@
+package org.mimosahinge.daemon.traffic;
+
+import io.netty.bootstrap.Bootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.socket.SocketChannel;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.mimosahinge.api.error.ErrorCode;
+import org.mimosahinge.api.world.HostPort;
+import org.mimosahinge.net.frame.Frame;
+import org.mimosahinge.net.frame.FrameDecoder;
+import org.mimosahinge.net.frame.FrameEncoder;
+
+/** Carries calls of one event loop to another node, many at a time over one connection. */
+final class PeerConnection extends SimpleChannelInboundHandler<Frame> implements CallTarget {
+
+    /** Above the round trip over a region link with a lost packet, below the patience of a caller. */
+    private static final int CONNECT_TIMEOUT_MS = 1_000;
+
+    private final TrafficLoop loop;
+    private final HostPort address;
+    private final Map<Long, PeerExchange> calls = new HashMap<>();
+    private final List<Frame> unsent = new ArrayList<>();
+    private final Set<ResponseObserver> touched = new LinkedHashSet<>();
+    private Channel channel;
+    private boolean closed;
+
+    private PeerConnection(TrafficLoop loop, HostPort address) {
+        this.loop = loop;
+        this.address = address;
+    }
+
+    static PeerConnection open(TrafficLoop loop, HostPort address) {
+        PeerConnection connection = new PeerConnection(loop, address);
+        new Bootstrap()
+                .group(loop.eventLoop())
+                .channel(NioSocketChannel.class)
+                .option(ChannelOption.TCP_NODELAY, true)
+                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MS)
+                .handler(new ChannelInitializer<SocketChannel>() {
+                    @Override
+                    protected void initChannel(SocketChannel channel) {
+                        channel.pipeline().addLast(new FrameDecoder(), new FrameEncoder(), connection);
+                    }
+                })
+                .connect(address.host(), address.port())
+                .addListener((ChannelFuture connected) -> connection.connected(connected));
+        return connection;
+    }
+
+    boolean usable() {
+        return !closed;
+    }
+
+    @Override
+    public Exchange start(Frame.CallStart start, ResponseObserver observer) {
+        PeerExchange exchange = new PeerExchange(start.callId(), observer);
+        calls.put(start.callId(), exchange);
+        write(start);
+        return exchange;
+    }
+
+    private void connected(ChannelFuture future) {
+        if (!future.isSuccess()) {
+            // Nothing was sent, so no call can have run.
+            fail(true, "Node at " + address + " cannot be reached");
+            return;
+        }
+        channel = future.channel();
+        channel.write(loop.hello());
+        unsent.forEach(channel::write);
+        unsent.clear();
+        channel.flush();
+    }
+
+    private void write(Frame frame) {
+        if (channel == null) {
+            unsent.add(frame);
+        } else {
+            channel.write(frame);
+        }
+    }
+
+    private void flush() {
+        if (channel != null) {
+            channel.flush();
+        }
+    }
+
+    @Override
+    protected void channelRead0(ChannelHandlerContext context, Frame frame) {
+        if (frame instanceof Frame.ResponseStart start) {
+            PeerExchange call = touch(start.callId());
+            if (call != null) {
+                call.observer.started(start);
+            }
+        } else if (frame instanceof Frame.Body body) {
+            PeerExchange call = touch(body.callId());
+            if (call != null) {
+                if (body.last()) {
+                    calls.remove(body.callId());
+                }
+                call.observer.body(body.bytes(), body.last());
+            }
+        } else if (frame instanceof Frame.Credit credit) {
+            PeerExchange call = touch(credit.callId());
+            if (call != null) {
+                call.observer.credit(credit.bytes());
+            }
+        } else if (frame instanceof Frame.CallFailure failure) {
+            PeerExchange call = calls.remove(failure.callId());
+            if (call != null) {
+                call.observer.failed(failure);
+            }
+        }
+    }
+
+    private PeerExchange touch(long callId) {
+        PeerExchange call = calls.get(callId);
+        if (call != null) {
+            touched.add(call.observer);
+        }
+        return call;
+    }
+
+    @Override
+    public void channelReadComplete(ChannelHandlerContext context) {
+        List<ResponseObserver> observers = List.copyOf(touched);
+        touched.clear();
+        observers.forEach(ResponseObserver::flush);
+    }
+
+    @Override
+    public void channelInactive(ChannelHandlerContext context) {
+        fail(false, "Connection to the node at " + address + " was lost");
+    }
+
+    @Override
+    public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+        context.close();
+    }
+
+    private void fail(boolean notRun, String message) {
+        closed = true;
+        List<PeerExchange> open = List.copyOf(calls.values());
+        calls.clear();
+        for (PeerExchange call : open) {
+            call.observer.failed(new Frame.CallFailure(call.callId, ErrorCode.CONNECTION_LOST.code(), notRun, message));
+        }
+    }
+
+    private final class PeerExchange implements Exchange {
+
+        private final long callId;
+        private final ResponseObserver observer;
+        private final FlowWindow responseWindow = new FlowWindow();
+
+        PeerExchange(long callId, ResponseObserver observer) {
+            this.callId = callId;
+            this.observer = observer;
+        }
+
+        @Override
+        public void body(byte[] bytes, boolean last) {
+            write(new Frame.Body(callId, bytes, last));
+        }
+
+        @Override
+        public void credit(int bytes) {
+            int grant = responseWindow.consumed(bytes);
+            if (grant > 0 && calls.containsKey(callId)) {
+                write(new Frame.Credit(callId, grant));
+                PeerConnection.this.flush();
+            }
+        }
+
+        @Override
+        public void cancel() {
+            if (calls.remove(callId) != null) {
+                write(new Frame.Cancel(callId));
+                PeerConnection.this.flush();
+            }
+        }
+
+        @Override
+        public void flush() {
+            PeerConnection.this.flush();
+        }
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/mimosahinge/daemon/traffic/RequestBody.java
@@ -0,0 +1,42 @@
+package org.mimosahinge.daemon.traffic;
+
+import java.util.ArrayList;
+import java.util.List;
+
+/** The part of a request's body that has arrived, kept for another attempt as far as it fits one window. */
+final class RequestBody {
+
+    private final List<byte[]> parts = new ArrayList<>(1);
+    private long received;
+    private long granted;
+    private boolean complete;
+
+    void add(byte[] bytes, boolean last) {
+        received += bytes.length;
+        complete = last;
+        if (replayable()) {
+            parts.add(bytes);
+        } else {
+            parts.clear();
+        }
+    }
+
+    /** Tells whether another attempt could send the body from its start. */
+    boolean replayable() {
+        return received <= FlowWindow.BYTES;
+    }
+
+    /** Sends the kept parts. */
+    void replay(Exchange exchange) {
+        for (int i = 0; i < parts.size(); i++) {
+            exchange.body(parts.get(i), complete && i == parts.size() - 1);
+        }
+    }
+
+    /** Limits grants to what the caller has sent, since a replay is granted a second time. */
+    int granted(int bytes) {
+        int grant = (int) Math.min(bytes, received - granted);
+        granted += grant;
+        return grant;
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/mimosahinge/daemon/traffic/ServedConnection.java
@@ -0,0 +1,112 @@
+package org.mimosahinge.daemon.traffic;
+
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.SimpleChannelInboundHandler;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import org.mimosahinge.net.frame.Frame;
+
+/** Serves calls that another node sends for the backend servers beside this one. */
+final class ServedConnection extends SimpleChannelInboundHandler<Frame> {
+
+    private final TrafficPlane plane;
+    private final Map<Long, ServedCall> calls = new HashMap<>();
+    private TrafficLoop loop;
+    private Channel channel;
+
+    ServedConnection(TrafficPlane plane) {
+        this.plane = plane;
+    }
+
+    @Override
+    public void handlerAdded(ChannelHandlerContext context) {
+        channel = context.channel();
+        loop = plane.loop(channel.eventLoop());
+        channel.writeAndFlush(loop.hello());
+    }
+
+    @Override
+    protected void channelRead0(ChannelHandlerContext context, Frame frame) {
+        if (frame instanceof Frame.CallStart start) {
+            new ServedCall(start).begin();
+        } else if (frame instanceof Frame.Body body) {
+            ServedCall call = calls.get(body.callId());
+            if (call != null) {
+                call.exchange.body(body.bytes(), body.last());
+                call.exchange.flush();
+            }
+        } else if (frame instanceof Frame.Credit credit) {
+            ServedCall call = calls.get(credit.callId());
+            if (call != null) {
+                call.exchange.credit(credit.bytes());
+            }
+        } else if (frame instanceof Frame.Cancel cancel) {
+            ServedCall call = calls.remove(cancel.callId());
+            if (call != null) {
+                call.exchange.cancel();
+            }
+        }
+    }
+
+    @Override
+    public void channelInactive(ChannelHandlerContext context) {
+        List<ServedCall> open = List.copyOf(calls.values());
+        calls.clear();
+        open.forEach(call -> call.exchange.cancel());
+    }
+
+    @Override
+    public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+        context.close();
+    }
+
+    private final class ServedCall implements ResponseObserver {
+
+        private final Frame.CallStart start;
+        private final FlowWindow requestWindow = new FlowWindow();
+        private Exchange exchange;
+
+        ServedCall(Frame.CallStart start) {
+            this.start = start;
+        }
+
+        void begin() {
+            calls.put(start.callId(), this);
+            exchange = loop.beside(start).start(start, this);
+        }
+
+        @Override
+        public void started(Frame.ResponseStart response) {
+            channel.write(response);
+        }
+
+        @Override
+        public void body(byte[] bytes, boolean last) {
+            if (last) {
+                calls.remove(start.callId());
+            }
+            channel.write(new Frame.Body(start.callId(), bytes, last));
+        }
+
+        @Override
+        public void credit(int bytes) {
+            int grant = requestWindow.consumed(bytes);
+            if (grant > 0) {
+                channel.writeAndFlush(new Frame.Credit(start.callId(), grant));
+            }
+        }
+
+        @Override
+        public void failed(Frame.CallFailure failure) {
+            calls.remove(start.callId());
+            channel.write(failure);
+        }
+
+        @Override
+        public void flush() {
+            channel.flush();
+        }
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/mimosahinge/daemon/traffic/TrafficConfig.java
@@ -0,0 +1,14 @@
+package org.mimosahinge.daemon.traffic;
+
+import org.mimosahinge.api.world.HostPort;
+import org.mimosahinge.api.world.Node;
+
+/**
+ * Settings of a node's traffic.
+ *
+ * @param self the node itself
+ * @param callers address for callers; port 0 picks a free port
+ * @param eventLoops number of traffic threads; one carries the planned load of a node without hops between threads
+ * @param logEvery one in this many routing decisions is logged; 0 logs none
+ */
+public record TrafficConfig(Node self, HostPort callers, int eventLoops, int logEvery) {}
--- /dev/null
+++ b/daemon/src/main/java/org/mimosahinge/daemon/traffic/TrafficPlane.java
@@ -0,0 +1,143 @@
+package org.mimosahinge.daemon.traffic;
+
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandler;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.group.ChannelGroup;
+import io.netty.channel.group.DefaultChannelGroup;
+import io.netty.channel.nio.NioEventLoopGroup;
+import io.netty.channel.socket.SocketChannel;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.handler.codec.http.HttpServerCodec;
+import io.netty.util.concurrent.DefaultThreadFactory;
+import io.netty.util.concurrent.GlobalEventExecutor;
+import java.net.InetSocketAddress;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Supplier;
+import org.mimosahinge.api.config.Snapshot;
+import org.mimosahinge.api.platform.TableService;
+import org.mimosahinge.api.world.HostPort;
+
+/** Carries a node's calls: from callers, to and from other nodes, and to the backend servers beside it. */
+public final class TrafficPlane implements AutoCloseable {
+
+    private final TrafficContext context;
+    private final EventLoopGroup group;
+    private final Map<EventLoop, TrafficLoop> loops = new ConcurrentHashMap<>();
+    private final ChannelGroup callers = new DefaultChannelGroup(GlobalEventExecutor.INSTANCE);
+    private Channel server;
+    private volatile boolean draining;
+
+    private TrafficPlane(TrafficContext context) {
+        this.context = context;
+        group = new NioEventLoopGroup(context.config().eventLoops(), new DefaultThreadFactory("traffic", true));
+    }
+
+    /**
+     * Starts the traffic of a node.
+     *
+     * @param config settings
+     * @param snapshots configuration in force
+     * @param table holds the claims of at-most-once calls
+     * @param listener takes reports
+     * @return the running traffic plane
+     */
+    public static TrafficPlane start(
+            TrafficConfig config, Supplier<Snapshot> snapshots, TableService table, TrafficListener listener) {
+        return start(config, snapshots, table, listener, TrafficPolicies.standard());
+    }
+
+    /**
+     * Starts the traffic of a node with chosen policies.
+     *
+     * @param config settings
+     * @param snapshots configuration in force
+     * @param table holds the claims of at-most-once calls
+     * @param listener takes reports
+     * @param policies decisions that vary
+     * @return the running traffic plane
+     */
+    public static TrafficPlane start(
+            TrafficConfig config,
+            Supplier<Snapshot> snapshots,
+            TableService table,
+            TrafficListener listener,
+            TrafficPolicies policies) {
+        TrafficPlane plane = new TrafficPlane(new TrafficContext(config, snapshots, table, listener, policies));
+        plane.bind();
+        return plane;
+    }
+
+    private void bind() {
+        server = new ServerBootstrap()
+                .group(group)
+                .channel(NioServerSocketChannel.class)
+                .childOption(ChannelOption.TCP_NODELAY, true)
+                .childHandler(new ChannelInitializer<SocketChannel>() {
+                    @Override
+                    protected void initChannel(SocketChannel caller) {
+                        caller.pipeline()
+                                .addLast(
+                                        new HttpServerCodec(),
+                                        new CallerConnection(TrafficPlane.this, loop(caller.eventLoop())));
+                    }
+                })
+                .bind(
+                        context.config().callers().host(),
+                        context.config().callers().port())
+                .syncUninterruptibly()
+                .channel();
+    }
+
+    /**
+     * Returns the address for callers.
+     *
+     * @return the bound address
+     */
+    public HostPort callers() {
+        InetSocketAddress bound = (InetSocketAddress) server.localAddress();
+        return new HostPort(bound.getAddress().getHostAddress(), bound.getPort());
+    }
+
+    /**
+     * Returns the traffic threads; inbound connections for calls belong on them, which saves a hop between threads.
+     *
+     * @return the event loops
+     */
+    public EventLoopGroup eventLoops() {
+        return group;
+    }
+
+    /**
+     * Creates the handler of an inbound connection for calls; it goes behind the frame codec.
+     *
+     * @return the handler
+     */
+    public ChannelHandler callConnection() {
+        return new ServedConnection(this);
+    }
+
+    TrafficLoop loop(EventLoop eventLoop) {
+        return loops.computeIfAbsent(eventLoop, key -> new TrafficLoop(context, key));
+    }
+
+    void callerConnected(Channel caller) {
+        callers.add(caller);
+    }
+
+    boolean draining() {
+        return draining;
+    }
+
+    @Override
+    public void close() {
+        server.close().syncUninterruptibly();
+        group.shutdownGracefully(0, 1, TimeUnit.SECONDS).syncUninterruptibly();
+    }
+}
--- /dev/null
+++ b/daemon/src/test/java/org/mimosahinge/daemon/traffic/CallPathTest.java
@@ -0,0 +1,61 @@
+package org.mimosahinge.daemon.traffic;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.time.Duration;
+import java.util.Set;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
+import org.mimosahinge.api.config.Snapshot;
+import org.mimosahinge.api.contract.CallClass;
+import org.mimosahinge.api.contract.Route;
+
+/** Guards against calls that reach no backend server or the wrong one. */
+class CallPathTest {
+
+    private static final Route BROWSE = new Route(
+            "browse", "/listings", "listings", CallClass.INTERACTIVE, Duration.ofSeconds(5), true, false, Set.of());
+
+    @ParameterizedTest(name = "endpoint beside node {0}, {1} body bytes")
+    @CsvSource({"0, 0", "1, 0", "0, 10", "1, 10", "0, 300000", "1, 300000"})
+    void forwardsTheRequestAndItsWholeBody(int endpointNode, int bytes) throws Exception {
+        String body = "x".repeat(bytes);
+        try (ScriptedBackend backend = ScriptedBackend.echo("one");
+                TestMesh mesh =
+                        new TestMesh(2, null).route(BROWSE).endpoint(endpointNode, "listings", backend.address(), 20)) {
+            HttpRequest request = mesh.request(0, "/listings/1?q=2")
+                    .method("POST", HttpRequest.BodyPublishers.ofString(body))
+                    .build();
+            HttpResponse<String> response = mesh.http.send(request, HttpResponse.BodyHandlers.ofString());
+            assertEquals(200, response.statusCode());
+            assertEquals("one /listings/1?q=2 " + body, response.body());
+        }
+    }
+
+    @ParameterizedTest(name = "path {0}")
+    @ValueSource(strings = {"/", "/listingsfoo"})
+    void refusesPathsWithoutRoute(String path) throws Exception {
+        try (TestMesh mesh = new TestMesh(1, null).route(BROWSE)) {
+            HttpResponse<String> response = mesh.get(path);
+            assertEquals(404, response.statusCode());
+            assertEquals(
+                    "not-run",
+                    response.headers().firstValue("x-mimosahinge-outcome").orElse(""));
+        }
+    }
+
+    @Test
+    void refusesCallersWithoutProvenVersion() throws Exception {
+        try (TestMesh mesh = new TestMesh(1, null).route(BROWSE)) {
+            mesh.publish(current -> Snapshot.EMPTY);
+            HttpResponse<String> response = mesh.get("/listings");
+            assertEquals(503, response.statusCode());
+            assertTrue(response.body().contains("not_ready"), response.body());
+        }
+    }
+}
