--- a/api/src/main/java/org/mimosahinge/api/document/Cursor.java
+++ b/api/src/main/java/org/mimosahinge/api/document/Cursor.java
@@ -53,6 +53,10 @@
         return Optional.of(items);
     }
 
+    boolean complete() {
+        return value instanceof ArrayValue array ? array.complete() : true;
+    }
+
     List<Cursor> members(String name) {
         if (!(value instanceof ObjectValue object)) {
             return List.of();
--- a/api/src/main/java/org/mimosahinge/api/document/Readers.java
+++ b/api/src/main/java/org/mimosahinge/api/document/Readers.java
@@ -66,7 +66,7 @@
                 cursor.report(ErrorCode.INVALID_VALUE, expected);
                 return Optional.empty();
             }
-            // Ten characters hold every int; longer numbers are out of every range used here.
+            // Eleven characters hold every int and its sign; longer numbers are out of every range used here.
             long value = digits.get().length() > 11 ? Long.MAX_VALUE : Long.parseLong(digits.get());
             if (value < least || value > most) {
                 cursor.report(ErrorCode.OUT_OF_RANGE, expected);
@@ -126,15 +126,22 @@
         };
     }
 
-    /** Reads a list; items without usable content are reported and left out. */
+    /**
+     * Reads a list; items without usable content are reported and left out.
+     *
+     * <p>An array that a syntax error cut is read for its problems only, because references into it cannot be judged.
+     */
     static <T> Reader<List<T>> list(Reader<T> item) {
         return cursor -> {
             Optional<List<Cursor>> items = cursor.items();
             if (items.isEmpty()) {
                 cursor.report(ErrorCode.INVALID_VALUE, "an array");
             }
-            return items.map(all ->
-                    all.stream().map(item::read).flatMap(Optional::stream).toList());
+            return items.map(all -> all.stream()
+                            .map(item::read)
+                            .flatMap(Optional::stream)
+                            .toList())
+                    .filter(read -> cursor.complete());
         };
     }
 
--- a/api/src/main/java/org/mimosahinge/api/document/TreeReader.java
+++ b/api/src/main/java/org/mimosahinge/api/document/TreeReader.java
@@ -6,6 +6,7 @@
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.core.JsonToken;
 import com.fasterxml.jackson.core.exc.StreamConstraintsException;
+import com.fasterxml.jackson.core.io.JsonEOFException;
 import com.fasterxml.jackson.core.json.JsonReadFeature;
 import java.io.IOException;
 import java.io.UncheckedIOException;
@@ -82,8 +83,10 @@
             return Optional.empty();
         }
         Value root = value("");
-        if (!stopped && (next("") != null || (!stopped && !badEncoding.isEmpty()))) {
-            syntax("", badEncoding.isEmpty() ? "more than one value" : badEncoding, here());
+        if (next("") != null) {
+            syntax("", "more than one value", location(parser.currentTokenLocation()));
+        } else if (!stopped && !badEncoding.isEmpty()) {
+            syntax("", badEncoding, here());
         }
         return Optional.of(root);
     }
@@ -139,7 +142,7 @@
             String itemPath = path + "[" + items.size() + "]";
             JsonToken token = next(itemPath);
             if (token == null || token == JsonToken.END_ARRAY) {
-                return new Value.ArrayValue(at, items);
+                return new Value.ArrayValue(at, items, !stopped);
             }
             items.add(value(itemPath));
         }
@@ -158,7 +161,12 @@
             return null;
         }
         try {
-            return parser.nextToken();
+            JsonToken token = parser.nextToken();
+            if (token == JsonToken.VALUE_STRING) {
+                // Strings are read lazily otherwise, and a cut one would fail outside this method.
+                parser.finishToken();
+            }
+            return token;
         } catch (JsonProcessingException e) {
             report(path, e);
             return null;
@@ -172,7 +180,7 @@
             stopped = true;
             return;
         }
-        boolean atEnd = e instanceof com.fasterxml.jackson.core.io.JsonEOFException;
+        boolean atEnd = e instanceof JsonEOFException;
         syntax(path, atEnd && !badEncoding.isEmpty() ? badEncoding : e.getOriginalMessage(), at);
     }
 
--- a/api/src/main/java/org/mimosahinge/api/document/Value.java
+++ b/api/src/main/java/org/mimosahinge/api/document/Value.java
@@ -35,8 +35,9 @@
      *
      * @param at where the array starts
      * @param items the items in file order
+     * @param complete false when a syntax error cut the array
      */
-    record ArrayValue(Location at, List<Value> items) implements Value {}
+    record ArrayValue(Location at, List<Value> items, boolean complete) implements Value {}
 
     /**
      * A value without parts.
--- a/api/src/main/java/org/mimosahinge/api/operator/ErrorBody.java
+++ b/api/src/main/java/org/mimosahinge/api/operator/ErrorBody.java
@@ -42,9 +42,10 @@
         String code = failure.code().code();
         if (failure instanceof InvalidDocumentException invalid) {
             Problem first = invalid.problems().get(0);
+            int more = invalid.problems().size() - 1;
             return new ErrorBody(
                     code,
-                    failure.getMessage(),
+                    first + (more == 0 ? "" : " (and " + more + " more)"),
                     first.path(),
                     first.found(),
                     first.expected(),
