Plan, judge and brake moves

The judge runs cumulative sum tests of the new version's rates against what the old version makes tolerable in the same period, per service, route and zone. A node's brake uses the same tests on its own calls.

--- /dev/null
+++ b/core/src/main/java/org/mimosahinge/core/move/Brake.java
@@ -0,0 +1,50 @@
+package org.mimosahinge.core.move;
+
+import java.util.List;
+import java.util.Optional;
+import org.mimosahinge.api.config.HaltMark;
+import org.mimosahinge.api.config.MoveState;
+
+/** Lets one node stop its own calls to a bad version without waiting for the controller or the platform. */
+public final class Brake {
+    /**
+     * Factor on the alarm threshold for a halt mark.
+     *
+     * <p>A halt mark stops the version on all nodes and every node may issue one, so a false alarm must be rarer than
+     * the controller's by the number of nodes: exp(0.5 * 19) is 13,000, above the 4,800 nodes of the target.
+     */
+    private static final double HALT_STRICTNESS = 1.5;
+
+    private Brake() {}
+
+    /**
+     * What a node does on its own evidence.
+     *
+     * @param limitPermille largest share that this node gives to the new version
+     * @param halt halt mark to spread; empty when the evidence suffices for this node only
+     * @param findings the faults that were proven
+     */
+    public record BrakeDecision(int limitPermille, Optional<HaltMark> halt, List<Finding> findings) {
+        /** Copies the findings. */
+        public BrakeDecision {
+            findings = List.copyOf(findings);
+        }
+    }
+
+    /**
+     * Decides on a node's own limit; it never rises while the move's section revision stays the same.
+     *
+     * @param limitPermille the node's limit so far; 1000 before the first cut
+     * @param state the move as the node knows it
+     * @param local evidence of the calls that this node made
+     * @return the new limit and perhaps a halt mark
+     */
+    public static BrakeDecision decide(int limitPermille, MoveState state, Observation local) {
+        List<Finding> faults = Judge.faults(local.judgement(), 1);
+        if (faults.isEmpty()) {
+            return new BrakeDecision(limitPermille, Optional.empty(), faults);
+        }
+        boolean halt = !Judge.faults(local.judgement(), HALT_STRICTNESS).isEmpty();
+        return new BrakeDecision(0, halt ? Optional.of(MoveConditions.haltMark(state)) : Optional.empty(), faults);
+    }
+}
--- a/core/src/main/java/org/mimosahinge/core/move/EvidenceRecorder.java
+++ b/core/src/main/java/org/mimosahinge/core/move/EvidenceRecorder.java
@@ -28,7 +28,7 @@
     public void failed(EvidenceKey key, FailureKind kind) {
         Cell cell = cell(key);
         cell.calls++;
-        cell.failures[kind.ordinal()]++;
+        cell.failures[kind.index()]++;
     }
 
     /**
@@ -50,7 +50,7 @@
 
     private static final class Cell {
         private long calls;
-        private final long[] failures = new long[FailureKind.values().length];
+        private final long[] failures = new long[FailureKind.COUNT];
         private final long[] buckets = new long[LatencyHistogram.BUCKETS];
     }
 }
--- a/core/src/main/java/org/mimosahinge/core/move/FailureKind.java
+++ b/core/src/main/java/org/mimosahinge/core/move/FailureKind.java
@@ -3,21 +3,39 @@
 /** How a call failed, as the calling node saw it. */
 public enum FailureKind {
     /** The backend server answered with a 5xx status. */
-    SERVER_ERROR,
+    SERVER_ERROR(0),
     /** The connection was lost while the backend server kept running. */
-    CONNECTION_LOSS,
+    CONNECTION_LOSS(1),
     /** The backend server went down; recorded for one call of each crash. */
-    CRASH,
+    CRASH(2),
     /**
      * A further call lost in the same crash.
      *
      * <p>One crash loses every call in flight; counting each of them would let one poison request condemn a version.
      */
-    CRASH_COLLATERAL,
+    CRASH_COLLATERAL(3),
     /** No complete response arrived before the deadline. */
-    TIMEOUT,
+    TIMEOUT(4),
     /** The backend server refused the call to shed load. */
-    SHED,
+    SHED(5),
     /** The backend server answered with a 4xx status. */
-    CALLER_ERROR
+    CALLER_ERROR(6);
+
+    /** Number of kinds. */
+    public static final int COUNT = values().length;
+
+    private final int index;
+
+    FailureKind(int index) {
+        this.index = index;
+    }
+
+    /**
+     * Returns the position in reports; it must not change between releases.
+     *
+     * @return the position, from 0
+     */
+    public int index() {
+        return index;
+    }
 }
--- /dev/null
+++ b/core/src/main/java/org/mimosahinge/core/move/RecentRate.java
@@ -0,0 +1,33 @@
+package org.mimosahinge.core.move;
+
+/**
+ * The old version's hits above its usual rate, over about two seconds and about fifteen.
+ *
+ * <p>The short memory sees trouble begin, the long one keeps it until the new version's calls have recovered too.
+ *
+ * @param fast hits beyond the usual ones, short memory
+ * @param fastTrials calls, short memory
+ * @param slow hits beyond the usual ones, long memory
+ * @param slowTrials calls, long memory
+ */
+record RecentRate(double fast, double fastTrials, double slow, double slowTrials) {
+    static final RecentRate NONE = new RecentRate(0, 0, 0, 0);
+
+    private static final double FAST_DECAY = 0.5;
+    private static final double SLOW_DECAY = 0.93;
+
+    /** Calls without hits added to each estimate, so that one hit among few calls is not taken for trouble. */
+    private static final double SHRINKAGE = 3;
+
+    RecentRate decayed() {
+        return new RecentRate(fast * FAST_DECAY, fastTrials * FAST_DECAY, slow * SLOW_DECAY, slowTrials * SLOW_DECAY);
+    }
+
+    RecentRate plus(double excessHits, long trials) {
+        return new RecentRate(fast + excessHits, fastTrials + trials, slow + excessHits, slowTrials + trials);
+    }
+
+    double excess() {
+        return Math.max(0, Math.max(fast / (fastTrials + SHRINKAGE), slow / (slowTrials + SHRINKAGE)));
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/mimosahinge/core/move/SequentialTest.java
@@ -0,0 +1,93 @@
+package org.mimosahinge.core.move;
+
+/**
+ * A cumulative sum test of the new version's rate against the rate that the old version makes tolerable.
+ *
+ * <p>The sum of log likelihood ratios restarts at zero, so a fault that begins late is not hidden by the good calls
+ * before it. Under the tolerable rate the chance that the sum reaches h within n periods is at most n·exp(-h); the
+ * threshold includes the number of periods and of tests, which corrects for looking again and again.
+ *
+ * @param sum current sum of log likelihood ratios
+ * @param newHits hits of the new version since the sum was last zero
+ * @param newTrials its calls since then
+ * @param oldHits hits of the old version since then
+ * @param oldTrials its calls since then
+ */
+public record SequentialTest(double sum, long newHits, long newTrials, long oldHits, long oldTrials) {
+    /**
+     * Alarm threshold: 7,200 periods of a second in two hours, 63 tests, false alarm in at most 0.2% of moves.
+     *
+     * <p>A fault that fails at least one call in twenty reaches it within 30 failed calls in 99% of moves when the
+     * old version fails at most three calls in a thousand.
+     */
+    public static final double THRESHOLD = 19;
+
+    /** A test without evidence. */
+    public static final SequentialTest START = new SequentialTest(0, 0, 0, 0, 0);
+
+    /** Above the tolerable rate times this ratio no larger ratio fits below certainty. */
+    private static final double CERTAIN = 0.95;
+
+    private static final double SMALLEST_RATIO = 1.3;
+
+    /**
+     * One period's calls in the scope of the test.
+     *
+     * @param newHits hits of the new version
+     * @param newTrials its calls
+     * @param expected most hits that a good version would have
+     * @param oldHits hits of the old version
+     * @param oldTrials its calls
+     */
+    record Period(long newHits, long newTrials, double expected, long oldHits, long oldTrials) {
+        static final Period NONE = new Period(0, 0, 0, 0, 0);
+
+        Period plus(Period other) {
+            return new Period(
+                    newHits + other.newHits,
+                    newTrials + other.newTrials,
+                    expected + other.expected,
+                    oldHits + other.oldHits,
+                    oldTrials + other.oldTrials);
+        }
+    }
+
+    SequentialTest plus(Period period, Signal.Margin margin) {
+        if (period.newTrials == 0) {
+            return this;
+        }
+        double highest = CERTAIN * period.newTrials / period.expected;
+        double ratio = Math.max(SMALLEST_RATIO, Math.min(margin.ratio(), highest));
+        double increment = period.newHits * Math.log(ratio) - period.expected * (ratio - 1);
+        double next = sum + Math.min(increment, margin.step() * THRESHOLD);
+        return next <= 0
+                ? START
+                : new SequentialTest(
+                        next,
+                        newHits + period.newHits,
+                        newTrials + period.newTrials,
+                        oldHits + period.oldHits,
+                        oldTrials + period.oldTrials);
+    }
+
+    /**
+     * Measures how clearly the hits since the start fell on the new version instead of on both.
+     *
+     * @param tolerance factor above the old version's rate that is still good
+     * @return the log likelihood ratio against a common cause, 0 when there is no contrast
+     */
+    double contrast(double tolerance) {
+        double hits = newHits + oldHits;
+        double fair = tolerance * newTrials / (tolerance * newTrials + oldTrials);
+        if (newHits <= fair * hits) {
+            return 0;
+        }
+        double ofOld = oldHits == 0 ? 0 : oldHits * Math.log(oldHits / (hits * (1 - fair)));
+        return newHits * Math.log(newHits / (hits * fair)) + ofOld;
+    }
+
+    /** Tells whether the old version had too few calls in the same period to compare with. */
+    boolean lacksControl() {
+        return oldTrials * 6 < newTrials;
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/mimosahinge/core/move/Signal.java
@@ -0,0 +1,91 @@
+package org.mimosahinge.core.move;
+
+import java.util.function.ToLongFunction;
+import org.mimosahinge.core.move.Finding.Code;
+
+/** What is counted against a version; each signal has its own sequential test. */
+@SuppressWarnings("ImmutableEnumChecker") // The margins are records of numbers and the lambdas hold no state.
+public enum Signal {
+    /** Failed calls, against a rate of a few times the old version's. */
+    FAILURES(Code.MORE_ERRORS, Signal::failures, new Margin(1.5, 0.002, 4, 0.5)),
+    /** Failed calls, against a far higher rate, which few calls suffice to show. */
+    SEVERE_FAILURES(Code.MORE_ERRORS, Signal::failures, new Margin(1.5, 0.002, 20, 0.5)),
+    /** Failures that no network causes; they count even when they show in one zone only. */
+    SERVER_FAILURES(Code.MORE_ERRORS, Signal::serverFailures, new Margin(1.5, 0.002, 20, 0.5)),
+    /** Calls slower than nine in ten of the old version's. */
+    SLOW(Code.SLOWER, null, new Margin(1.5, 0.02, 3, 0.2)),
+    /** Calls slower than 99 in 100 of the old version's. */
+    SLOW_TAIL(Code.SLOWER, null, new Margin(2, 0.01, 6, 0.2)),
+    /** Calls shed; old backend servers under load shed too, so the margin is wide. */
+    SHED(Code.MORE_SHED, tally -> tally.failed(FailureKind.SHED), new Margin(2, 0.02, 6, 0.2)),
+    /** Calls rejected with 4xx; one faulty caller can cause many, so the margin is wide. */
+    CALLER_ERRORS(
+            Code.MORE_CALLER_ERRORS, tally -> tally.failed(FailureKind.CALLER_ERROR), new Margin(2, 0.02, 5, 0.2));
+
+    /**
+     * Weight of one crash in failed calls.
+     *
+     * <p>A crash loses up to a slot count of calls but is recorded once. Two crashes, the most that one poison request
+     * causes before it is refused, stay below the alarm threshold at this weight; three do not.
+     */
+    private static final int CRASH_WEIGHT = 2;
+
+    private final Code code;
+    private final ToLongFunction<Tally> counted;
+    private final Margin margin;
+
+    Signal(Code code, ToLongFunction<Tally> counted, Margin margin) {
+        this.code = code;
+        this.counted = counted;
+        this.margin = margin;
+    }
+
+    /**
+     * What separates a good version from a bad one.
+     *
+     * @param tolerance factor above the old version's rate that is still good
+     * @param allowance rate above that which is still good
+     * @param ratio factor above the tolerated rate that the test looks for
+     * @param step largest part of the alarm threshold that one period may contribute; calls that fail together in one
+     *     hiccup are not independent evidence
+     */
+    record Margin(double tolerance, double allowance, double ratio, double step) {}
+
+    Code code() {
+        return code;
+    }
+
+    Margin margin() {
+        return margin;
+    }
+
+    boolean isLatency() {
+        return counted == null;
+    }
+
+    /** Returns the quantile of the old version's latency that a slow call exceeds. */
+    double quantile() {
+        return this == SLOW ? 0.9 : 0.99;
+    }
+
+    /** Returns the old version's rate that is assumed before it has calls. */
+    double prior() {
+        return isLatency() ? 1 - quantile() : 0.01;
+    }
+
+    long hits(Tally tally, int slowBucket) {
+        return isLatency() ? tally.latency().countFrom(slowBucket) : counted.applyAsLong(tally);
+    }
+
+    long trials(Tally tally) {
+        return isLatency() ? tally.latency().total() : tally.calls() - tally.failed(FailureKind.CRASH_COLLATERAL);
+    }
+
+    private static long failures(Tally tally) {
+        return serverFailures(tally) + tally.failed(FailureKind.CONNECTION_LOSS) + tally.failed(FailureKind.TIMEOUT);
+    }
+
+    private static long serverFailures(Tally tally) {
+        return tally.failed(FailureKind.SERVER_ERROR) + CRASH_WEIGHT * tally.failed(FailureKind.CRASH);
+    }
+}
--- a/core/src/main/java/org/mimosahinge/core/move/StandardMovePolicy.java
+++ b/core/src/main/java/org/mimosahinge/core/move/StandardMovePolicy.java
@@ -2,52 +2,131 @@
 
 import java.time.Duration;
 import java.time.Instant;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.TreeSet;
+import java.util.stream.Collectors;
 import org.mimosahinge.api.config.MovePhase;
 import org.mimosahinge.api.config.MoveState;
 import org.mimosahinge.api.contract.Move;
 import org.mimosahinge.core.move.Finding.Code;
 import org.mimosahinge.core.move.MoveDecision.Kind;
 
-/** The policy that the controller uses. */
+/** The policy that the controller uses: follows the plan, as far as the comparison of the versions allows. */
 public final class StandardMovePolicy implements MovePolicy {
-    private static final int[] SHARES = {20, 50, 100, 200, 400, 700, 1000};
+    /** How long the old version stays warm after the move, for faults that show late. */
+    public static final Duration KEPT_WARM = Duration.ofMinutes(30);
+
+    /** Time in which the old version is observed before the first share. */
+    private static final Duration BASELINE = Duration.ofSeconds(30);
+
+    /** Calls of the new version on a route under one share without which the route counts as not judged. */
+    private static final long JUDGED_CALLS = 30;
+
+    /**
+     * Returns until when the old version must stay warm.
+     *
+     * @param state the durable state of a move that is done
+     * @return the time from which the old version may leave
+     */
+    public static Instant warmUntil(MoveState state) {
+        return state.since().plus(KEPT_WARM);
+    }
 
     @Override
     public MoveDecision decide(MoveView view) {
         MoveState state = view.state();
-        int share = state.sharePermille();
         if (state.phase() == MovePhase.TAKEN_BACK || state.phase() == MovePhase.CANCELLED) {
             return MoveDecision.of(Kind.HOLD, 0, Finding.of(Code.OVER, state.reason()));
         }
-        if (view.move().isEmpty()) {
-            return MoveDecision.of(Kind.CANCELLED, 0, Finding.of(Code.OVER, "withdrawn"));
+        if (state.phase() == MovePhase.DONE && !view.now().isBefore(warmUntil(state))) {
+            return hold(state, Finding.of(Code.OVER, "the old version may leave"));
         }
         if (view.conditions().halted()) {
             return MoveDecision.of(Kind.TAKE_BACK, 0, Finding.of(Code.HALTED, ""));
         }
-        Tally fresh = view.observation().step().ofVersion(state.to());
-        if (fresh.calls() >= 20 && fresh.failed(FailureKind.SERVER_ERROR) * 10 > fresh.calls()) {
-            return MoveDecision.of(Kind.TAKE_BACK, 0, Finding.of(Code.MORE_ERRORS, fresh.toString()));
+        List<Finding> faults = Judge.faults(view.observation().judgement(), 1);
+        if (state.sharePermille() > 0 && !faults.isEmpty()) {
+            return new MoveDecision(Kind.TAKE_BACK, 0, faults);
+        }
+        if (state.phase() == MovePhase.DONE) {
+            return hold(state, Finding.of(Code.OVER, "the old version stays warm"));
+        }
+        if (view.move().filter(move -> move.to().equals(state.to())).isEmpty()) {
+            return MoveDecision.of(Kind.CANCELLED, 0, Finding.of(Code.OVER, "withdrawn"));
+        }
+        return pace(view, view.move().get());
+    }
+
+    private static MoveDecision pace(MoveView view, Move move) {
+        MoveState state = view.state();
+        Observation observation = view.observation();
+        int share = state.sharePermille();
+        int carried = Capacity.carriedPermille(observation, view.conditions().readySlots());
+        if (share > carried) {
+            Finding finding = Finding.of(Code.CAPACITY_SHORT, "endpoints carry " + carried + " permille");
+            return MoveDecision.of(Kind.LOWER, carried, finding);
+        }
+        if (!view.conditions().platformAvailable()) {
+            return hold(state, Finding.of(Code.PLATFORM_UNAVAILABLE, ""));
+        }
+        MovePlan plan = MovePlan.of(move, observation.callsPerSecond());
+        Duration soak = share == 0 ? BASELINE : plan.shortestSoak(share);
+        if (observation.soaked().compareTo(soak) < 0) {
+            return hold(state, Finding.of(Code.SOAKING, ""));
+        }
+        List<Finding> suspicions = Judge.suspicions(observation.judgement());
+        if (share > 0 && !suspicions.isEmpty()) {
+            return new MoveDecision(Kind.HOLD, share, suspicions);
         }
-        if (state.phase() == MovePhase.DONE || !view.conditions().platformAvailable()) {
-            return MoveDecision.of(Kind.HOLD, share, Finding.of(Code.NOT_DUE, ""));
+        if (share == MovePlan.ALL_PERMILLE) {
+            return new MoveDecision(Kind.DONE, share, timeFindings(view, move, plan));
         }
-        return raise(view, view.move().get(), share);
+        int next = plan.shareAfter(share);
+        if (next > carried) {
+            return hold(state, Finding.of(Code.CAPACITY_SHORT, "endpoints carry " + carried + " permille"));
+        }
+        if (view.now().isBefore(plan.due(next))) {
+            return hold(state, Finding.of(Code.NOT_DUE, ""));
+        }
+        return raise(view, next, timeFindings(view, move, plan));
     }
 
-    private static MoveDecision raise(MoveView view, Move move, int share) {
-        Duration length = Duration.between(move.start(), move.deadline()).dividedBy(SHARES.length + 1);
-        for (int i = 0; i < SHARES.length; i++) {
-            Instant due = move.start().plus(length.multipliedBy(i));
-            if (SHARES[i] > share) {
-                boolean soaked = share == 0 || view.observation().soaked().compareTo(length.dividedBy(2)) >= 0;
-                return !view.now().isBefore(due) && soaked
-                        ? MoveDecision.of(Kind.RAISE, SHARES[i], Finding.of(Code.NOT_DUE, "step due"))
-                        : MoveDecision.of(Kind.HOLD, share, Finding.of(Code.SOAKING, ""));
+    private static MoveDecision raise(MoveView view, int next, List<Finding> timeFindings) {
+        List<Finding> findings = new ArrayList<>(timeFindings);
+        List<Finding> notJudged = view.state().sharePermille() == 0 ? List.of() : notJudged(view.observation());
+        findings.addAll(notJudged);
+        return new MoveDecision(notJudged.isEmpty() ? Kind.RAISE : Kind.RAISE_NOT_JUDGED, next, findings);
+    }
+
+    private static List<Finding> notJudged(Observation observation) {
+        TreeSet<String> routes = observation.step().tallies().keySet().stream()
+                .map(EvidenceKey::route)
+                .collect(Collectors.toCollection(TreeSet::new));
+        List<Finding> findings = new ArrayList<>();
+        for (String route : routes) {
+            long calls = observation
+                    .step()
+                    .total(key -> key.route().equals(route)
+                            && key.version().equals(observation.versions().to()))
+                    .calls();
+            if (calls < JUDGED_CALLS) {
+                findings.add(new Finding(Code.TOO_LITTLE_TRAFFIC, "route " + route, "new version got " + calls));
             }
         }
-        return view.observation().soaked().compareTo(length.dividedBy(2)) >= 0
-                ? MoveDecision.of(Kind.DONE, 1000, Finding.of(Code.OVER, ""))
-                : MoveDecision.of(Kind.HOLD, share, Finding.of(Code.SOAKING, ""));
+        return findings;
+    }
+
+    private static List<Finding> timeFindings(MoveView view, Move move, MovePlan plan) {
+        List<Finding> findings = new ArrayList<>();
+        plan.finding().ifPresent(findings::add);
+        if (view.now().isAfter(move.deadline())) {
+            findings.add(Finding.of(Code.DEADLINE_MISSED, ""));
+        }
+        return findings;
+    }
+
+    private static MoveDecision hold(MoveState state, Finding finding) {
+        return MoveDecision.of(Kind.HOLD, state.sharePermille(), finding);
     }
 }
--- a/core/src/main/java/org/mimosahinge/core/move/Tally.java
+++ b/core/src/main/java/org/mimosahinge/core/move/Tally.java
@@ -4,12 +4,12 @@
  * Outcomes of the calls to one version on one route in one availability zone.
  *
  * @param calls calls that ended, failed ones included
- * @param failures failed calls by position of {@link FailureKind}
+ * @param failures failed calls by {@link FailureKind#index()}
  * @param latency latencies of the calls that got a response
  */
 public record Tally(long calls, Counts failures, LatencyHistogram latency) {
     /** A tally without calls. */
-    public static final Tally EMPTY = new Tally(0, Counts.zeros(FailureKind.values().length), LatencyHistogram.EMPTY);
+    public static final Tally EMPTY = new Tally(0, Counts.zeros(FailureKind.COUNT), LatencyHistogram.EMPTY);
 
     /**
      * Merges two tallies.
@@ -28,6 +28,6 @@
      * @return the number of calls
      */
     public long failed(FailureKind kind) {
-        return failures.at(kind.ordinal());
+        return failures.at(kind.index());
     }
 }
--- /dev/null
+++ b/core/src/test/java/org/mimosahinge/core/move/BrakeTest.java
@@ -0,0 +1,54 @@
+package org.mimosahinge.core.move;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.Optional;
+import java.util.Random;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.IntRange;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.mimosahinge.api.config.HaltMark;
+import org.mimosahinge.api.config.MovePhase;
+import org.mimosahinge.api.config.MoveState;
+import org.mimosahinge.core.move.Brake.BrakeDecision;
+import org.mimosahinge.core.move.VirtualMove.Outcome;
+import org.mimosahinge.core.move.VirtualMove.Scenario;
+
+class BrakeTest {
+    private static final MoveState STATE =
+            new MoveState("listings", "v1", "v2", 3, 200, MovePhase.RUNNING, "", VirtualMove.START);
+
+    private static Observation observed(int failingPercent, int seconds, long seed) {
+        Scenario scenario =
+                Scenario.of(Outcome.ofNew((second, key, share, random) -> random.nextInt(100) < failingPercent
+                        ? Outcome.failure(FailureKind.SERVER_ERROR)
+                        : Outcome.usual(random)));
+        Observation observation = Observation.startingAt(STATE, VirtualMove.START);
+        Random random = new Random(seed);
+        for (int second = 1; second <= seconds; second++) {
+            Evidence evidence = VirtualMove.traffic(scenario, second, STATE.sharePermille(), random);
+            observation = observation.plus(VirtualMove.START.plusSeconds(second), evidence);
+        }
+        return observation;
+    }
+
+    /** Guards against a node that keeps sending calls to a failing version until the controller reacts. */
+    @ParameterizedTest
+    @CsvSource({"50,5", "100,4"})
+    void strongLocalEvidenceCutsAndHalts(int failingPercent, int seconds) {
+        BrakeDecision decision = Brake.decide(1000, STATE, observed(failingPercent, seconds, 4));
+        assertEquals(0, decision.limitPermille());
+        assertEquals(Optional.of(new HaltMark("listings", "v2", 3)), decision.halt());
+    }
+
+    /** Guards against a brake that raises a limit or halts a good version. */
+    @Property(seed = "13", tries = 60)
+    void neverRaises(@ForAll @IntRange(max = 1000) int limit, @ForAll @IntRange(max = 30) int failingPercent) {
+        BrakeDecision decision = Brake.decide(limit, STATE, observed(failingPercent, 10, limit));
+        assertTrue(decision.limitPermille() <= limit);
+        assertTrue(failingPercent > 0 || decision.halt().isEmpty());
+    }
+}
