--- /dev/null
+++ b/daemon/src/main/java/org/mimosahinge/daemon/Daemon.java
@@ -0,0 +1,139 @@
+package org.mimosahinge.daemon;
+
+import io.netty.channel.nio.NioEventLoopGroup;
+import io.netty.util.concurrent.DefaultThreadFactory;
+import java.time.Duration;
+import java.util.concurrent.TimeUnit;
+import org.mimosahinge.api.settings.NodeSettings;
+import org.mimosahinge.api.world.HostPort;
+import org.mimosahinge.api.world.Node;
+import org.mimosahinge.daemon.control.ControlLoop;
+import org.mimosahinge.daemon.control.ControlPlane;
+import org.mimosahinge.daemon.control.ControlTraffic;
+import org.mimosahinge.daemon.control.NodeContext;
+import org.mimosahinge.daemon.control.PeerChannels;
+import org.mimosahinge.daemon.control.SnapshotReference;
+import org.mimosahinge.daemon.operator.DaemonMetrics;
+import org.mimosahinge.daemon.operator.OperatorHandler;
+import org.mimosahinge.daemon.traffic.TrafficConfig;
+import org.mimosahinge.daemon.traffic.TrafficEvent;
+import org.mimosahinge.daemon.traffic.TrafficPlane;
+import org.mimosahinge.net.http.HttpMessageClient;
+import org.mimosahinge.net.http.HttpMessageServer;
+import org.mimosahinge.net.log.EventLog;
+import org.mimosahinge.net.platform.PlatformClient;
+
+/** A running node: control thread, traffic threads and the ports for callers, peers and operators. */
+public final class Daemon implements AutoCloseable {
+
+    private static final EventLog LOG = EventLog.of("daemon");
+
+    /** A slow platform must not hold back lease renewals beyond the time to live of a lease. */
+    private static final Duration PLATFORM_TIMEOUT = Duration.ofMillis(1000);
+
+    /** One traffic thread carries the planned load of a node without hops between threads. */
+    private static final int TRAFFIC_THREADS = 1;
+
+    /** Neighbours learn of drained endpoints within this time at a planned stop. */
+    private static final Duration LEAVE_TIME = Duration.ofMillis(500);
+
+    private final NioEventLoopGroup controlIo = new NioEventLoopGroup(1, new DefaultThreadFactory("control-io", true));
+    private final ControlLoop loop = ControlLoop.start();
+    private final SnapshotReference snapshots = new SnapshotReference();
+    private final HttpMessageClient http;
+    private final TrafficPlane traffic;
+    private final PeerChannels peers;
+    private final ControlPlane control;
+    private final HttpMessageServer operator;
+    private final HostPort peerAddress;
+
+    private Daemon(NodeSettings settings) {
+        http = HttpMessageClient.create(controlIo, PLATFORM_TIMEOUT);
+        PlatformClient platform = PlatformClient.create(http, settings.platformAddress());
+        Node self = new Node(settings.nodeId(), System.currentTimeMillis(), settings.zone(), settings.peerAddress());
+        ControlTraffic counters = new ControlTraffic();
+        control = new ControlPlane(
+                new NodeContext(self, settings, platform, platform, loop, System::nanoTime), loop, snapshots);
+        traffic = TrafficPlane.start(
+                new TrafficConfig(self, settings.callerAddress(), TRAFFIC_THREADS, settings.logSampling()),
+                snapshots,
+                platform,
+                event -> loop.offer(() -> trafficEvent(event)));
+        peers = new PeerChannels(controlIo, counters, control, hello -> traffic.callConnection());
+        peerAddress = peers.listen(settings.peerAddress(), traffic.eventLoops());
+        loop.execute(() -> control.use(peers));
+        DaemonMetrics metrics = new DaemonMetrics(snapshots, counters, loop);
+        operator = HttpMessageServer.start(
+                settings.operatorAddress(), controlIo, new OperatorHandler(self, control, snapshots, metrics::text));
+        controlIo.scheduleAtFixedRate(
+                () -> loop.offer(control::tick), 0, ControlPlane.TICK.toMillis(), TimeUnit.MILLISECONDS);
+        LOG.info(
+                "started",
+                "node",
+                self.id(),
+                "zone",
+                self.zone().name(),
+                "callers",
+                traffic.callers(),
+                "peers",
+                peerAddress,
+                "operators",
+                operator.address());
+    }
+
+    /**
+     * Starts a node.
+     *
+     * @param settings its settings
+     * @return the running node
+     */
+    public static Daemon start(NodeSettings settings) {
+        return new Daemon(settings);
+    }
+
+    private void trafficEvent(TrafficEvent event) {
+        if (event instanceof TrafficEvent.ConnectionRefused refused) {
+            control.refused(refused.endpointId());
+        }
+    }
+
+    /**
+     * Returns the address for callers.
+     *
+     * @return the bound address
+     */
+    public HostPort callers() {
+        return traffic.callers();
+    }
+
+    /**
+     * Returns the address of the operator port.
+     *
+     * @return the bound address
+     */
+    public HostPort operators() {
+        return operator.address();
+    }
+
+    /** Stops without cutting calls: withdraws endpoints and roles, lets calls finish, then closes. */
+    @Override
+    public void close() {
+        loop.execute(control::leave);
+        pause(LEAVE_TIME);
+        traffic.close();
+        operator.close();
+        peers.close();
+        loop.close();
+        http.close();
+        controlIo.shutdownGracefully(0, 1, TimeUnit.SECONDS).syncUninterruptibly();
+        LOG.info("stopped");
+    }
+
+    private static void pause(Duration time) {
+        try {
+            Thread.sleep(time.toMillis());
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/mimosahinge/daemon/control/ControlPlane.java
@@ -0,0 +1,387 @@
+package org.mimosahinge.daemon.control;
+
+import io.netty.channel.Channel;
+import java.time.Duration;
+import java.util.List;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
+import java.util.function.Function;
+import org.mimosahinge.api.config.HaltMark;
+import org.mimosahinge.api.operator.NodeList;
+import org.mimosahinge.api.platform.Put;
+import org.mimosahinge.api.platform.Transaction;
+import org.mimosahinge.api.settings.NodeSettings;
+import org.mimosahinge.api.world.BackendServer;
+import org.mimosahinge.api.world.EndpointState;
+import org.mimosahinge.api.world.Node;
+import org.mimosahinge.core.fanout.AdmissionRate;
+import org.mimosahinge.core.fanout.TreePlacement;
+import org.mimosahinge.core.lease.LeaseTiming;
+import org.mimosahinge.core.membership.FailureDetector;
+import org.mimosahinge.net.frame.Frame;
+import org.mimosahinge.net.log.EventLog;
+
+/** The control state of a node; every method but those of {@link PeerChannels.Events} runs on the control thread. */
+public final class ControlPlane implements PeerChannels.Events {
+
+    /** Interval of {@link #tick()}. */
+    public static final Duration TICK = Duration.ofMillis(250);
+
+    private static final EventLog LOG = EventLog.of("control");
+
+    /** A tree of this degree keeps 300 nodes within three levels and a parent's sending within 3 KB/s. */
+    private static final int TREE_DEGREE = 8;
+
+    /** Children admitted per second after a storm of reconnects, and at once. */
+    private static final double ADMISSIONS_PER_SECOND = 20;
+
+    private static final double ADMISSION_BURST = 16;
+
+    private final NodeContext context;
+    private final ControlLoop loop;
+    private final SnapshotReference snapshots;
+    private final Links links = new Links();
+    private final LocalEndpoints local;
+    private final Membership membership;
+    private final Distribution distribution;
+    private final LeaseKeeper relay;
+    private final LeaseKeeper gateway;
+    private final HeadReader headReader;
+    private final ParentSearch parentSearch;
+    private final Submissions submissions;
+    private final Fleet fleet;
+
+    private PeerChannels channels;
+    private FailureDetector detector;
+    private AdmissionRate admissions;
+    private long nextSecondNanos;
+    private long nextPollNanos;
+    private long heartbeats;
+    private boolean registered;
+    private boolean registering;
+    private boolean stopping;
+
+    /**
+     * Creates the control state of a node.
+     *
+     * @param context the node, its settings and its surroundings
+     * @param loop the control thread
+     * @param snapshots receives each new snapshot
+     */
+    public ControlPlane(NodeContext context, ControlLoop loop, SnapshotReference snapshots) {
+        this.context = context;
+        this.loop = loop;
+        this.snapshots = snapshots;
+        Node self = context.self();
+        NodeSettings settings = context.settings();
+        LeaseTiming timing = LeaseKeeper.timing(settings);
+        local = new LocalEndpoints(self);
+        membership = new Membership(self, snapshots, local, links, context.nanoTime());
+        distribution = new Distribution(snapshots, links);
+        relay = new LeaseKeeper(Rows.relay(self.zone()), context, timing);
+        gateway = new LeaseKeeper(Rows.gateway(settings.region()), context, timing);
+        headReader = new HeadReader(context, snapshots, gateway);
+        parentSearch = new ParentSearch(
+                context, TreePlacement.rendezvousTree(TREE_DEGREE), relay, gateway, this::dial, distribution::require);
+        submissions = new Submissions(context, snapshots, this::headMoved);
+        fleet = new Fleet(links, snapshots);
+        detector = FailureDetector.start(context.now());
+        admissions = AdmissionRate.full(ADMISSIONS_PER_SECOND, ADMISSION_BURST, context.now());
+    }
+
+    /**
+     * Sets how connections are opened; must be called before the first tick.
+     *
+     * @param peerChannels the channels of this daemon
+     */
+    public void use(PeerChannels peerChannels) {
+        channels = peerChannels;
+    }
+
+    /** Does what is due: heartbeats, leases, expiry, the search for a parent. */
+    public void tick() {
+        long now = context.now();
+        register();
+        FailureDetector.Verdict verdict = detector.tick(now);
+        detector = verdict.next();
+        links.all().stream()
+                .filter(link -> verdict.suspects().contains(link.node().id()))
+                .forEach(ControlLink::close);
+        membership.publish(local.expire(now));
+        removeFailedNodes();
+        advanceRoles();
+        if (now - nextSecondNanos >= 0) {
+            nextSecondNanos = now + context.settings().heartbeat().toNanos();
+            heartbeats++;
+            links.broadcast(new Frame.Heartbeat(heartbeats), null);
+            fleet.report();
+        }
+    }
+
+    private void advanceRoles() {
+        long now = context.now();
+        if (relay.held().isPresent()) {
+            relay.advance();
+        }
+        if (gateway.held().isPresent()) {
+            gateway.advance();
+        }
+        if (isRoot()) {
+            if (now - nextPollNanos >= 0) {
+                nextPollNanos = now + context.settings().headPoll().toNanos();
+                headReader.poll(distribution::apply);
+            }
+        } else if (links.parent().isEmpty() && !stopping) {
+            parentSearch.advance();
+        }
+    }
+
+    private boolean isRoot() {
+        return context.settings().region().equals(context.settings().storeRegion())
+                && gateway.held().isPresent();
+    }
+
+    private void register() {
+        if (registered || registering) {
+            return;
+        }
+        registering = true;
+        Put row = new Put(Rows.node(context.self()), Rows.encode(context.self()));
+        context.table()
+                .commit(new Transaction(List.of(), List.of(row), List.of()))
+                .whenCompleteAsync(
+                        (result, failure) -> {
+                            registering = false;
+                            registered = failure == null;
+                        },
+                        loop);
+    }
+
+    private void removeFailedNodes() {
+        List<Node> failed = membership.removeFailed();
+        relay.held().ifPresent(lease -> failed.stream()
+                .filter(node -> node.zone().equals(context.self().zone()))
+                .forEach(node -> context.table()
+                        .commit(new Transaction(List.of(lease.fence()), List.of(), List.of(Rows.node(node))))));
+    }
+
+    private void dial(ParentSearch.Dial dial) {
+        dial.started(channels.dial(dial.candidate().address(), dial.timeout()));
+    }
+
+    private void headMoved(long version) {
+        if (isRoot()) {
+            headReader.poll(distribution::apply);
+        } else {
+            links.parent().ifPresent(parent -> parent.send(new Frame.HeadHint(version)));
+        }
+    }
+
+    @Override
+    public Frame.Hello hello() {
+        var snapshot = snapshots.get();
+        return new Frame.Hello(
+                Frame.Purpose.CONTROL,
+                context.self(),
+                snapshot.version(),
+                snapshot.provenCurrent(),
+                context.settings().interests());
+    }
+
+    @Override
+    public void opened(Channel channel, Frame.Hello hello, boolean dialed) {
+        offerOrClose(channel, () -> linkOpened(channel, hello, dialed));
+    }
+
+    @Override
+    public void received(Channel channel, Frame frame) {
+        offerOrClose(channel, () -> links.of(channel).ifPresent(link -> frameReceived(link, frame)));
+    }
+
+    @Override
+    public void closed(Channel channel) {
+        // The close itself must reach the control thread; the tick detects a link whose close was dropped.
+        loop.offer(() -> linkClosed(channel));
+    }
+
+    /** A dropped frame would leave the two ends with different views, so the connection is closed instead. */
+    private void offerOrClose(Channel channel, Runnable task) {
+        if (!loop.offer(task)) {
+            channel.close();
+        }
+    }
+
+    private void linkOpened(Channel channel, Frame.Hello hello, boolean dialed) {
+        if (!dialed) {
+            AdmissionRate.Admission admission = admissions.admit(context.now());
+            admissions = admission.next();
+            if (!admission.admitted() || stopping) {
+                LOG.info("child_refused", "child", hello.node().id(), "reason", stopping ? "stopping" : "rate");
+                channel.close();
+                return;
+            }
+        }
+        ControlLink link =
+                new ControlLink(channel, hello, dialed ? ControlLink.Direction.PARENT : ControlLink.Direction.CHILD);
+        if (!link.isOpen()) {
+            linkClosed(channel);
+            return;
+        }
+        links.add(channel, link);
+        detector = detector.heard(hello.node().id(), context.now());
+        LOG.info("link_opened", "node", hello.node().id(), "direction", link.direction(), "version", hello.version());
+        if (dialed) {
+            parentSearch.attached();
+        } else {
+            distribution.pushTo(link);
+        }
+        fleet.linkOpened(link);
+        membership.synchronize(link);
+    }
+
+    private void linkClosed(Channel channel) {
+        parentSearch.closed(channel);
+        links.remove(channel).ifPresent(link -> {
+            LOG.info("link_closed", "node", link.node().id(), "direction", link.direction());
+            detector = detector.forget(link.node().id());
+            if (link.direction() == ControlLink.Direction.PARENT) {
+                parentSearch.restart(link.node().id());
+            }
+            membership.lost(link);
+        });
+    }
+
+    private void frameReceived(ControlLink link, Frame frame) {
+        detector = detector.heard(link.node().id(), context.now());
+        if (frame instanceof Frame.Config config) {
+            if (!distribution.apply(config.update())) {
+                link.send(new Frame.ConfigRequest(snapshots.get().version()));
+            }
+        } else if (frame instanceof Frame.ConfigRequest) {
+            distribution.sendFull(link);
+        } else if (frame instanceof Frame.Endpoints endpoints) {
+            membership.received(endpoints, link);
+        } else if (frame instanceof Frame.Halts halts) {
+            membership.received(halts, link);
+        } else if (frame instanceof Frame.HeadHint hint) {
+            headMoved(hint.version());
+        } else if (frame instanceof Frame.Report report) {
+            fleet.received(link, report);
+        } else if (frame instanceof Frame.Drain drain) {
+            drain(drain.endpointId(), link);
+        }
+    }
+
+    /**
+     * Takes note of a backend server beside this node.
+     *
+     * @param server the backend server
+     * @param state its state
+     */
+    public void announced(BackendServer server, EndpointState state) {
+        local.announced(server, state, context.now()).ifPresent(endpoint -> membership.publish(List.of(endpoint)));
+    }
+
+    /**
+     * Stops new work for an endpoint, wherever it is.
+     *
+     * @param endpointId the endpoint
+     * @return whether the endpoint is known; its own node confirms by a new state
+     */
+    public CompletionStage<Boolean> drainAnywhere(String endpointId) {
+        return ask(plane -> {
+            boolean known = snapshots.get().endpoints().values().stream()
+                    .flatMap(List::stream)
+                    .anyMatch(endpoint -> endpoint.id().equals(endpointId));
+            if (known) {
+                drain(endpointId, null);
+            }
+            return known;
+        });
+    }
+
+    private void drain(String endpointId, ControlLink from) {
+        local.drain(endpointId)
+                .ifPresentOrElse(
+                        endpoint -> membership.publish(List.of(endpoint)),
+                        () -> links.broadcast(new Frame.Drain(endpointId), from));
+    }
+
+    /**
+     * Marks an endpoint as gone after its backend server refused connections.
+     *
+     * @param endpointId the endpoint
+     */
+    public void refused(String endpointId) {
+        local.refused(endpointId).ifPresent(endpoint -> membership.publish(List.of(endpoint)));
+    }
+
+    /**
+     * Stops all new calls to a backend server version, on every node that this one reaches.
+     *
+     * @param mark what to halt
+     */
+    public void halt(HaltMark mark) {
+        membership.received(new Frame.Halts(Set.of(mark)), null);
+    }
+
+    /**
+     * Returns how many nodes this node knows of.
+     *
+     * @return the count, this node included
+     */
+    public int nodesKnown() {
+        return fleet.nodesKnown();
+    }
+
+    /**
+     * Returns how many nodes have a version or a later one in force.
+     *
+     * @param version the version
+     * @return the count, this node included
+     */
+    public int nodesInForce(long version) {
+        return fleet.nodesInForce(version);
+    }
+
+    /**
+     * Lists the nodes that are registered with the platform.
+     *
+     * @return the nodes
+     */
+    public CompletionStage<NodeList> nodes() {
+        return fleet.nodes(context);
+    }
+
+    /**
+     * Returns the part that accepts changed sections.
+     *
+     * @return the submissions of this node
+     */
+    public Submissions submissions() {
+        return submissions;
+    }
+
+    /** Withdraws this node's endpoints and roles before a planned stop. */
+    public void leave() {
+        LOG.info("leaving", "node", context.self().id());
+        stopping = true;
+        membership.publish(local.drainAll());
+        relay.leave();
+        gateway.leave();
+        relay.advance();
+        gateway.advance();
+    }
+
+    /**
+     * Runs a query on the control thread.
+     *
+     * @param query reads control state
+     * @param <T> type of the result
+     * @return the result
+     */
+    public <T> CompletionStage<T> ask(Function<ControlPlane, T> query) {
+        return CompletableFuture.supplyAsync(() -> query.apply(this), loop);
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/mimosahinge/daemon/control/Distribution.java
@@ -0,0 +1,114 @@
+package org.mimosahinge.daemon.control;
+
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.Optional;
+import java.util.OptionalLong;
+import org.mimosahinge.api.config.ConfigUpdate;
+import org.mimosahinge.api.config.Snapshot;
+import org.mimosahinge.api.error.UpdateRejectedException;
+import org.mimosahinge.core.config.ReadinessDecision;
+import org.mimosahinge.core.config.SnapshotBuilder;
+import org.mimosahinge.core.config.UpdateBuilder;
+import org.mimosahinge.net.frame.Frame;
+import org.mimosahinge.net.log.EventLog;
+
+/** Applies configuration updates and passes them on to the children. */
+final class Distribution {
+
+    private static final EventLog LOG = EventLog.of("config");
+
+    /** Versions kept to build deltas; a child further behind gets full state. */
+    private static final int KEPT_VERSIONS = 16;
+
+    private final SnapshotReference snapshots;
+    private final Links links;
+    private final Deque<Snapshot> history = new ArrayDeque<>();
+    private OptionalLong requiredVersion = OptionalLong.empty();
+
+    Distribution(SnapshotReference snapshots, Links links) {
+        this.snapshots = snapshots;
+        this.links = links;
+    }
+
+    /** Applies an update; tells whether it is in force or was already. False means that full state is needed. */
+    boolean apply(ConfigUpdate update) {
+        Snapshot current = snapshots.get();
+        SnapshotBuilder.Fit fit = SnapshotBuilder.fit(current, update);
+        if (fit != SnapshotBuilder.Fit.NEXT) {
+            LOG.info("update_ignored", "version", update.version(), "current", current.version(), "fit", fit);
+            return fit == SnapshotBuilder.Fit.STALE;
+        }
+        try {
+            replace(SnapshotBuilder.apply(current, update));
+            LOG.info("update_applied", "version", update.version(), "previous", current.version());
+            push();
+            return true;
+        } catch (UpdateRejectedException e) {
+            LOG.warn(
+                    "update_rejected",
+                    "version",
+                    update.version(),
+                    "current",
+                    current.version(),
+                    "error",
+                    e.getMessage());
+            return true;
+        }
+    }
+
+    /** Records a version that the node must reach before it takes callers' calls. */
+    void require(long version) {
+        if (requiredVersion.isEmpty()) {
+            requiredVersion = OptionalLong.of(version);
+        }
+        replace(snapshots.get());
+    }
+
+    private void replace(Snapshot next) {
+        boolean ready = ReadinessDecision.ready(next, requiredVersion);
+        if (ready && !next.provenCurrent()) {
+            LOG.info("ready", "version", next.version(), "required", requiredVersion.orElse(0));
+        }
+        Snapshot published = SnapshotBuilder.withProof(next, ready);
+        snapshots.replace(published);
+        if (history.isEmpty() || history.getLast().version() < published.version()) {
+            history.addLast(published);
+        }
+        if (history.size() > KEPT_VERSIONS) {
+            history.removeFirst();
+        }
+    }
+
+    /** Sends the version in force to every child that lacks it. */
+    void push() {
+        links.children().forEach(this::pushTo);
+    }
+
+    /** Sends the version in force to one child if it lacks it. */
+    void pushTo(ControlLink child) {
+        Snapshot current = snapshots.get();
+        if (child.versionSent() < current.version()) {
+            ConfigUpdate update = base(child.versionSent())
+                    .map(base -> UpdateBuilder.between(base, current))
+                    .orElseGet(() -> UpdateBuilder.full(current));
+            child.send(new Frame.Config(update, 0));
+            child.markSent(current.version());
+        }
+    }
+
+    /** Sends full state to a child that reports a gap. */
+    void sendFull(ControlLink child) {
+        Snapshot current = snapshots.get();
+        if (current.version() > 0) {
+            child.send(new Frame.Config(UpdateBuilder.full(current), 0));
+            child.markSent(current.version());
+        }
+    }
+
+    private Optional<Snapshot> base(long version) {
+        return history.stream()
+                .filter(snapshot -> snapshot.version() == version && version > 0)
+                .findFirst();
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/mimosahinge/daemon/control/Failures.java
@@ -0,0 +1,32 @@
+package org.mimosahinge.daemon.control;
+
+import java.util.concurrent.CompletionException;
+import org.mimosahinge.api.error.ErrorCode;
+import org.mimosahinge.api.error.MimosahingeException;
+
+/** Finds the typed failure inside the failure of a stage. */
+public final class Failures {
+
+    private Failures() {}
+
+    /**
+     * Removes the wrapper that stages add.
+     *
+     * @param failure failure of a stage
+     * @return the underlying failure
+     */
+    public static Throwable unwrap(Throwable failure) {
+        boolean wrapped = failure instanceof CompletionException && failure.getCause() != null;
+        return wrapped ? failure.getCause() : failure;
+    }
+
+    /**
+     * Returns the stable code of a failure.
+     *
+     * @param failure failure of a stage
+     * @return the code, {@code internal} for failures without a type
+     */
+    public static ErrorCode code(Throwable failure) {
+        return unwrap(failure) instanceof MimosahingeException typed ? typed.code() : ErrorCode.INTERNAL;
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/mimosahinge/daemon/control/HeadReader.java
@@ -0,0 +1,85 @@
+package org.mimosahinge.daemon.control;
+
+import java.util.HashSet;
+import java.util.List;
+import java.util.OptionalLong;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
+import java.util.function.Consumer;
+import org.mimosahinge.api.config.ConfigUpdate;
+import org.mimosahinge.api.config.Head;
+import org.mimosahinge.api.config.Snapshot;
+import org.mimosahinge.api.platform.ReadRequest;
+import org.mimosahinge.api.platform.ReadResult;
+import org.mimosahinge.core.config.ReadinessDecision;
+import org.mimosahinge.core.lease.HeldLease;
+import org.mimosahinge.net.log.EventLog;
+
+/** Reads the head row in the role of the store region's gateway and fetches what has changed. */
+final class HeadReader {
+
+    private static final EventLog LOG = EventLog.of("head");
+
+    private final NodeContext context;
+    private final SnapshotReference snapshots;
+    private final LeaseKeeper gateway;
+    private boolean reading;
+    private boolean readAgain;
+
+    HeadReader(NodeContext context, SnapshotReference snapshots, LeaseKeeper gateway) {
+        this.context = context;
+        this.snapshots = snapshots;
+        this.gateway = gateway;
+    }
+
+    /** Reads the head and hands a newer version to the consumer, on the control thread. */
+    void poll(Consumer<ConfigUpdate> changed) {
+        if (reading) {
+            // A change committed after the running read was sent would otherwise wait for the next poll.
+            readAgain = true;
+            return;
+        }
+        reading = true;
+        context.table()
+                .read(new ReadRequest(List.of(Rows.HEAD, gateway.key()), List.of()))
+                .thenComposeAsync(this::update, context.control())
+                .whenCompleteAsync((update, failure) -> finished(update, failure, changed), context.control());
+    }
+
+    private void finished(ConfigUpdate update, Throwable failure, Consumer<ConfigUpdate> changed) {
+        reading = false;
+        if (failure != null) {
+            LOG.warn("head_read_failed", "error", Failures.code(failure));
+        } else if (update != null) {
+            changed.accept(update);
+        }
+        if (readAgain) {
+            readAgain = false;
+            poll(changed);
+        }
+    }
+
+    private CompletionStage<ConfigUpdate> update(ReadResult read) {
+        HeldLease lease = gateway.held().orElse(null);
+        OptionalLong epoch =
+                OptionalLong.of(Rows.lease(read, gateway.key()).value().lease().epoch());
+        if (lease == null || !ReadinessDecision.relayMayUse(lease, epoch, context.now())) {
+            return CompletableFuture.completedFuture(null);
+        }
+        Head head = Rows.head(read).value();
+        Snapshot current = snapshots.get();
+        if (head.version() <= current.version()) {
+            return CompletableFuture.completedFuture(null);
+        }
+        return SectionFetch.missing(context.objects(), head, current)
+                .thenApply(sections -> new ConfigUpdate(
+                        current.version(), head.version(), sections, removed(head, current), head.moves()));
+    }
+
+    private static Set<String> removed(Head head, Snapshot current) {
+        Set<String> removed = new HashSet<>(current.sections().keySet());
+        removed.removeAll(head.sections().keySet());
+        return removed;
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/mimosahinge/daemon/control/LocalEndpoints.java
@@ -0,0 +1,121 @@
+package org.mimosahinge.daemon.control;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.mimosahinge.api.world.BackendServer;
+import org.mimosahinge.api.world.Endpoint;
+import org.mimosahinge.api.world.EndpointState;
+import org.mimosahinge.api.world.Node;
+import org.mimosahinge.api.world.Stamp;
+import org.mimosahinge.core.config.Endpoints;
+
+/** The endpoints beside this node, from the announcements of their backend servers. */
+final class LocalEndpoints {
+
+    /** Backend servers announce themselves every second; three missed announcements mean that one is gone. */
+    static final Duration ANNOUNCEMENT_TIMEOUT = Duration.ofSeconds(3);
+
+    private final Node node;
+    private final Map<String, Entry> entries = new HashMap<>();
+    private Stamp last;
+
+    private static final class Entry {
+        private Endpoint endpoint;
+        private long lastSeenNanos;
+        private boolean drainRequested;
+    }
+
+    LocalEndpoints(Node node) {
+        this.node = node;
+        this.last = new Stamp(node.incarnation(), 0);
+    }
+
+    /** Records an announcement and returns the endpoint's new state when other nodes must learn of it. */
+    Optional<Endpoint> announced(BackendServer server, EndpointState state, long nowNanos) {
+        String id = node.id() + "/" + server.address();
+        Entry entry = entries.computeIfAbsent(id, key -> new Entry());
+        entry.lastSeenNanos = nowNanos;
+        EndpointState effective = entry.drainRequested && state != EndpointState.GONE ? EndpointState.DRAINING : state;
+        boolean known = entry.endpoint != null
+                && entry.endpoint.state() == effective
+                && entry.endpoint.server().equals(server);
+        if (known) {
+            return Optional.empty();
+        }
+        return Optional.of(publish(entry, new Endpoint(id, server, node, effective, nextStamp())));
+    }
+
+    /** Marks endpoints as gone whose backend servers stopped to announce themselves. */
+    List<Endpoint> expire(long nowNanos) {
+        List<Endpoint> gone = new ArrayList<>();
+        for (Entry entry : entries.values()) {
+            boolean silent = nowNanos - entry.lastSeenNanos > ANNOUNCEMENT_TIMEOUT.toNanos();
+            if (silent && entry.endpoint.state() != EndpointState.GONE) {
+                gone.add(publish(entry, withState(entry.endpoint, EndpointState.GONE)));
+            }
+        }
+        return gone;
+    }
+
+    /** Stops new work for an endpoint; it stays draining until its backend server leaves. */
+    Optional<Endpoint> drain(String id) {
+        Entry entry = entries.get(id);
+        if (entry == null || entry.endpoint.state() == EndpointState.GONE) {
+            return Optional.empty();
+        }
+        entry.drainRequested = true;
+        return Optional.of(publish(entry, withState(entry.endpoint, EndpointState.DRAINING)));
+    }
+
+    /** Marks an endpoint as gone after its backend server refused connections. */
+    Optional<Endpoint> refused(String id) {
+        Entry entry = entries.get(id);
+        if (entry == null || entry.endpoint.state() == EndpointState.GONE) {
+            return Optional.empty();
+        }
+        return Optional.of(publish(entry, withState(entry.endpoint, EndpointState.GONE)));
+    }
+
+    /** Answers another node's false report about an endpoint of this node with a newer state. */
+    Optional<Endpoint> refute(Endpoint reported) {
+        Entry entry = entries.get(reported.id());
+        if (entry == null) {
+            return Optional.empty();
+        }
+        return Endpoints.refutation(entry.endpoint, reported).map(stamp -> {
+            last = stamp.compareTo(last) > 0 ? stamp : last;
+            return publish(entry, withState(entry.endpoint, entry.endpoint.state()));
+        });
+    }
+
+    /** Returns all endpoints beside this node. */
+    List<Endpoint> all() {
+        return entries.values().stream().map(entry -> entry.endpoint).toList();
+    }
+
+    /** Marks all endpoints as leaving at a planned stop of this node. */
+    List<Endpoint> drainAll() {
+        return List.copyOf(entries.keySet()).stream()
+                .map(this::drain)
+                .flatMap(Optional::stream)
+                .toList();
+    }
+
+    private Endpoint publish(Entry entry, Endpoint endpoint) {
+        entry.endpoint = endpoint;
+        return endpoint;
+    }
+
+    private Endpoint withState(Endpoint endpoint, EndpointState state) {
+        return new Endpoint(endpoint.id(), endpoint.server(), endpoint.node(), state, nextStamp());
+    }
+
+    private Stamp nextStamp() {
+        last = new Stamp(last.incarnation(), last.sequence() + 1);
+        return last;
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/mimosahinge/daemon/control/Membership.java
@@ -0,0 +1,181 @@
+package org.mimosahinge.daemon.control;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.function.LongSupplier;
+import org.mimosahinge.api.config.HaltMark;
+import org.mimosahinge.api.config.Snapshot;
+import org.mimosahinge.api.world.Endpoint;
+import org.mimosahinge.api.world.EndpointState;
+import org.mimosahinge.api.world.Node;
+import org.mimosahinge.api.world.NodeId;
+import org.mimosahinge.api.world.Proximity;
+import org.mimosahinge.core.config.NodeRemoval;
+import org.mimosahinge.core.config.SnapshotBuilder;
+import org.mimosahinge.net.frame.Frame;
+import org.mimosahinge.net.log.EventLog;
+
+/** Spreads states of endpoints and halt marks over the tree and removes the endpoints of failed nodes. */
+final class Membership {
+
+    private static final EventLog LOG = EventLog.of("membership");
+
+    /** Orphans of a failed parent attach elsewhere within this time; nodes that do not are failed. */
+    private static final Duration REATTACH_TIME = Duration.ofSeconds(3);
+
+    /** The nodes of a failed relay's zone first wait for its lease to expire. */
+    private static final Duration RELAY_REATTACH_TIME = Duration.ofSeconds(10);
+
+    private final Node self;
+    private final SnapshotReference snapshots;
+    private final LocalEndpoints local;
+    private final Links links;
+    private final LongSupplier nanoTime;
+    /** The link over which each other node's state came last. */
+    private final Map<NodeId, ControlLink> via = new HashMap<>();
+    /** When each unreachable node counts as failed. */
+    private final Map<Node, Long> suspects = new HashMap<>();
+
+    Membership(Node self, SnapshotReference snapshots, LocalEndpoints local, Links links, LongSupplier nanoTime) {
+        this.self = self;
+        this.snapshots = snapshots;
+        this.local = local;
+        this.links = links;
+        this.nanoTime = nanoTime;
+    }
+
+    /** Sends everything known to a new neighbour. */
+    void synchronize(ControlLink link) {
+        Snapshot snapshot = snapshots.get();
+        List<Endpoint> known =
+                snapshot.endpoints().values().stream().flatMap(List::stream).toList();
+        if (!known.isEmpty()) {
+            link.send(new Frame.Endpoints(known));
+        }
+        if (!snapshot.halts().isEmpty()) {
+            link.send(new Frame.Halts(snapshot.halts()));
+        }
+        attached(link.node(), link);
+    }
+
+    /** Publishes states of endpoints beside this node. */
+    void publish(List<Endpoint> endpoints) {
+        merge(endpoints, null);
+    }
+
+    /** Merges states received from a neighbour and passes on what was new. */
+    void received(Frame.Endpoints frame, ControlLink from) {
+        List<Endpoint> refuted = new ArrayList<>();
+        for (Endpoint endpoint : frame.endpoints()) {
+            if (endpoint.node().id().equals(self.id())) {
+                local.refute(endpoint).ifPresent(refuted::add);
+            } else {
+                attached(endpoint.node(), from);
+            }
+        }
+        merge(frame.endpoints(), from);
+        if (!refuted.isEmpty()) {
+            merge(refuted, null);
+        }
+    }
+
+    /** Merges halt marks received from a neighbour, or from this node when there is no link. */
+    void received(Frame.Halts frame, ControlLink from) {
+        Set<HaltMark> added = new HashSet<>();
+        for (HaltMark mark : frame.marks()) {
+            Snapshot before = snapshots.get();
+            Snapshot after = SnapshotBuilder.withHalt(before, mark);
+            if (after != before) {
+                snapshots.replace(after);
+                added.add(mark);
+                LOG.info("version_halted", "service", mark.service(), "version", mark.version());
+            }
+        }
+        if (!added.isEmpty()) {
+            links.broadcast(new Frame.Halts(added), from);
+        }
+    }
+
+    /** Suspects the nodes that were reached through a child. */
+    void lost(ControlLink link) {
+        if (link.direction() == ControlLink.Direction.PARENT) {
+            return;
+        }
+        boolean sameZone = Proximity.between(self.zone(), link.node().zone()) == Proximity.SAME_ZONE;
+        long deadline = nanoTime.getAsLong() + (sameZone ? REATTACH_TIME : RELAY_REATTACH_TIME).toNanos();
+        suspects.put(link.node(), deadline);
+        snapshots.get().endpoints().values().stream()
+                .flatMap(List::stream)
+                .map(Endpoint::node)
+                .filter(node -> via.get(node.id()) == link)
+                .forEach(node -> suspects.put(node, deadline));
+        via.values().removeIf(known -> known == link);
+    }
+
+    /** Removes the endpoints of nodes that did not attach elsewhere in time; returns these nodes. */
+    List<Node> removeFailed() {
+        long now = nanoTime.getAsLong();
+        List<Node> failed = suspects.entrySet().stream()
+                .filter(entry -> now - entry.getValue() >= 0)
+                .map(Map.Entry::getKey)
+                .toList();
+        for (Node node : failed) {
+            suspects.remove(node);
+            LOG.warn("node_failed", "node", node.id(), "zone", node.zone().name(), "incarnation", node.incarnation());
+            remove(node);
+        }
+        return failed;
+    }
+
+    private void remove(Node node) {
+        Snapshot before = snapshots.get();
+        Snapshot after = SnapshotBuilder.withRemoval(before, new NodeRemoval(node.id(), node.incarnation()));
+        if (after == before) {
+            return;
+        }
+        snapshots.replace(after);
+        List<Endpoint> tombstones = after.endpoints().values().stream()
+                .flatMap(List::stream)
+                .filter(endpoint -> endpoint.node().id().equals(node.id()) && endpoint.state() == EndpointState.GONE)
+                .toList();
+        links.broadcast(new Frame.Endpoints(tombstones), null);
+    }
+
+    private void merge(List<Endpoint> endpoints, ControlLink from) {
+        List<Endpoint> changed = new ArrayList<>();
+        Snapshot snapshot = snapshots.get();
+        for (Endpoint endpoint : endpoints) {
+            Snapshot next = SnapshotBuilder.withEndpoint(snapshot, endpoint);
+            if (next != snapshot) {
+                snapshot = next;
+                changed.add(endpoint);
+                LOG.info(
+                        "endpoint_state",
+                        "endpoint",
+                        endpoint.id(),
+                        "service",
+                        endpoint.server().service(),
+                        "version",
+                        endpoint.server().version(),
+                        "state",
+                        endpoint.state());
+            }
+        }
+        if (!changed.isEmpty()) {
+            snapshots.replace(snapshot);
+            links.broadcast(new Frame.Endpoints(changed), from);
+        }
+    }
+
+    private void attached(Node node, ControlLink link) {
+        if (link != null) {
+            via.put(node.id(), link);
+            suspects.keySet().removeIf(suspect -> suspect.id().equals(node.id()));
+        }
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/mimosahinge/daemon/control/PeerChannels.java
@@ -0,0 +1,234 @@
+package org.mimosahinge.daemon.control;
+
+import io.netty.bootstrap.Bootstrap;
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelHandler;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.socket.SocketChannel;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import io.netty.handler.timeout.ReadTimeoutHandler;
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Function;
+import java.util.function.Supplier;
+import org.mimosahinge.api.world.HostPort;
+import org.mimosahinge.net.frame.Frame;
+import org.mimosahinge.net.frame.FrameDecoder;
+import org.mimosahinge.net.frame.FrameEncoder;
+import org.mimosahinge.net.log.EventLog;
+
+/** Opens and accepts connections between daemons and hands their frames to the control thread. */
+public final class PeerChannels implements AutoCloseable {
+
+    private static final EventLog LOG = EventLog.of("peer");
+
+    /** A peer that does not say hello within this time is disconnected. */
+    private static final Duration HELLO_TIMEOUT = Duration.ofSeconds(2);
+
+    private static final String HELLO_TIMEOUT_HANDLER = "helloTimeout";
+
+    private final EventLoopGroup group;
+    private final ControlTraffic counters;
+    private final Events events;
+    private final Function<Frame.Hello, ChannelHandler> callConnections;
+    private Channel server;
+
+    /** What happens on control connections; called on an event loop. */
+    public interface Events {
+
+        /**
+         * Returns the hello of this node.
+         *
+         * @return the frame
+         */
+        Frame.Hello hello();
+
+        /**
+         * The other end has said hello.
+         *
+         * @param channel the connection
+         * @param hello its first frame
+         * @param dialed whether this node opened the connection
+         */
+        void opened(Channel channel, Frame.Hello hello, boolean dialed);
+
+        /**
+         * A later frame arrived.
+         *
+         * @param channel the connection
+         * @param frame the frame
+         */
+        void received(Channel channel, Frame frame);
+
+        /**
+         * The connection ended.
+         *
+         * @param channel the connection
+         */
+        void closed(Channel channel);
+    }
+
+    /**
+     * Creates the channels of a daemon.
+     *
+     * @param group event loop of control connections
+     * @param counters counts control bytes
+     * @param events receives what happens on control connections
+     * @param callConnections makes the handler of an accepted connection for calls
+     */
+    public PeerChannels(
+            EventLoopGroup group,
+            ControlTraffic counters,
+            Events events,
+            Function<Frame.Hello, ChannelHandler> callConnections) {
+        this.group = group;
+        this.counters = counters;
+        this.events = events;
+        this.callConnections = callConnections;
+    }
+
+    /**
+     * Starts to accept connections.
+     *
+     * @param address the address to listen on; port 0 picks a free port
+     * @param connections event loops of accepted connections
+     * @return the bound address
+     */
+    public HostPort listen(HostPort address, EventLoopGroup connections) {
+        server = new ServerBootstrap()
+                .group(group, connections)
+                .channel(NioServerSocketChannel.class)
+                .childOption(ChannelOption.TCP_NODELAY, true)
+                .childHandler(initializer(() -> new AcceptHandler()))
+                .bind(address.host(), address.port())
+                .syncUninterruptibly()
+                .channel();
+        InetSocketAddress bound = (InetSocketAddress) server.localAddress();
+        return new HostPort(bound.getAddress().getHostAddress(), bound.getPort());
+    }
+
+    /**
+     * Opens a control connection; failure to connect is reported as a closed channel.
+     *
+     * @param target the other node's address
+     * @param timeout limit for connecting
+     * @return the channel, possibly not yet connected
+     */
+    public Channel dial(HostPort target, Duration timeout) {
+        ChannelFuture connecting = new Bootstrap()
+                .group(group)
+                .channel(NioSocketChannel.class)
+                .option(ChannelOption.TCP_NODELAY, true)
+                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) timeout.toMillis())
+                .handler(initializer(() -> new ControlHandler(true)))
+                .connect(target.host(), target.port());
+        connecting.addListener((ChannelFuture done) -> {
+            if (!done.isSuccess()) {
+                events.closed(done.channel());
+            }
+        });
+        return connecting.channel();
+    }
+
+    private ChannelInitializer<SocketChannel> initializer(Supplier<ChannelHandler> last) {
+        return new ChannelInitializer<>() {
+            @Override
+            protected void initChannel(SocketChannel channel) {
+                channel.pipeline()
+                        .addLast(
+                                HELLO_TIMEOUT_HANDLER,
+                                new ReadTimeoutHandler(HELLO_TIMEOUT.toMillis(), TimeUnit.MILLISECONDS))
+                        .addLast(new FrameDecoder(), new FrameEncoder(), last.get());
+            }
+        };
+    }
+
+    @Override
+    public void close() {
+        if (server != null) {
+            server.close().syncUninterruptibly();
+        }
+    }
+
+    /** Reads the first frame of an accepted connection and installs the handler for its purpose. */
+    private final class AcceptHandler extends SimpleChannelInboundHandler<Frame> {
+
+        @Override
+        protected void channelRead0(ChannelHandlerContext context, Frame frame) {
+            if (!(frame instanceof Frame.Hello hello)) {
+                LOG.warn("peer_rejected", "remote", context.channel().remoteAddress(), "reason", "no_hello");
+                context.close();
+                return;
+            }
+            if (hello.purpose() == Frame.Purpose.CALLS) {
+                context.pipeline().remove(HELLO_TIMEOUT_HANDLER);
+                context.pipeline().replace(this, "calls", callConnections.apply(hello));
+                return;
+            }
+            ControlHandler handler = new ControlHandler(false);
+            context.pipeline().replace(this, "control", handler);
+            context.writeAndFlush(events.hello());
+            handler.accept(context.pipeline().context(handler), hello);
+        }
+
+        @Override
+        public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+            LOG.warn("peer_rejected", "remote", context.channel().remoteAddress(), "reason", cause.getMessage());
+            context.close();
+        }
+    }
+
+    private final class ControlHandler extends ChannelInboundHandlerAdapter {
+
+        private final boolean dialed;
+        private boolean accepted;
+
+        ControlHandler(boolean dialed) {
+            this.dialed = dialed;
+        }
+
+        @Override
+        public void channelActive(ChannelHandlerContext context) {
+            context.writeAndFlush(events.hello());
+        }
+
+        void accept(ChannelHandlerContext context, Frame.Hello hello) {
+            accepted = true;
+            context.pipeline().remove(HELLO_TIMEOUT_HANDLER);
+            context.pipeline().addFirst(counters.handler());
+            events.opened(context.channel(), hello, dialed);
+        }
+
+        @Override
+        public void channelRead(ChannelHandlerContext context, Object message) {
+            Frame frame = (Frame) message;
+            if (accepted) {
+                events.received(context.channel(), frame);
+            } else if (frame instanceof Frame.Hello hello && hello.purpose() == Frame.Purpose.CONTROL) {
+                accept(context, hello);
+            } else {
+                context.close();
+            }
+        }
+
+        @Override
+        public void channelInactive(ChannelHandlerContext context) {
+            events.closed(context.channel());
+        }
+
+        @Override
+        public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+            LOG.warn("control_link_failed", "remote", context.channel().remoteAddress(), "reason", cause.getMessage());
+            context.close();
+        }
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/mimosahinge/daemon/control/Submissions.java
@@ -0,0 +1,193 @@
+package org.mimosahinge.daemon.control;
+
+import java.time.Instant;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.UUID;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
+import java.util.function.LongConsumer;
+import java.util.function.Supplier;
+import org.mimosahinge.api.config.Head;
+import org.mimosahinge.api.config.Snapshot;
+import org.mimosahinge.api.contract.Section;
+import org.mimosahinge.api.document.DocumentCheck;
+import org.mimosahinge.api.document.SectionParser;
+import org.mimosahinge.api.error.ErrorCode;
+import org.mimosahinge.api.error.InvalidDocumentException;
+import org.mimosahinge.api.error.PlatformException;
+import org.mimosahinge.api.error.Problem;
+import org.mimosahinge.api.error.SectionConflictException;
+import org.mimosahinge.api.platform.Condition;
+import org.mimosahinge.api.platform.Put;
+import org.mimosahinge.api.platform.ReadRequest;
+import org.mimosahinge.api.platform.ReadResult;
+import org.mimosahinge.api.platform.Transaction;
+import org.mimosahinge.api.platform.TransactionResult;
+import org.mimosahinge.core.config.AcceptDecision;
+import org.mimosahinge.core.config.AcceptResult;
+import org.mimosahinge.core.config.AcceptView;
+import org.mimosahinge.core.config.Submission;
+import org.mimosahinge.net.log.EventLog;
+
+/** Accepts changed sections: one transaction per change, read back when its outcome is not known. */
+public final class Submissions {
+
+    private static final EventLog LOG = EventLog.of("accept");
+
+    /** Bounds the retries when many teams submit at once; each attempt loses only to an accepted change. */
+    private static final int MAX_ATTEMPTS = 12;
+
+    private final NodeContext context;
+    private final Supplier<Snapshot> snapshots;
+    private final LongConsumer accepted;
+
+    /**
+     * Outcome of an accepted submission.
+     *
+     * @param version version of the whole configuration
+     * @param revision revision of the section
+     */
+    public record Accepted(long version, long revision) {}
+
+    /** One submission under way. */
+    private record Attempt(Submission submission, int number, boolean outcomeUnknown) {
+
+        Attempt next(boolean unknown) {
+            return new Attempt(submission, number + 1, unknown);
+        }
+    }
+
+    Submissions(NodeContext context, Supplier<Snapshot> snapshots, LongConsumer accepted) {
+        this.context = context;
+        this.snapshots = snapshots;
+        this.accepted = accepted;
+    }
+
+    /**
+     * Submits a section.
+     *
+     * @param section the new content
+     * @param baseRevision section revision that the operator edited
+     * @return the outcome; fails with a typed failure when nothing was accepted
+     */
+    public CompletionStage<Accepted> submit(Section section, long baseRevision) {
+        byte[] content = SectionParser.toJson(section);
+        return context.objects()
+                .put(content)
+                .thenComposeAsync(
+                        hash -> {
+                            String operation = UUID.randomUUID().toString();
+                            return attempt(new Attempt(
+                                    new Submission(operation, baseRevision, section, hash, Instant.now()), 1, false));
+                        },
+                        context.control());
+    }
+
+    private CompletionStage<Accepted> attempt(Attempt attempt) {
+        String team = attempt.submission().section().team();
+        return context.table()
+                .read(new ReadRequest(List.of(Rows.HEAD, Rows.section(team)), List.of()))
+                .thenComposeAsync(read -> view(read, team), context.control())
+                .exceptionallyCompose(failure -> CompletableFuture.failedFuture(
+                        attempt.outcomeUnknown() ? PlatformException.answerLost("submission", failure) : failure))
+                .thenComposeAsync(view -> decide(attempt, view), context.control());
+    }
+
+    private CompletionStage<AcceptView> view(ReadResult read, String team) {
+        Head head = Rows.head(read).value();
+        Snapshot snapshot = snapshots.get();
+        return SectionFetch.missing(context.objects(), head, snapshot).thenApply(fetched -> {
+            Map<String, Section> sections = new HashMap<>();
+            head.sections()
+                    .keySet()
+                    .forEach(name -> sections.put(
+                            name,
+                            (fetched.containsKey(name)
+                                            ? fetched.get(name)
+                                            : snapshot.sections().get(name))
+                                    .section()));
+            return new AcceptView(Rows.head(read), Rows.sectionRow(read, team), sections);
+        });
+    }
+
+    private CompletionStage<Accepted> decide(Attempt attempt, AcceptView view) {
+        Submission submission = attempt.submission();
+        String team = submission.section().team();
+        AcceptResult result = AcceptDecision.decide(view, submission);
+        if (result instanceof AcceptResult.AlreadyAccepted earlier) {
+            return accepted(team, view.head().value().version(), earlier.revision());
+        }
+        if (result instanceof AcceptResult.Conflict conflict) {
+            return CompletableFuture.failedFuture(
+                    new SectionConflictException(team, submission.baseRevision(), conflict.currentRevision()));
+        }
+        if (result instanceof AcceptResult.Unresolved unresolved) {
+            return CompletableFuture.failedFuture(
+                    new InvalidDocumentException(problems(team, view, submission, unresolved)));
+        }
+        return commit(attempt, (AcceptResult.Write) result);
+    }
+
+    private CompletionStage<Accepted> commit(Attempt attempt, AcceptResult.Write write) {
+        String team = attempt.submission().section().team();
+        Transaction transaction = new Transaction(
+                List.of(
+                        new Condition(Rows.HEAD, write.head().rowRevision()),
+                        new Condition(Rows.section(team), write.row().rowRevision())),
+                List.of(
+                        new Put(Rows.HEAD, Rows.encode(write.head().value())),
+                        new Put(Rows.section(team), Rows.encode(write.row().value()))),
+                List.of());
+        return context.table()
+                .commit(transaction)
+                .handleAsync(
+                        (result, failure) -> {
+                            if (result instanceof TransactionResult.Committed) {
+                                return accepted(
+                                        team,
+                                        write.head().value().version(),
+                                        write.row().value().revision());
+                            }
+                            boolean unknown =
+                                    failure != null && Failures.code(failure) == ErrorCode.PLATFORM_ANSWER_LOST;
+                            if (failure != null && !unknown && !attempt.outcomeUnknown()) {
+                                return CompletableFuture.<Accepted>failedFuture(Failures.unwrap(failure));
+                            }
+                            return again(attempt, unknown || attempt.outcomeUnknown());
+                        },
+                        context.control())
+                .thenCompose(stage -> stage);
+    }
+
+    private CompletionStage<Accepted> again(Attempt attempt, boolean outcomeUnknown) {
+        if (attempt.number() >= MAX_ATTEMPTS) {
+            return CompletableFuture.failedFuture(
+                    outcomeUnknown
+                            ? PlatformException.answerLost("submission", null)
+                            : PlatformException.unavailable("submission", null));
+        }
+        return attempt(attempt.next(outcomeUnknown));
+    }
+
+    private CompletionStage<Accepted> accepted(String team, long version, long revision) {
+        LOG.info("section_accepted", "team", team, "revision", revision, "version", version);
+        accepted.accept(version);
+        return CompletableFuture.completedFuture(new Accepted(version, revision));
+    }
+
+    private static List<Problem> problems(
+            String team, AcceptView view, Submission submission, AcceptResult.Unresolved unresolved) {
+        Map<String, Section> candidate = new HashMap<>(view.sections());
+        candidate.put(team, submission.section());
+        List<Problem> found = DocumentCheck.check(candidate);
+        if (!found.isEmpty()) {
+            return found;
+        }
+        return unresolved.messages().stream()
+                .map(message ->
+                        new Problem(ErrorCode.DANGLING_REFERENCE, team, 0, 0, "", message, "a reference that resolves"))
+                .toList();
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/mimosahinge/daemon/operator/DaemonMetrics.java
@@ -0,0 +1,50 @@
+package org.mimosahinge.daemon.operator;
+
+import com.codahale.metrics.Gauge;
+import com.codahale.metrics.MetricRegistry;
+import java.util.Map;
+import java.util.function.Supplier;
+import org.mimosahinge.api.config.Snapshot;
+import org.mimosahinge.daemon.control.ControlLoop;
+import org.mimosahinge.daemon.control.ControlTraffic;
+
+/** The metrics of a daemon in the text format that scrapers read. */
+public final class DaemonMetrics {
+
+    private final MetricRegistry registry = new MetricRegistry();
+
+    /**
+     * Creates the metrics.
+     *
+     * @param snapshots the configuration in force
+     * @param traffic bytes of control connections
+     * @param loop the control thread
+     */
+    public DaemonMetrics(Supplier<Snapshot> snapshots, ControlTraffic traffic, ControlLoop loop) {
+        gauge("mimosahinge_config_version", () -> snapshots.get().version());
+        gauge("mimosahinge_ready", () -> snapshots.get().provenCurrent() ? 1 : 0);
+        gauge("mimosahinge_control_sent_bytes_total", traffic::sentBytes);
+        gauge("mimosahinge_control_received_bytes_total", traffic::receivedBytes);
+        gauge("mimosahinge_control_tasks_dropped_total", loop::rejected);
+    }
+
+    private void gauge(String name, Gauge<Number> value) {
+        registry.registerGauge(name, value);
+    }
+
+    /**
+     * Writes all metrics.
+     *
+     * @return one line per metric
+     */
+    public String text() {
+        StringBuilder text = new StringBuilder();
+        for (Map.Entry<String, Gauge> gauge : registry.getGauges().entrySet()) {
+            text.append(gauge.getKey())
+                    .append(' ')
+                    .append(gauge.getValue().getValue())
+                    .append('\n');
+        }
+        return text.toString();
+    }
+}
--- /dev/null
+++ b/daemon/src/test/java/org/mimosahinge/daemon/LocalFleet.java
@@ -0,0 +1,169 @@
+package org.mimosahinge.daemon;
+
+import io.netty.channel.nio.NioEventLoopGroup;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.time.Duration;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ScheduledFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
+import org.mimosahinge.api.operator.OperatorJson;
+import org.mimosahinge.api.operator.Status;
+import org.mimosahinge.api.settings.NodeSettings;
+import org.mimosahinge.api.world.HostPort;
+import org.mimosahinge.net.http.HttpMessageClient;
+import org.mimosahinge.net.http.HttpMessageRequest;
+import org.mimosahinge.net.http.HttpMessageResponse;
+import org.mimosahinge.net.http.HttpMessageServer;
+import org.mimosahinge.standin.platform.PlatformStandin;
+
+/** Daemons, a stand-in of the platform and backend servers in one process, all on loopback. */
+final class LocalFleet implements AutoCloseable {
+
+    private static final HostPort ANY_PORT = new HostPort("127.0.0.1", 0);
+    private static final int MAX_POLLS = 600;
+
+    private final NioEventLoopGroup group = new NioEventLoopGroup(1);
+    private final HttpMessageClient http = HttpMessageClient.create(group, Duration.ofSeconds(20));
+    private final Deque<AutoCloseable> resources = new ArrayDeque<>();
+    private final List<Daemon> daemons = new ArrayList<>();
+    private final PlatformStandin platform = PlatformStandin.start();
+
+    PlatformStandin platform() {
+        return platform;
+    }
+
+    List<Daemon> daemons() {
+        return daemons;
+    }
+
+    Daemon daemon(String name, String zone, String region) {
+        Daemon daemon = Daemon.start(NodeSettings.builder()
+                .nodeId(name)
+                .zone(zone)
+                .region(region)
+                .storeRegion("ch-west")
+                .callerAddress(ANY_PORT)
+                .peerAddress(freePort())
+                .operatorAddress(ANY_PORT)
+                .platformAddress(platform.address())
+                .headPoll(Duration.ofMillis(200))
+                .build());
+        daemons.add(daemon);
+        return daemon;
+    }
+
+    private static HostPort freePort() {
+        try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+            return new HostPort("127.0.0.1", socket.getLocalPort());
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+
+    /** Starts a backend server that answers with its version and announces it every second to the node beside it. */
+    HttpMessageServer backend(Daemon beside, String service, String version) {
+        HttpMessageServer server = HttpMessageServer.start(
+                ANY_PORT,
+                group,
+                request -> CompletableFuture.completedFuture(
+                        HttpMessageResponse.json(200, "\"" + service + ' ' + version + ' ' + request.uri() + "\"")));
+        announce(beside, server, service, version, "ready");
+        ScheduledFuture<?> announcements = group.scheduleAtFixedRate(
+                () -> http.send(beside.operators(), announcement(server, service, version, "ready")),
+                1,
+                1,
+                TimeUnit.SECONDS);
+        resources.push(() -> {
+            announcements.cancel(false);
+            server.close();
+        });
+        return server;
+    }
+
+    void announce(Daemon beside, HttpMessageServer server, String service, String version, String state) {
+        expect(200, send(beside.operators(), announcement(server, service, version, state)));
+    }
+
+    private static HttpMessageRequest announcement(
+            HttpMessageServer server, String service, String version, String state) {
+        String body = "{\"service\":\"" + service + "\",\"version\":\"" + version
+                + "\",\"host\":\"127.0.0.1\",\"port\":" + server.address().port()
+                + ",\"slots\":20,\"connections\":130,\"state\":\"" + state + "\",\"load\":0,\"resources\":[]}";
+        return HttpMessageRequest.json("POST", "/v1/announce", body);
+    }
+
+    HttpMessageResponse submit(Daemon at, String team, long base, String section) {
+        return send(at.operators(), HttpMessageRequest.json("PUT", "/v1/sections/" + team + "?base=" + base, section));
+    }
+
+    Status status(Daemon daemon) {
+        return OperatorJson.read(
+                Status.class,
+                send(daemon.operators(), HttpMessageRequest.get("/v1/status")).body());
+    }
+
+    String operatorBody(Daemon daemon, String uri) {
+        return send(daemon.operators(), HttpMessageRequest.get(uri)).text();
+    }
+
+    HttpMessageResponse call(Daemon entry, String uri) {
+        return send(entry.callers(), new HttpMessageRequest("GET", uri, Map.of(), new byte[0]));
+    }
+
+    HttpMessageResponse send(HostPort target, HttpMessageRequest request) {
+        return http.send(target, request).toCompletableFuture().join();
+    }
+
+    void awaitInForce(long version, int nodes) {
+        await(() -> daemons.stream()
+                .map(this::status)
+                .allMatch(status -> status.version() >= version && status.inForce() == nodes && status.ready()));
+    }
+
+    /** Polls until a condition holds; gives up after a number of polls so that a failing test ends. */
+    static void await(BooleanSupplier condition) {
+        for (int poll = 0; poll < MAX_POLLS; poll++) {
+            if (condition.getAsBoolean()) {
+                return;
+            }
+            try {
+                Thread.sleep(50);
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+                throw new AssertionError("interrupted", e);
+            }
+        }
+        throw new AssertionError("condition did not come to hold");
+    }
+
+    static HttpMessageResponse expect(int status, HttpMessageResponse response) {
+        if (response.status() != status) {
+            throw new AssertionError("status " + response.status() + ": " + response.text());
+        }
+        return response;
+    }
+
+    @Override
+    public void close() {
+        resources.forEach(resource -> {
+            try {
+                resource.close();
+            } catch (Exception e) {
+                throw new AssertionError(e);
+            }
+        });
+        daemons.forEach(Daemon::close);
+        platform.close();
+        http.close();
+        group.shutdownGracefully(0, 1, TimeUnit.SECONDS);
+    }
+}
--- a/net/src/main/java/org/mimosahinge/net/frame/Frame.java
+++ b/net/src/main/java/org/mimosahinge/net/frame/Frame.java
@@ -83,6 +83,13 @@
      */
     record Report(SortedMap<Long, Integer> versions) implements Frame {}
 
+    /**
+     * Asks the node beside an endpoint to stop new work for it; passed on along the tree.
+     *
+     * @param endpointId the endpoint
+     */
+    record Drain(String endpointId) implements Frame {}
+
     /**
      * Starts a call.
      *
--- a/net/src/main/java/org/mimosahinge/net/frame/FrameCodec.java
+++ b/net/src/main/java/org/mimosahinge/net/frame/FrameCodec.java
@@ -85,6 +85,8 @@
             out.list(endpoints.endpoints(), WorldFields::packEndpoint);
         } else if (frame instanceof Frame.Halts halts) {
             out.list(halts.marks(), ConfigFields::packHalt);
+        } else if (frame instanceof Frame.Drain drain) {
+            out.text(drain.endpointId());
         } else if (frame instanceof Frame.Report report) {
             out.list(report.versions().entrySet(), (packer, entry) -> packer.integer(entry.getKey())
                     .integer(entry.getValue()));
@@ -127,6 +129,7 @@
             case HEAD_HINT -> new Frame.HeadHint(in.integer());
             case ENDPOINTS -> new Frame.Endpoints(in.list(WorldFields::unpackEndpoint));
             case HALTS -> new Frame.Halts(Set.copyOf(in.list(ConfigFields::unpackHalt)));
+            case DRAIN -> new Frame.Drain(in.text());
             case REPORT -> new Frame.Report(unpackVersions(in));
         };
     }
--- a/net/src/main/java/org/mimosahinge/net/frame/FrameType.java
+++ b/net/src/main/java/org/mimosahinge/net/frame/FrameType.java
@@ -12,6 +12,7 @@
     ENDPOINTS(6, Frame.Endpoints.class),
     HALTS(7, Frame.Halts.class),
     REPORT(8, Frame.Report.class),
+    DRAIN(9, Frame.Drain.class),
     CALL_START(16, Frame.CallStart.class),
     BODY(17, Frame.Body.class),
     CREDIT(18, Frame.Credit.class),
--- a/net/src/test/java/org/mimosahinge/net/frame/FrameCodecTest.java
+++ b/net/src/test/java/org/mimosahinge/net/frame/FrameCodecTest.java
@@ -85,6 +85,7 @@
                         List.of(new Endpoint("n1/a", server, NODE, EndpointState.READY, new Stamp(7, Long.MAX_VALUE)))),
                 new Frame.Halts(Set.of(new HaltMark("listings", "v2", 3))),
                 new Frame.Report(new TreeMap<>(Map.of(4L, 2, 5L, 9))),
+                new Frame.Drain("n1/a"),
                 new Frame.CallStart(
                         1, "n1/a", "ledger", CallClass.CONFIRMATION, 500, "POST", "/c", Map.of("a", "b"), true),
                 new Frame.Credit(1, 65_536),
