Add the stand-in of backend servers

Its behaviour (latency, errors, shedding, cut bodies, crash on a marked request, freeze) may change while it runs.

Writability changes are handled in a later turn of the event loop: Netty reports them from inside write and flush, and entering the HTTP encoder again there corrupted the pending writes of large bodies.

--- /dev/null
+++ b/standin/src/main/java/org/mimosahinge/standin/backend/BackendStandin.java
@@ -0,0 +1,257 @@
+package org.mimosahinge.standin.backend;
+
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.group.ChannelGroup;
+import io.netty.channel.group.DefaultChannelGroup;
+import io.netty.channel.nio.NioEventLoopGroup;
+import io.netty.channel.socket.SocketChannel;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.handler.codec.http.HttpObjectAggregator;
+import io.netty.handler.codec.http.HttpServerCodec;
+import io.netty.util.concurrent.DefaultThreadFactory;
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
+import java.util.concurrent.TimeUnit;
+import org.mimosahinge.api.world.HostPort;
+import org.mimosahinge.net.http.HttpMessageClient;
+import org.mimosahinge.net.log.EventLog;
+
+/**
+ * A backend server that announces itself to the node beside it.
+ *
+ * <p>One event loop owns all state. It serves every call until it is closed, also while draining, because calls that
+ * were on their way must not fail.
+ */
+public final class BackendStandin implements AutoCloseable {
+
+    private static final EventLog LOG = EventLog.of("backend");
+    private static final int MAX_REQUEST_BYTES = 2 << 20;
+    private static final Duration ANNOUNCE_TIMEOUT = Duration.ofSeconds(1);
+    private static final long ANNOUNCE_INTERVAL_MS = 1_000;
+
+    private final NioEventLoopGroup group = new NioEventLoopGroup(1, new DefaultThreadFactory("backend", true));
+    private final ChannelGroup channels = new DefaultChannelGroup(group.next());
+    private final HttpMessageClient http = HttpMessageClient.create(group, ANNOUNCE_TIMEOUT);
+    private final CompletableFuture<Void> left = new CompletableFuture<>();
+    private final long warmAtNanos;
+    private final BackendSettings settings;
+    private final BackendCalls calls;
+    private final Optional<Announcer> announcer;
+    private final Runnable onCrash;
+    private final HostPort address;
+    private Phase phase = Phase.STARTING;
+    private boolean crashed;
+    private long drainedAtNanos;
+
+    private BackendStandin(BackendSettings settings, Behaviour behaviour, Runnable onCrash) {
+        this.settings = settings;
+        this.onCrash = onCrash;
+        this.warmAtNanos = System.nanoTime() + settings.coldStart().toNanos();
+        this.calls = new BackendCalls(settings, behaviour, new CallEvents());
+        this.announcer = settings.node().map(node -> new Announcer(http, node));
+        Channel server = listen();
+        InetSocketAddress bound = (InetSocketAddress) server.localAddress();
+        this.address = new HostPort(bound.getAddress().getHostAddress(), bound.getPort());
+        group.execute(this::announceAndRepeat);
+    }
+
+    /**
+     * Starts a healthy server.
+     *
+     * @param settings what it is
+     * @return the running server
+     */
+    public static BackendStandin start(BackendSettings settings) {
+        return start(settings, Behaviour.HEALTHY, () -> {});
+    }
+
+    /**
+     * Starts a server.
+     *
+     * @param settings what it is
+     * @param behaviour how it treats calls
+     * @param onCrash runs after a marked request has ended the server
+     * @return the running server
+     */
+    public static BackendStandin start(BackendSettings settings, Behaviour behaviour, Runnable onCrash) {
+        return new BackendStandin(settings, behaviour, onCrash);
+    }
+
+    /**
+     * Returns the address of the server.
+     *
+     * @return the bound address
+     */
+    public HostPort address() {
+        return address;
+    }
+
+    /**
+     * Changes how calls are treated.
+     *
+     * @param behaviour the new behaviour
+     */
+    public void behave(Behaviour behaviour) {
+        group.submit(() -> calls.behave(behaviour)).syncUninterruptibly();
+    }
+
+    /**
+     * Returns what the server has done.
+     *
+     * @return the counts since the start
+     */
+    public BackendStats stats() {
+        return group.submit(() -> calls.counters().stats())
+                .syncUninterruptibly()
+                .getNow();
+    }
+
+    /**
+     * Returns the announced phase.
+     *
+     * @return the phase
+     */
+    public Phase phase() {
+        return group.submit(() -> phase).syncUninterruptibly().getNow();
+    }
+
+    /**
+     * Starts a graceful stop: draining, then leaving once the calls have finished.
+     *
+     * @return completes when the server has announced that it leaves
+     */
+    public CompletionStage<Void> drain() {
+        group.execute(this::startDraining);
+        return left;
+    }
+
+    @Override
+    public void close() {
+        channels.close().syncUninterruptibly();
+        http.close();
+        group.shutdownGracefully(0, 1, TimeUnit.SECONDS).syncUninterruptibly();
+    }
+
+    private Channel listen() {
+        Channel server = new ServerBootstrap()
+                .group(group)
+                .channel(NioServerSocketChannel.class)
+                .childOption(ChannelOption.TCP_NODELAY, true)
+                .childHandler(new ChannelInitializer<SocketChannel>() {
+                    @Override
+                    protected void initChannel(SocketChannel connection) {
+                        channels.add(connection);
+                        connection
+                                .pipeline()
+                                .addLast(
+                                        new HttpServerCodec(),
+                                        new HttpObjectAggregator(MAX_REQUEST_BYTES),
+                                        new BackendConnection(calls));
+                    }
+                })
+                .bind(settings.listen().host(), settings.listen().port())
+                .syncUninterruptibly()
+                .channel();
+        channels.add(server);
+        return server;
+    }
+
+    private void announceAndRepeat() {
+        if (crashed) {
+            return;
+        }
+        group.schedule(this::announceAndRepeat, ANNOUNCE_INTERVAL_MS, TimeUnit.MILLISECONDS);
+        if (phase == Phase.STARTING && coldNanos() > 0) {
+            // The next regular announcement may come long after the server is warm.
+            group.schedule(this::announceReady, coldNanos(), TimeUnit.NANOSECONDS);
+            announce();
+        } else {
+            announceReady();
+        }
+    }
+
+    private void announceReady() {
+        if (phase == Phase.STARTING) {
+            phase = Phase.READY;
+            LOG.info("ready", "service", settings.service(), "version", settings.version(), "address", address);
+        }
+        announce();
+    }
+
+    private CompletionStage<Void> announce() {
+        if (announcer.isEmpty() || crashed || calls.behaviour().frozen()) {
+            return CompletableFuture.completedFuture(null);
+        }
+        Announcement announcement = new Announcement(
+                settings.service(),
+                settings.version(),
+                address.host(),
+                address.port(),
+                settings.slots(),
+                settings.connections(),
+                phase.announced(),
+                calls.loadPermille(),
+                settings.resources());
+        return announcer.get().announce(announcement).thenAccept(drain -> {
+            if (drain) {
+                group.execute(this::startDraining);
+            }
+        });
+    }
+
+    private void startDraining() {
+        if (phase == Phase.DRAINING || phase == Phase.LEAVING) {
+            return;
+        }
+        phase = Phase.DRAINING;
+        drainedAtNanos = System.nanoTime() + settings.minimumDrain().toNanos();
+        LOG.info("draining", "address", address, "running", calls.counters().running());
+        announce();
+        group.schedule(this::leaveWhenIdle, settings.minimumDrain().toNanos(), TimeUnit.NANOSECONDS);
+    }
+
+    private void leaveWhenIdle() {
+        boolean idle = calls.counters().running() == 0;
+        if (phase == Phase.DRAINING && idle && System.nanoTime() - drainedAtNanos >= 0) {
+            phase = Phase.LEAVING;
+            LOG.info("leaving", "address", address);
+            announce().whenComplete((done, failure) -> left.complete(null));
+        }
+    }
+
+    private long coldNanos() {
+        return Math.max(0, warmAtNanos - System.nanoTime());
+    }
+
+    private final class CallEvents implements BackendCalls.Events {
+
+        @Override
+        public void crash() {
+            crashed = true;
+            LOG.warn("crashed", "address", address);
+            channels.close();
+            onCrash.run();
+        }
+
+        @Override
+        public void drain() {
+            startDraining();
+        }
+
+        @Override
+        public void callEnded() {
+            leaveWhenIdle();
+        }
+
+        @Override
+        public long coldMs() {
+            return TimeUnit.NANOSECONDS.toMillis(coldNanos());
+        }
+    }
+}
--- /dev/null
+++ b/standin/src/main/java/org/mimosahinge/standin/backend/Content.java
@@ -0,0 +1,38 @@
+package org.mimosahinge.standin.backend;
+
+/**
+ * A body whose bytes are produced when they are sent.
+ *
+ * @param offset position of the first byte in the whole entity
+ * @param length number of bytes
+ * @param source produces single bytes by their position
+ */
+record Content(long offset, long length, Source source) {
+
+    /** Gives the byte at a position of the entity. */
+    @FunctionalInterface
+    interface Source {
+        byte at(long position);
+    }
+
+    static Content of(byte[] bytes) {
+        return new Content(0, bytes.length, position -> bytes[(int) position]);
+    }
+
+    /** An entity of which each position holds another byte than its neighbours, so that shifted bytes are noticed. */
+    static Content download(long length) {
+        return new Content(0, length, position -> (byte) (position * 31 + (position >>> 8)));
+    }
+
+    Content range(long from, long toExclusive) {
+        return new Content(offset + from, toExclusive - from, source);
+    }
+
+    byte[] bytes(long from, int count) {
+        byte[] bytes = new byte[count];
+        for (int i = 0; i < count; i++) {
+            bytes[i] = source.at(offset + from + i);
+        }
+        return bytes;
+    }
+}
--- /dev/null
+++ b/standin/src/main/java/org/mimosahinge/standin/backend/Transfer.java
@@ -0,0 +1,69 @@
+package org.mimosahinge.standin.backend;
+
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFutureListener;
+import io.netty.handler.codec.http.DefaultHttpContent;
+import io.netty.handler.codec.http.DefaultHttpResponse;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.HttpVersion;
+import io.netty.handler.codec.http.LastHttpContent;
+
+/** Sends one response in chunks as fast as the connection takes them; used by its event loop. */
+final class Transfer {
+
+    private static final int CHUNK_BYTES = 16 * 1024;
+
+    private final Channel channel;
+    private final Content content;
+    private final long cutAt;
+    private final Runnable complete;
+    private long position;
+    private boolean ended;
+
+    private Transfer(Channel channel, Content content, long cutAt, Runnable complete) {
+        this.channel = channel;
+        this.content = content;
+        this.cutAt = cutAt;
+        this.complete = complete;
+    }
+
+    /**
+     * Writes the head of a response; {@link #proceed} sends the body.
+     *
+     * @param channel the connection
+     * @param reply the response
+     * @param truncateAfter bytes after which the connection closes; 0 never
+     * @param complete runs once the whole response has been written
+     * @return the transfer, to be continued at once and whenever the connection becomes writable
+     */
+    static Transfer of(Channel channel, Reply reply, long truncateAfter, Runnable complete) {
+        DefaultHttpResponse head =
+                new DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(reply.status()));
+        reply.headers().forEach((name, value) -> head.headers().set(name, value));
+        HttpUtil.setContentLength(head, reply.content().length());
+        channel.write(head);
+        long cutAt = truncateAfter > 0 ? truncateAfter : Long.MAX_VALUE;
+        return new Transfer(channel, reply.content(), cutAt, complete);
+    }
+
+    void proceed() {
+        long end = Math.min(content.length(), cutAt);
+        while (position < end && channel.isWritable()) {
+            int count = (int) Math.min(CHUNK_BYTES, end - position);
+            channel.write(new DefaultHttpContent(Unpooled.wrappedBuffer(content.bytes(position, count))));
+            position += count;
+        }
+        if (position < end || ended) {
+            channel.flush();
+            return;
+        }
+        ended = true;
+        if (end < content.length()) {
+            channel.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(ChannelFutureListener.CLOSE);
+        } else {
+            channel.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT).addListener(written -> complete.run());
+        }
+    }
+}
