--- /dev/null
+++ b/core/src/main/java/org/mimosahinge/core/admission/AdmissionDecision.java
@@ -0,0 +1,24 @@
+package org.mimosahinge.core.admission;
+
+import java.util.Optional;
+
+/** What happens to a call that asks for a slot. */
+public sealed interface AdmissionDecision {
+
+    /** The call takes a slot now. */
+    record Run() implements AdmissionDecision {}
+
+    /**
+     * The call waits for a slot.
+     *
+     * @param evicted call of lower priority that gives up its place and is refused
+     */
+    record Wait(Optional<Waiter> evicted) implements AdmissionDecision {}
+
+    /**
+     * The call is refused and certainly does not run.
+     *
+     * @param reason why, for the caller
+     */
+    record Refuse(String reason) implements AdmissionDecision {}
+}
--- /dev/null
+++ b/core/src/main/java/org/mimosahinge/core/admission/AdmissionLimits.java
@@ -0,0 +1,41 @@
+package org.mimosahinge.core.admission;
+
+import org.mimosahinge.api.contract.CallClass;
+import org.mimosahinge.api.contract.Limits;
+import org.mimosahinge.api.world.BackendServer;
+
+/**
+ * Limits of one endpoint.
+ *
+ * @param slots calls that run at the same time
+ * @param reserved slots among them that only internal checks may use
+ * @param queue calls that may wait
+ */
+public record AdmissionLimits(int slots, int reserved, int queue) {
+
+    /** One slot in ten: internal checks are short, and the others lose little capacity. */
+    private static final int RESERVED_DIVISOR = 10;
+
+    /**
+     * Returns the limits of an endpoint.
+     *
+     * @param server the backend server
+     * @param limits limits of its service
+     * @return the limits
+     */
+    public static AdmissionLimits of(BackendServer server, Limits limits) {
+        int slots = Math.max(1, Math.min(server.slots(), server.connections()));
+        int reserved = slots == 1 ? 0 : Math.max(1, slots / RESERVED_DIVISOR);
+        return new AdmissionLimits(slots, reserved, limits.queue());
+    }
+
+    /**
+     * Returns the slots that a class may use.
+     *
+     * @param callClass the class
+     * @return the number of slots
+     */
+    public int slotsFor(CallClass callClass) {
+        return callClass == CallClass.INTERNAL_CHECK ? slots : slots - reserved;
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/mimosahinge/core/admission/AdmissionQueue.java
@@ -0,0 +1,54 @@
+package org.mimosahinge.core.admission;
+
+import java.util.Optional;
+import org.mimosahinge.core.admission.AdmissionDecision.Refuse;
+import org.mimosahinge.core.admission.AdmissionDecision.Run;
+import org.mimosahinge.core.admission.AdmissionDecision.Wait;
+
+/** Admits calls to the slots of an endpoint by class and deadline. */
+public final class AdmissionQueue {
+
+    private AdmissionQueue() {}
+
+    /**
+     * Decides about a call that has just arrived.
+     *
+     * <p>A call that cannot end before its deadline is refused at once, while its caller can still try elsewhere.
+     *
+     * @param view state of the endpoint
+     * @param call the call
+     * @return the decision
+     */
+    public static AdmissionDecision decide(AdmissionView view, Waiter call) {
+        int slots = view.limits().slotsFor(call.callClass());
+        int ahead = view.waiting().headSet(call).size();
+        if (ahead == 0 && view.running() < slots) {
+            return new Run();
+        }
+        double startMs = (ahead + 1) * view.serviceMs() / Math.max(1, slots);
+        if (view.nowMs() + startMs + view.serviceMs() > call.deadlineMs()) {
+            return new Refuse("Queue is too long for the deadline");
+        }
+        if (view.waiting().size() < view.limits().queue()) {
+            return new Wait(Optional.empty());
+        }
+        if (view.waiting().isEmpty() || view.waiting().last().compareTo(call) < 0) {
+            return new Refuse("Queue is full");
+        }
+        return new Wait(Optional.of(view.waiting().last()));
+    }
+
+    /**
+     * Returns the waiting call that takes a slot next.
+     *
+     * @param view state of the endpoint
+     * @return the call, empty when none may run
+     */
+    public static Optional<Waiter> next(AdmissionView view) {
+        if (view.waiting().isEmpty()) {
+            return Optional.empty();
+        }
+        Waiter first = view.waiting().first();
+        return view.running() < view.limits().slotsFor(first.callClass()) ? Optional.of(first) : Optional.empty();
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/mimosahinge/core/once/Claim.java
@@ -0,0 +1,48 @@
+package org.mimosahinge.core.once;
+
+/**
+ * The durable claim on an idempotency key.
+ *
+ * @param claimer node that runs the call
+ * @param operationId names the attempt to claim, unique in the deployment
+ * @param request method and URI, so that a key cannot be answered for another request
+ * @param state whether the outcome is recorded
+ * @param status status of the outcome; 0 while it is not recorded
+ * @param contentType content type of the outcome, empty without one
+ * @param body body of the outcome as Base64, empty when it was not recorded
+ */
+public record Claim(
+        String claimer, String operationId, String request, State state, int status, String contentType, String body) {
+
+    /** What is known about the call. */
+    public enum State {
+        /** Claimed; the call may or may not have run. */
+        CLAIMED,
+        /** Ran; the outcome is recorded. */
+        DONE
+    }
+
+    /**
+     * Claims a key before the call is forwarded.
+     *
+     * @param claimer the claiming node
+     * @param operationId names this attempt to claim
+     * @param request method and URI
+     * @return the claim
+     */
+    public static Claim of(String claimer, String operationId, String request) {
+        return new Claim(claimer, operationId, request, State.CLAIMED, 0, "", "");
+    }
+
+    /**
+     * Records the outcome.
+     *
+     * @param outcomeStatus status of the response
+     * @param type content type, empty without one
+     * @param base64 body as Base64
+     * @return the claim with its outcome
+     */
+    public Claim done(int outcomeStatus, String type, String base64) {
+        return new Claim(claimer, operationId, request, State.DONE, outcomeStatus, type, base64);
+    }
+}
