--- /dev/null
+++ b/bench/src/main/java/org/mimosahinge/bench/Deployment.java
@@ -0,0 +1,224 @@
+package org.mimosahinge.bench;
+
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.Predicate;
+import java.util.stream.Stream;
+import org.mimosahinge.api.operator.Status;
+import org.mimosahinge.api.world.HostPort;
+import org.mimosahinge.api.world.Region;
+import org.mimosahinge.standin.backend.BackendMain;
+import org.mimosahinge.standin.platform.PlatformStandin;
+
+/** A running platform with VMs, daemons and backend servers, each a process of its own. */
+public final class Deployment implements AutoCloseable {
+
+    private static final Duration START_LIMIT = Duration.ofSeconds(30);
+
+    private final Path root;
+    private final Path folder;
+    private final Processes processes;
+    private final Http http;
+    private final HostPort platform;
+    private final Region storeRegion;
+    private final Map<Machine, Process> daemons = new LinkedHashMap<>();
+
+    private Deployment(Path root, Path folder, Region storeRegion) {
+        this.root = root;
+        this.folder = folder;
+        this.storeRegion = storeRegion;
+        this.processes = Processes.in(folder);
+        this.http = Http.create(Duration.ofSeconds(20));
+        this.platform = Machine.freePorts(1).get(0);
+    }
+
+    /**
+     * Starts the platform.
+     *
+     * @param storeRegion region of its store
+     * @return a deployment without VMs
+     */
+    public static Deployment start(Region storeRegion) {
+        Path root = Path.of(System.getProperty("mimosahinge.root", "")).toAbsolutePath();
+        try {
+            Deployment deployment = new Deployment(root, Files.createTempDirectory("mimosahinge-"), storeRegion);
+            deployment.startPlatform();
+            return deployment;
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+
+    private void startPlatform() {
+        processes.startJava("platform", PlatformStandin.class, "--listen=" + platform);
+        awaitBody("platform", platform, "/v1/counters");
+    }
+
+    /**
+     * Starts a daemon.
+     *
+     * @param machine its VM
+     */
+    public void startDaemon(Machine machine) {
+        Path settings = write(machine.id() + ".json", machine.settings(platform, storeRegion));
+        daemons.put(
+                machine,
+                processes.start(machine.id(), List.of(program("mimosahinged"), "--settings", settings.toString())));
+    }
+
+    /**
+     * Waits until every daemon answers and knows all others.
+     *
+     * @return the VMs
+     */
+    public List<Machine> awaitRoster() {
+        daemons.keySet()
+                .forEach(machine -> awaitStatus(
+                        machine, "roster of " + daemons.size(), status -> status.nodes() == daemons.size()));
+        return List.copyOf(daemons.keySet());
+    }
+
+    /**
+     * Waits until a version is in force on every daemon, as each daemon itself says.
+     *
+     * @param version the version
+     */
+    public void awaitInForce(long version) {
+        daemons.keySet()
+                .forEach(machine -> awaitStatus(
+                        machine,
+                        "version " + version + " in force",
+                        status -> status.ready() && status.version() >= version));
+    }
+
+    private void awaitStatus(Machine machine, String what, Predicate<Status> condition) {
+        Await.until(START_LIMIT, what + " on " + machine.id(), () -> {
+            processes.checkAlive();
+            return http.status(machine).filter(condition).isPresent();
+        });
+    }
+
+    /**
+     * Starts a backend server beside a daemon and waits until it answers.
+     *
+     * @param machine the VM
+     * @param service its service
+     * @param version its version
+     * @param options further options of {@link BackendMain}
+     * @return its address
+     */
+    public HostPort startBackend(Machine machine, String service, String version, String... options) {
+        HostPort address = Machine.freePorts(1).get(0);
+        String name = service + "-" + version + "-" + machine.id();
+        List<String> arguments = new ArrayList<>(List.of(
+                "--service=" + service,
+                "--version=" + version,
+                "--listen=" + address,
+                "--node=" + machine.operator(),
+                "--minimum-drain-ms=1000"));
+        arguments.addAll(List.of(options));
+        processes.startJava(name, BackendMain.class, arguments.toArray(String[]::new));
+        awaitBody(name, address, "/_standin/stats");
+        return address;
+    }
+
+    private void awaitBody(String name, HostPort address, String uri) {
+        Await.result(START_LIMIT, "answer of " + name, () -> {
+            processes.checkAlive();
+            return http.body(address, uri);
+        });
+    }
+
+    /**
+     * Runs the command-line client.
+     *
+     * @param machine the VM of the daemon that it talks to
+     * @param arguments its arguments
+     * @return what it printed
+     */
+    public String client(Machine machine, String... arguments) {
+        List<String> command = new ArrayList<>(
+                List.of(program("mimosahinge"), "--node", machine.operator().toString()));
+        command.addAll(List.of(arguments));
+        return processes.run("mimosahinge", command);
+    }
+
+    /**
+     * Writes a file into the folder of the run.
+     *
+     * @param name its name
+     * @param content its content
+     * @return the file
+     */
+    public Path write(String name, String content) {
+        try {
+            return Files.writeString(folder.resolve(name), content);
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+
+    /**
+     * Returns the client for requests to ports of this deployment.
+     *
+     * @return the client
+     */
+    public Http http() {
+        return http;
+    }
+
+    /**
+     * Returns the process of a daemon.
+     *
+     * @param machine its VM
+     * @return the process
+     */
+    public Process daemon(Machine machine) {
+        return daemons.get(machine);
+    }
+
+    /**
+     * Stops every daemon gracefully.
+     *
+     * @return exit statuses by VM
+     */
+    public Map<Machine, Integer> stopDaemons() {
+        Map<Machine, Integer> statuses = new LinkedHashMap<>();
+        daemons.forEach((machine, process) -> statuses.put(machine, processes.stop(process)));
+        daemons.clear();
+        return statuses;
+    }
+
+    /**
+     * Collects the last lines that the running processes printed.
+     *
+     * @return the lines under the processes' names
+     */
+    public String outputs() {
+        return processes.outputs();
+    }
+
+    private String program(String name) {
+        return root.resolve("bin").resolve(name).toString();
+    }
+
+    @Override
+    public void close() {
+        processes.close();
+        http.close();
+        try (Stream<Path> files = Files.walk(folder)) {
+            files.sorted(Comparator.reverseOrder())
+                    .forEach(file -> file.toFile().delete());
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+}
--- /dev/null
+++ b/bench/src/main/java/org/mimosahinge/bench/Http.java
@@ -0,0 +1,99 @@
+package org.mimosahinge.bench;
+
+import io.netty.channel.nio.NioEventLoopGroup;
+import io.netty.util.concurrent.DefaultThreadFactory;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionException;
+import java.util.concurrent.TimeUnit;
+import org.mimosahinge.api.operator.OperatorJson;
+import org.mimosahinge.api.operator.Status;
+import org.mimosahinge.api.world.HostPort;
+import org.mimosahinge.net.http.HttpMessageClient;
+import org.mimosahinge.net.http.HttpMessageRequest;
+import org.mimosahinge.net.http.HttpMessageResponse;
+
+/** Requests to callers', operators' and stand-ins' ports. */
+public final class Http implements AutoCloseable {
+
+    private final NioEventLoopGroup group = new NioEventLoopGroup(1, new DefaultThreadFactory("bench-http", true));
+    private final HttpMessageClient client;
+
+    private Http(Duration timeout) {
+        client = HttpMessageClient.create(group, timeout);
+    }
+
+    /**
+     * Creates a client.
+     *
+     * @param timeout limit of one exchange
+     * @return the client
+     */
+    public static Http create(Duration timeout) {
+        return new Http(timeout);
+    }
+
+    /**
+     * Sends a request.
+     *
+     * @param target the server
+     * @param method the method
+     * @param uri path and query
+     * @param headers headers by lower-case name
+     * @param body the body
+     * @return the response
+     */
+    public CompletableFuture<HttpMessageResponse> send(
+            HostPort target, String method, String uri, Map<String, String> headers, String body) {
+        byte[] bytes = body.getBytes(StandardCharsets.UTF_8);
+        return client.send(target, new HttpMessageRequest(method, uri, headers, bytes))
+                .toCompletableFuture();
+    }
+
+    /**
+     * Fetches a resource.
+     *
+     * @param target the server
+     * @param uri path and query
+     * @param headers headers by lower-case name
+     * @return the response
+     */
+    public CompletableFuture<HttpMessageResponse> get(HostPort target, String uri, Map<String, String> headers) {
+        return send(target, "GET", uri, headers, "");
+    }
+
+    /**
+     * Fetches a body that must be there.
+     *
+     * @param target the server
+     * @param uri path and query
+     * @return the body
+     */
+    public Optional<byte[]> body(HostPort target, String uri) {
+        try {
+            HttpMessageResponse response = get(target, uri, Map.of()).join();
+            return response.status() == 200 ? Optional.of(response.body()) : Optional.empty();
+        } catch (CompletionException e) {
+            return Optional.empty();
+        }
+    }
+
+    /**
+     * Reads a daemon's status.
+     *
+     * @param machine the VM of the daemon
+     * @return the status, empty when the daemon does not answer
+     */
+    public Optional<Status> status(Machine machine) {
+        return body(machine.operator(), "/v1/status").map(json -> OperatorJson.read(Status.class, json));
+    }
+
+    @Override
+    public void close() {
+        client.close();
+        group.shutdownGracefully(0, 1, TimeUnit.SECONDS).syncUninterruptibly();
+    }
+}
--- /dev/null
+++ b/bench/src/test/java/org/mimosahinge/bench/DeploymentTest.java
@@ -0,0 +1,40 @@
+package org.mimosahinge.bench;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import java.nio.charset.StandardCharsets;
+import java.util.Map;
+import org.junit.jupiter.api.Test;
+import org.mimosahinge.api.document.SettingsParser;
+import org.mimosahinge.api.settings.NodeSettings;
+import org.mimosahinge.api.world.AvailabilityZone;
+import org.mimosahinge.api.world.HostPort;
+import org.mimosahinge.api.world.Region;
+
+/** The parts of a deployment that need no daemon. */
+class DeploymentTest {
+
+    private static final Region REGION = new Region("west");
+    private final Machine machine = Machine.in(new AvailabilityZone("west-a", REGION), "west-a-1");
+
+    /** Guards against settings files that the daemon refuses. */
+    @Test
+    void writesSettingsThatTheDaemonAccepts() {
+        HostPort platform = new HostPort("127.0.0.1", 1);
+        NodeSettings settings = SettingsParser.parse(
+                "a.json", machine.settings(platform, REGION).getBytes(StandardCharsets.UTF_8));
+        assertEquals(machine.zone(), settings.zone());
+        assertEquals(machine.operator(), settings.operatorAddress());
+        assertEquals(platform, settings.platformAddress());
+    }
+
+    /** Guards against stand-ins that do not start as processes. */
+    @Test
+    void startsThePlatformAndBackendServers() {
+        try (Deployment deployment = Deployment.start(REGION)) {
+            HostPort server = deployment.startBackend(machine, "listings", "v1", "--latency-ms=1");
+            assertEquals(
+                    200, deployment.http().get(server, "/x", Map.of()).join().status());
+        }
+    }
+}
