Add the measurements of latency and footprint

The load generator starts calls at planned times and counts from them, so a stall shows in every call that it delays. Direct calls and calls through the mesh alternate in one run.

--- a/bench/src/main/java/org/mimosahinge/bench/Demo.java
+++ b/bench/src/main/java/org/mimosahinge/bench/Demo.java
@@ -5,7 +5,6 @@
 import java.io.IOException;
 import java.io.PrintStream;
 import java.io.UncheckedIOException;
-import java.nio.file.Path;
 import java.time.Duration;
 import java.util.HashSet;
 import java.util.List;
@@ -27,7 +26,6 @@
     private static final Region REGION = new Region("west");
     private static final AvailabilityZone ZONE_A = new AvailabilityZone("west-a", REGION);
     private static final AvailabilityZone ZONE_B = new AvailabilityZone("west-b", REGION);
-    private static final String SERVICE = "listings";
     private static final int SLOW_CALL_MS = 4_000;
     private static final int CALLS = 20;
     private static final Duration LIMIT = Duration.ofSeconds(20);
@@ -113,28 +111,13 @@
 
     private List<HostPort> startBackends(String version) {
         return List.of(
-                deployment.startBackend(storeA1, SERVICE, version), deployment.startBackend(storeA2, SERVICE, version));
+                deployment.startBackend(storeA1, ListingsSection.SERVICE, version),
+                deployment.startBackend(storeA2, ListingsSection.SERVICE, version));
     }
 
     private void submit(String versions, String current, int base) {
-        Path section = deployment.write(
-                "section-" + current + ".json",
-                """
-                // The section of the team that owns the service.
-                {
-                  "team": "listings",
-                  "services": [{"name": "listings", "versions": [%s], "current": "%s"}],
-                  "routes": [{
-                    "name": "browse", "pathPrefix": "/listings", "service": "listings",
-                    "callClass": "interactive", "timeout": "15s", "idempotent": true
-                  }]
-                }
-                """
-                        .formatted(versions, current));
-        step(
-                "submitted",
-                "answer",
-                deployment.client(storeA1, "submit", section.toString()).strip());
+        String answer = deployment.submit(storeA1, ListingsSection.json(versions, current), base);
+        step("submitted", "current", current, "answer", '"' + answer.replace('\n', ' ') + '"');
     }
 
     private CompletableFuture<HttpMessageResponse> startSlowCall(List<HostPort> servers) {
--- a/bench/src/main/java/org/mimosahinge/bench/Deployment.java
+++ b/bench/src/main/java/org/mimosahinge/bench/Deployment.java
@@ -138,17 +138,28 @@
     }
 
     /**
-     * Runs the command-line client.
+     * Submits a section with the command-line client and waits until it is in force everywhere.
      *
-     * @param machine the VM of the daemon that it talks to
-     * @param arguments its arguments
-     * @return what it printed
+     * @param machine the VM of the daemon that the client talks to
+     * @param section the section
+     * @param base revision that the submission is based on
+     * @return what the client printed
      */
-    public String client(Machine machine, String... arguments) {
-        List<String> command = new ArrayList<>(
-                List.of(program("mimosahinge"), "--node", machine.operator().toString()));
-        command.addAll(List.of(arguments));
-        return processes.run("mimosahinge", command);
+    public String submit(Machine machine, String section, long base) {
+        Path file = write("section-" + base + ".json", section);
+        return processes.run(
+                "mimosahinge",
+                List.of(
+                        program("mimosahinge"),
+                        "submit",
+                        file.toString(),
+                        "--base",
+                        Long.toString(base),
+                        "--wait",
+                        "--timeout",
+                        START_LIMIT.toSeconds() + "s",
+                        "--node",
+                        machine.operator().toString()));
     }
 
     /**
--- /dev/null
+++ b/bench/src/main/java/org/mimosahinge/bench/ListingsSection.java
@@ -0,0 +1,32 @@
+package org.mimosahinge.bench;
+
+/** The section that the demo and the measurements submit: one service and one route to it. */
+public final class ListingsSection {
+
+    /** Name of the service. */
+    public static final String SERVICE = "listings";
+
+    private ListingsSection() {}
+
+    /**
+     * Writes the section.
+     *
+     * @param versions the service's versions as JSON strings, separated by commas
+     * @param current the current version
+     * @return the document
+     */
+    public static String json(String versions, String current) {
+        return """
+                // The section of the team that owns the service.
+                {
+                  "team": "listings",
+                  "services": [{"name": "listings", "versions": [%s], "current": "%s"}],
+                  "routes": [{
+                    "name": "browse", "pathPrefix": "/listings", "service": "listings",
+                    "callClass": "interactive", "timeout": "15s", "idempotent": true
+                  }]
+                }
+                """
+                .formatted(versions, current);
+    }
+}
--- /dev/null
+++ b/bench/src/main/java/org/mimosahinge/bench/Measure.java
@@ -0,0 +1,49 @@
+package org.mimosahinge.bench;
+
+import java.io.PrintStream;
+import java.util.Map;
+import java.util.TreeMap;
+import org.mimosahinge.bench.footprint.Footprint;
+import org.mimosahinge.bench.latency.Latency;
+
+/** Dispatches {@code bin/measure NAME [--full]}. */
+public final class Measure {
+
+    private static final Map<String, Measurement> TABLE =
+            new TreeMap<>(Map.of("latency", Latency::run, "footprint", Footprint::run));
+
+    private Measure() {}
+
+    /**
+     * Runs one measurement.
+     *
+     * @param arguments its name and optionally {@code --full}
+     */
+    public static void main(String[] arguments) {
+        System.exit(run(TABLE, arguments, System.out));
+    }
+
+    /**
+     * Runs one measurement of a table.
+     *
+     * @param table measurements by name
+     * @param arguments name and flag
+     * @param out receives the figures
+     * @return exit status
+     */
+    static int run(Map<String, Measurement> table, String[] arguments, PrintStream out) {
+        Measurement measurement = arguments.length == 0 ? null : table.get(arguments[0]);
+        boolean full = arguments.length == 2 && arguments[1].equals("--full");
+        if (measurement == null || arguments.length > (full ? 2 : 1)) {
+            System.err.println("usage: bin/measure NAME [--full], NAME one of " + table.keySet());
+            return 2;
+        }
+        try {
+            measurement.run(full, Figures.to(out, "bin/measure " + String.join(" ", arguments)));
+            return 0;
+        } catch (RuntimeException e) {
+            System.err.println("measure outcome=failed reason=\"" + e.getMessage() + '"');
+            return 1;
+        }
+    }
+}
--- /dev/null
+++ b/bench/src/main/java/org/mimosahinge/bench/Measurement.java
@@ -0,0 +1,14 @@
+package org.mimosahinge.bench;
+
+/** One entry of the table of {@link Measure}. */
+@FunctionalInterface
+public interface Measurement {
+
+    /**
+     * Runs the measurement.
+     *
+     * @param full whether it may take longer than a minute
+     * @param figures receives the results
+     */
+    void run(boolean full, Figures figures);
+}
--- /dev/null
+++ b/bench/src/main/java/org/mimosahinge/bench/latency/Latency.java
@@ -0,0 +1,61 @@
+package org.mimosahinge.bench.latency;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import org.mimosahinge.api.world.HostPort;
+import org.mimosahinge.bench.Figures;
+import org.mimosahinge.bench.Figures.Figure;
+import org.mimosahinge.bench.TwoNodeMesh;
+
+/**
+ * Measures the time that two daemons add to a call, against direct calls of the same backend server in the same run.
+ *
+ * <p>The added time of a percentile is the difference of the two percentiles.
+ */
+public final class Latency {
+
+    private static final String URI = "/listings/1";
+    private static final int MOST_OUTSTANDING = 100;
+    /** Enough calls for the compiler's first tier in the daemons and for the second in the generator. */
+    private static final LoadPlan WARM_UP = new LoadPlan(1_000, Duration.ofSeconds(5), MOST_OUTSTANDING);
+
+    private static final Map<Integer, Duration> RATES =
+            new TreeMap<>(Map.of(250, Duration.ofSeconds(16), 1_000, Duration.ofSeconds(10)));
+    private static final Map<String, Double> PERCENTILES =
+            new TreeMap<>(Map.of("p50", 50.0, "p99", 99.0, "p99.9", 99.9));
+    private static final int FULL_FACTOR = 6;
+
+    private Latency() {}
+
+    /**
+     * Runs the measurement.
+     *
+     * @param full runs six times as long
+     * @param figures receives the results
+     */
+    public static void run(boolean full, Figures figures) {
+        try (TwoNodeMesh mesh = TwoNodeMesh.start();
+                OpenLoop loop = new OpenLoop()) {
+            List<HostPort> targets = List.of(mesh.backend(), mesh.entry().caller());
+            loop.run(WARM_UP, URI, targets);
+            RATES.forEach((rate, duration) -> {
+                LoadPlan plan = new LoadPlan(rate, duration.multipliedBy(full ? FULL_FACTOR : 1), MOST_OUTSTANDING);
+                List<LoadResult> results = loop.run(plan, URI, targets);
+                print(figures, rate, results.get(0), results.get(1));
+            });
+        }
+    }
+
+    private static void print(Figures figures, int rate, LoadResult direct, LoadResult mesh) {
+        PERCENTILES.forEach((name, percentile) -> figures.print(
+                new Figure(
+                        "latency.added." + rate + "." + name,
+                        mesh.percentileMs(percentile) - direct.percentileMs(percentile),
+                        "ms"),
+                "direct." + name,
+                direct.percentileMs(percentile)));
+        figures.print(new Figure("latency.failed." + rate, mesh.failed(), "calls"), "direct.failed", direct.failed());
+    }
+}
--- /dev/null
+++ b/bench/src/main/java/org/mimosahinge/bench/latency/LoadResult.java
@@ -0,0 +1,22 @@
+package org.mimosahinge.bench.latency;
+
+import org.HdrHistogram.Histogram;
+
+/**
+ * Calls to one target.
+ *
+ * @param micros time from the planned start to the end of the response, in microseconds
+ * @param failed calls without a complete response to themselves
+ */
+public record LoadResult(Histogram micros, long failed) {
+
+    /**
+     * Returns a percentile.
+     *
+     * @param percentile 0 to 100
+     * @return the time in milliseconds
+     */
+    public double percentileMs(double percentile) {
+        return micros.getValueAtPercentile(percentile) / 1000.0;
+    }
+}
--- /dev/null
+++ b/bench/src/main/java/org/mimosahinge/bench/latency/package-info.java
@@ -0,0 +1,2 @@
+/** Time that the mesh adds to a call. */
+package org.mimosahinge.bench.latency;
--- /dev/null
+++ b/bench/src/test/java/org/mimosahinge/bench/latency/OpenLoopTest.java
@@ -0,0 +1,76 @@
+package org.mimosahinge.bench.latency;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.time.Duration;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.mimosahinge.api.world.HostPort;
+import org.mimosahinge.bench.BenchException;
+import org.mimosahinge.standin.backend.BackendSettings;
+import org.mimosahinge.standin.backend.BackendStandin;
+import org.mimosahinge.standin.backend.Behaviour;
+
+/** The load generator against backend servers in this process. */
+class OpenLoopTest {
+
+    /** Guards against results that are mixed up between targets and against times that miss the server's latency. */
+    @Test
+    void keepsTargetsApart() {
+        try (BackendStandin fast =
+                        BackendStandin.start(BackendSettings.of("a", "v1").build());
+                BackendStandin slow = start(Behaviour.HEALTHY.withLatencyMs(50));
+                OpenLoop loop = new OpenLoop()) {
+            LoadPlan plan = new LoadPlan(100, Duration.ofSeconds(1), 50);
+            List<LoadResult> results = loop.run(plan, "/x", List.of(fast.address(), slow.address()));
+            assertEquals(100, results.get(0).micros().getTotalCount());
+            assertEquals(100, results.get(1).micros().getTotalCount());
+            assertTrue(results.get(1).percentileMs(0) >= 50);
+            assertEquals(100, slow.stats().calls());
+        }
+    }
+
+    /** Guards against a stalled server that slows the generator down and so hides its own delay. */
+    @ParameterizedTest(name = "outstanding {0}")
+    @CsvSource({"5, 5, 35", "100, 40, 0"})
+    void doesNotWaitForResponses(int mostOutstanding, int answered, int failed) {
+        try (BackendStandin stalled = start(Behaviour.HEALTHY.withLatencyMs(1_500));
+                OpenLoop loop = new OpenLoop()) {
+            LoadPlan plan = new LoadPlan(40, Duration.ofSeconds(1), mostOutstanding);
+            LoadResult result = loop.run(plan, "/x", List.of(stalled.address())).get(0);
+            assertEquals(answered, result.micros().getTotalCount());
+            assertEquals(failed, result.failed());
+        }
+    }
+
+    /** Guards against failed calls that count as fast ones. */
+    @Test
+    void countsFailuresApart() {
+        try (BackendStandin failing = start(Behaviour.HEALTHY.withErrorPermille(1000));
+                OpenLoop loop = new OpenLoop()) {
+            LoadPlan plan = new LoadPlan(100, Duration.ofMillis(100), 50);
+            LoadResult result = loop.run(plan, "/x", List.of(failing.address())).get(0);
+            assertEquals(10, result.failed());
+            assertEquals(0, result.micros().getTotalCount());
+        }
+    }
+
+    /** Guards against load on other machines and against runs without end. */
+    @Test
+    void refusesUnboundedRuns() {
+        LoadPlan plan = new LoadPlan(1, Duration.ofSeconds(1), 1);
+        try (OpenLoop loop = new OpenLoop()) {
+            List<HostPort> remote = List.of(new HostPort("192.0.2.1", 80));
+            assertThrows(BenchException.class, () -> loop.run(plan, "/x", remote));
+        }
+        assertThrows(IllegalArgumentException.class, () -> new LoadPlan(1_000, Duration.ofHours(1), 1));
+    }
+
+    private static BackendStandin start(Behaviour behaviour) {
+        return BackendStandin.start(BackendSettings.of("a", "v1").build(), behaviour, () -> {});
+    }
+}
