Control moves in the daemon: evidence up the tree, local brakes, a controller

The root of the tree holds the controller lease, decides with the standard policy and records each decision as a new version, fenced by the lease. Each node judges its own calls and cuts its own share at once; halt marks spread over the tree without the platform.

--- a/daemon/src/main/java/org/mimosahinge/daemon/Daemon.java
+++ b/daemon/src/main/java/org/mimosahinge/daemon/Daemon.java
@@ -94,6 +94,8 @@
     private void trafficEvent(TrafficEvent event) {
         if (event instanceof TrafficEvent.ConnectionRefused refused) {
             control.refused(refused.endpointId());
+        } else if (event instanceof TrafficEvent.CallEvidence evidence) {
+            control.callEvidence(evidence.evidence());
         }
     }
 
@@ -129,6 +131,13 @@
         LOG.info("stopped");
     }
 
+    /** Stops at once, as a crash would; tests of failures use it. */
+    void kill() {
+        controlIo.shutdownGracefully(0, 0, TimeUnit.SECONDS).syncUninterruptibly();
+        traffic.close();
+        loop.close();
+    }
+
     private static void pause(Duration time) {
         try {
             Thread.sleep(time.toMillis());
--- a/daemon/src/main/java/org/mimosahinge/daemon/control/ControlPlane.java
+++ b/daemon/src/main/java/org/mimosahinge/daemon/control/ControlPlane.java
@@ -2,15 +2,13 @@
 
 import io.netty.channel.Channel;
 import java.time.Duration;
+import java.time.Instant;
 import java.util.List;
-import java.util.Set;
+import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
 import java.util.function.Function;
-import org.mimosahinge.api.config.HaltMark;
 import org.mimosahinge.api.operator.NodeList;
-import org.mimosahinge.api.platform.Put;
-import org.mimosahinge.api.platform.Transaction;
 import org.mimosahinge.api.settings.NodeSettings;
 import org.mimosahinge.api.world.BackendServer;
 import org.mimosahinge.api.world.EndpointState;
@@ -19,6 +17,7 @@
 import org.mimosahinge.core.fanout.TreePlacement;
 import org.mimosahinge.core.lease.LeaseTiming;
 import org.mimosahinge.core.membership.FailureDetector;
+import org.mimosahinge.core.move.Evidence;
 import org.mimosahinge.net.frame.Frame;
 import org.mimosahinge.net.log.EventLog;
 
@@ -51,6 +50,8 @@
     private final ParentSearch parentSearch;
     private final Submissions submissions;
     private final Fleet fleet;
+    private final MoveCoordinator moves;
+    private final NodeRegistration registration;
 
     private PeerChannels channels;
     private FailureDetector detector;
@@ -58,8 +59,6 @@
     private long nextSecondNanos;
     private long nextPollNanos;
     private long heartbeats;
-    private boolean registered;
-    private boolean registering;
     private boolean stopping;
 
     /**
@@ -86,6 +85,8 @@
                 context, TreePlacement.rendezvousTree(TREE_DEGREE), relay, gateway, this::dial, distribution::require);
         submissions = new Submissions(context, snapshots, this::headMoved);
         fleet = new Fleet(links, snapshots);
+        moves = new MoveCoordinator(context, timing, snapshots, links, membership, this::headMoved);
+        registration = new NodeRegistration(context);
         detector = FailureDetector.start(context.now());
         admissions = AdmissionRate.full(ADMISSIONS_PER_SECOND, ADMISSION_BURST, context.now());
     }
@@ -102,7 +103,7 @@
     /** Does what is due: heartbeats, leases, expiry, the search for a parent. */
     public void tick() {
         long now = context.now();
-        register();
+        registration.advance();
         FailureDetector.Verdict verdict = detector.tick(now);
         detector = verdict.next();
         links.all().stream()
@@ -116,6 +117,7 @@
             heartbeats++;
             links.broadcast(new Frame.Heartbeat(heartbeats), null);
             fleet.report();
+            moves.advance(isRoot(), Instant.now());
         }
     }
 
@@ -142,28 +144,9 @@
                 && gateway.held().isPresent();
     }
 
-    private void register() {
-        if (registered || registering) {
-            return;
-        }
-        registering = true;
-        Put row = new Put(Rows.node(context.self()), Rows.encode(context.self()));
-        context.table()
-                .commit(new Transaction(List.of(), List.of(row), List.of()))
-                .whenCompleteAsync(
-                        (result, failure) -> {
-                            registering = false;
-                            registered = failure == null;
-                        },
-                        loop);
-    }
-
     private void removeFailedNodes() {
         List<Node> failed = membership.removeFailed();
-        relay.held().ifPresent(lease -> failed.stream()
-                .filter(node -> node.zone().equals(context.self().zone()))
-                .forEach(node -> context.table()
-                        .commit(new Transaction(List.of(lease.fence()), List.of(), List.of(Rows.node(node))))));
+        relay.held().ifPresent(lease -> registration.remove(failed, lease));
     }
 
     private void dial(ParentSearch.Dial dial) {
@@ -268,6 +251,8 @@
             headMoved(hint.version());
         } else if (frame instanceof Frame.Report report) {
             fleet.received(link, report);
+        } else if (frame instanceof Frame.Evidence evidence) {
+            moves.received(evidence);
         } else if (frame instanceof Frame.Drain drain) {
             drain(drain.endpointId(), link);
         }
@@ -318,12 +303,12 @@
     }
 
     /**
-     * Stops all new calls to a backend server version, on every node that this one reaches.
+     * Takes note of outcomes of this node's own calls during moves.
      *
-     * @param mark what to halt
+     * @param evidence evidence by service
      */
-    public void halt(HaltMark mark) {
-        membership.received(new Frame.Halts(Set.of(mark)), null);
+    public void callEvidence(Map<String, Evidence> evidence) {
+        moves.ownCalls(evidence);
     }
 
     /**
@@ -368,10 +353,11 @@
         LOG.info("leaving", "node", context.self().id());
         stopping = true;
         membership.publish(local.drainAll());
-        relay.leave();
-        gateway.leave();
-        relay.advance();
-        gateway.advance();
+        List.of(relay, gateway).forEach(role -> {
+            role.leave();
+            role.advance();
+        });
+        moves.leave();
     }
 
     /**
--- /dev/null
+++ b/daemon/src/main/java/org/mimosahinge/daemon/control/EvidenceFrames.java
@@ -0,0 +1,64 @@
+package org.mimosahinge.daemon.control;
+
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.stream.IntStream;
+import org.mimosahinge.core.move.Counts;
+import org.mimosahinge.core.move.Evidence;
+import org.mimosahinge.core.move.EvidenceKey;
+import org.mimosahinge.core.move.FailureKind;
+import org.mimosahinge.core.move.LatencyHistogram;
+import org.mimosahinge.core.move.Tally;
+import org.mimosahinge.net.frame.Frame;
+
+/** Converts evidence on moves between its frame and the form that decisions use. */
+final class EvidenceFrames {
+
+    private EvidenceFrames() {}
+
+    static Frame.Evidence toFrame(String service, Evidence evidence) {
+        return new Frame.Evidence(
+                service,
+                evidence.tallies().entrySet().stream()
+                        .map(entry -> tally(entry.getKey(), entry.getValue()))
+                        .toList());
+    }
+
+    static Evidence fromFrame(Frame.Evidence frame) {
+        Map<EvidenceKey, Tally> tallies = new HashMap<>();
+        for (Frame.Tally tally : frame.tallies()) {
+            tallies.merge(
+                    new EvidenceKey(tally.version(), tally.route(), tally.zone()),
+                    new Tally(
+                            tally.calls(),
+                            counts(tally.failures(), FailureKind.COUNT),
+                            new LatencyHistogram(counts(tally.latencies(), LatencyHistogram.BUCKETS))),
+                    Tally::plus);
+        }
+        return new Evidence(tallies);
+    }
+
+    private static Frame.Tally tally(EvidenceKey key, Tally tally) {
+        return new Frame.Tally(
+                key.version(),
+                key.route(),
+                key.zone(),
+                tally.calls(),
+                list(tally.failures()),
+                list(tally.latency().counts()));
+    }
+
+    private static List<Long> list(Counts counts) {
+        return IntStream.range(0, counts.size()).mapToObj(counts::at).toList();
+    }
+
+    /** A sender of another release may count fewer or more kinds; the shorter list decides. */
+    private static Counts counts(List<Long> values, int size) {
+        long[] counts = new long[size];
+        for (int i = 0; i < Math.min(size, values.size()); i++) {
+            counts[i] = values.get(i);
+        }
+        return Counts.of(counts);
+    }
+}
--- a/daemon/src/main/java/org/mimosahinge/daemon/control/LeaseKeeper.java
+++ b/daemon/src/main/java/org/mimosahinge/daemon/control/LeaseKeeper.java
@@ -79,7 +79,11 @@
 
     /** Acquires a free lease, renews or gives up a held one. */
     void advance() {
-        if (writing || observed.isEmpty()) {
+        if (writing) {
+            return;
+        }
+        if (observed.isEmpty()) {
+            read();
             return;
         }
         LeaseView view = view();
@@ -147,13 +151,14 @@
 
     private void read() {
         writing = true;
-        LeaseView view = view();
+        Optional<LeaseView> view = observed.map(row -> view());
         context.table()
                 .read(new ReadRequest(List.of(key), List.of()))
                 .whenCompleteAsync(
                         (read, failure) -> {
                             if (failure == null) {
-                                settle(view, Rows.lease(read, key));
+                                view.ifPresentOrElse(
+                                        known -> settle(known, Rows.lease(read, key)), () -> observe(read));
                             }
                             writing = false;
                         },
--- a/daemon/src/main/java/org/mimosahinge/daemon/control/Membership.java
+++ b/daemon/src/main/java/org/mimosahinge/daemon/control/Membership.java
@@ -38,6 +38,8 @@
     private final LongSupplier nanoTime;
     /** The link over which each other node's state came last. */
     private final Map<NodeId, ControlLink> via = new HashMap<>();
+    /** Halt marks that apply to this node's own calls only. */
+    private final Set<HaltMark> localCuts = new HashSet<>();
     /** When each unreachable node counts as failed. */
     private final Map<Node, Long> suspects = new HashMap<>();
 
@@ -57,8 +59,10 @@
         if (!known.isEmpty()) {
             link.send(new Frame.Endpoints(known));
         }
-        if (!snapshot.halts().isEmpty()) {
-            link.send(new Frame.Halts(snapshot.halts()));
+        Set<HaltMark> halts = new HashSet<>(snapshot.halts());
+        halts.removeAll(localCuts);
+        if (!halts.isEmpty()) {
+            link.send(new Frame.Halts(halts));
         }
         attached(link.node(), link);
     }
@@ -84,13 +88,28 @@
         }
     }
 
-    /** Merges halt marks received from a neighbour, or from this node when there is no link. */
+    /** Stops this node's own calls to a version without telling other nodes. */
+    void cutLocally(HaltMark mark) {
+        Snapshot before = snapshots.get();
+        Snapshot after = SnapshotBuilder.withHalt(before, mark);
+        if (after != before) {
+            localCuts.add(mark);
+            snapshots.replace(after);
+        }
+    }
+
+    /** Stops all new calls to a version, on every node that this one reaches. */
+    void halt(HaltMark mark) {
+        received(new Frame.Halts(Set.of(mark)), null);
+    }
+
+    /** Merges halt marks received from a neighbour and passes on what was new. */
     void received(Frame.Halts frame, ControlLink from) {
         Set<HaltMark> added = new HashSet<>();
         for (HaltMark mark : frame.marks()) {
             Snapshot before = snapshots.get();
             Snapshot after = SnapshotBuilder.withHalt(before, mark);
-            if (after != before) {
+            if (after != before || localCuts.remove(mark)) {
                 snapshots.replace(after);
                 added.add(mark);
                 LOG.info("version_halted", "service", mark.service(), "version", mark.version());
--- a/net/src/main/java/org/mimosahinge/net/frame/ConfigFields.java
+++ b/net/src/main/java/org/mimosahinge/net/frame/ConfigFields.java
@@ -11,7 +11,7 @@
 import org.mimosahinge.api.config.RevisedSection;
 import org.mimosahinge.api.document.SectionParser;
 
-/** Packs and unpacks configuration updates, moves and halt marks. */
+/** Packs and unpacks configuration updates, moves, halt marks and evidence on moves. */
 final class ConfigFields {
 
     private ConfigFields() {}
@@ -69,4 +69,14 @@
     static HaltMark unpackHalt(Unpacker in) {
         return new HaltMark(in.text(), in.text(), in.integer());
     }
+
+    static void packTally(Packer out, Frame.Tally tally) {
+        out.text(tally.version()).text(tally.route()).text(tally.zone()).integer(tally.calls());
+        out.list(tally.failures(), Packer::integer).list(tally.latencies(), Packer::integer);
+    }
+
+    static Frame.Tally unpackTally(Unpacker in) {
+        return new Frame.Tally(
+                in.text(), in.text(), in.text(), in.integer(), in.list(Unpacker::integer), in.list(Unpacker::integer));
+    }
 }
--- a/net/src/main/java/org/mimosahinge/net/frame/Frame.java
+++ b/net/src/main/java/org/mimosahinge/net/frame/Frame.java
@@ -90,6 +90,26 @@
      */
     record Drain(String endpointId) implements Frame {}
 
+    /**
+     * Outcomes of calls to one service during a move, summed over the sender's subtree since its last report.
+     *
+     * @param service the service
+     * @param tallies one entry per version, route and availability zone
+     */
+    record Evidence(String service, List<Tally> tallies) implements Frame {}
+
+    /**
+     * Counted outcomes of calls.
+     *
+     * @param version the backend server version
+     * @param route the route
+     * @param zone availability zone of the endpoint
+     * @param calls calls that ended
+     * @param failures failed calls by kind
+     * @param latencies calls by latency bucket
+     */
+    record Tally(String version, String route, String zone, long calls, List<Long> failures, List<Long> latencies) {}
+
     /**
      * Starts a call.
      *
--- a/net/src/main/java/org/mimosahinge/net/frame/FrameCodec.java
+++ b/net/src/main/java/org/mimosahinge/net/frame/FrameCodec.java
@@ -87,6 +87,8 @@
             out.list(halts.marks(), ConfigFields::packHalt);
         } else if (frame instanceof Frame.Drain drain) {
             out.text(drain.endpointId());
+        } else if (frame instanceof Frame.Evidence evidence) {
+            out.text(evidence.service()).list(evidence.tallies(), ConfigFields::packTally);
         } else if (frame instanceof Frame.Report report) {
             out.list(report.versions().entrySet(), (packer, entry) -> packer.integer(entry.getKey())
                     .integer(entry.getValue()));
@@ -130,6 +132,7 @@
             case ENDPOINTS -> new Frame.Endpoints(in.list(WorldFields::unpackEndpoint));
             case HALTS -> new Frame.Halts(Set.copyOf(in.list(ConfigFields::unpackHalt)));
             case DRAIN -> new Frame.Drain(in.text());
+            case EVIDENCE -> new Frame.Evidence(in.text(), in.list(ConfigFields::unpackTally));
             case REPORT -> new Frame.Report(unpackVersions(in));
         };
     }
--- a/net/src/main/java/org/mimosahinge/net/frame/FrameType.java
+++ b/net/src/main/java/org/mimosahinge/net/frame/FrameType.java
@@ -13,6 +13,7 @@
     HALTS(7, Frame.Halts.class),
     REPORT(8, Frame.Report.class),
     DRAIN(9, Frame.Drain.class),
+    EVIDENCE(10, Frame.Evidence.class),
     CALL_START(16, Frame.CallStart.class),
     BODY(17, Frame.Body.class),
     CREDIT(18, Frame.Credit.class),
