Add the command-line client mimosahinge

Verbs are entries of one table; each failure kind has its own exit code. A submission whose response is lost is reported as possibly accepted, never as refused.

--- a/api/src/main/java/org/mimosahinge/api/operator/ErrorBody.java
+++ b/api/src/main/java/org/mimosahinge/api/operator/ErrorBody.java
@@ -1,6 +1,8 @@
 package org.mimosahinge.api.operator;
 
 import java.util.List;
+import java.util.Objects;
+import org.mimosahinge.api.error.ErrorCode;
 import org.mimosahinge.api.error.InvalidDocumentException;
 import org.mimosahinge.api.error.MimosahingeException;
 import org.mimosahinge.api.error.Problem;
@@ -27,8 +29,13 @@
         int line,
         int column,
         List<Problem> problems) {
-    /** Copies the problems. */
+    /** Copies the problems; absent fields of a body become empty. */
     public ErrorBody {
+        code = Objects.requireNonNullElse(code, ErrorCode.INTERNAL.code());
+        message = Objects.requireNonNullElse(message, "");
+        path = Objects.requireNonNullElse(path, "");
+        found = Objects.requireNonNullElse(found, "");
+        expected = Objects.requireNonNullElse(expected, "");
         problems = problems == null ? List.of() : List.copyOf(problems);
     }
 
--- a/api/src/main/java/org/mimosahinge/api/operator/OperatorJson.java
+++ b/api/src/main/java/org/mimosahinge/api/operator/OperatorJson.java
@@ -52,12 +52,13 @@
      * @param json JSON in UTF-8
      * @param <T> the record
      * @return the body
+     * @throws UnreadableBodyException when the JSON has another shape
      */
     public static <T extends Record> T read(Class<T> type, byte[] json) {
         try {
             return MAPPER.readValue(json, type);
         } catch (IOException e) {
-            throw new UncheckedIOException(e);
+            throw new UnreadableBodyException(type, e);
         }
     }
 
--- /dev/null
+++ b/cli/src/main/java/org/mimosahinge/cli/ExitCode.java
@@ -0,0 +1,90 @@
+package org.mimosahinge.cli;
+
+import org.mimosahinge.api.error.ErrorCode;
+
+/** Exit codes of the client; stable across releases and listed in docs/errors.md. */
+public enum ExitCode {
+    /** Success. */
+    OK(0, "success"),
+    /** A failure inside the client or a daemon. */
+    INTERNAL(1, "internal failure"),
+    /** The command line is wrong. */
+    USAGE(2, "wrong command line"),
+    /** A section or settings file was refused. */
+    INVALID_DOCUMENT(3, "invalid section or settings"),
+    /** The section was changed by someone else. */
+    CONFLICT(4, "section changed since --base"),
+    /** The daemon or the platform cannot be reached or refuses work for now. */
+    UNAVAILABLE(5, "daemon or platform unavailable"),
+    /** The time given by --timeout has passed. */
+    TIMEOUT(6, "timeout"),
+    /** An endpoint, node or team is not known. */
+    NOT_FOUND(7, "endpoint, node or team not known");
+
+    private final int status;
+    private final String meaning;
+
+    ExitCode(int status, String meaning) {
+        this.status = status;
+        this.meaning = meaning;
+    }
+
+    /**
+     * Returns the exit status of the process.
+     *
+     * @return the status
+     */
+    public int status() {
+        return status;
+    }
+
+    /**
+     * Returns a short explanation.
+     *
+     * @return the explanation
+     */
+    public String meaning() {
+        return meaning;
+    }
+
+    /**
+     * Returns the exit code for a failure.
+     *
+     * @param code the failure's code
+     * @return the exit code
+     */
+    public static ExitCode of(ErrorCode code) {
+        return switch (code) {
+            case USAGE -> USAGE;
+            case SYNTAX,
+                    UNKNOWN_FIELD,
+                    DUPLICATE_FIELD,
+                    MISSING_FIELD,
+                    INVALID_VALUE,
+                    INVALID_ADDRESS,
+                    OUT_OF_RANGE,
+                    DANGLING_REFERENCE,
+                    DUPLICATE_NAME,
+                    TOO_LARGE -> INVALID_DOCUMENT;
+            case SECTION_CONFLICT -> CONFLICT;
+            case PLATFORM_UNAVAILABLE,
+                    PLATFORM_ANSWER_LOST,
+                    LEASE_LOST,
+                    NO_ENDPOINT,
+                    OVERLOADED,
+                    NOT_READY,
+                    CONNECTION_LOST,
+                    ANSWER_TRUNCATED,
+                    REQUEST_QUARANTINED -> UNAVAILABLE;
+            case DEADLINE_EXCEEDED -> TIMEOUT;
+            case NOT_FOUND, NO_ROUTE -> NOT_FOUND;
+            case OBJECT_CORRUPT,
+                    UPDATE_REJECTED,
+                    FRAME_INVALID,
+                    KEY_REQUIRED,
+                    OUTCOME_UNKNOWN,
+                    CANCELLED,
+                    INTERNAL -> INTERNAL;
+        };
+    }
+}
--- /dev/null
+++ b/cli/src/main/java/org/mimosahinge/cli/FileChecks.java
@@ -0,0 +1,115 @@
+package org.mimosahinge.cli;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import org.mimosahinge.api.contract.Section;
+import org.mimosahinge.api.document.DocumentCheck;
+import org.mimosahinge.api.document.ProblemLocator;
+import org.mimosahinge.api.document.SectionParser;
+import org.mimosahinge.api.document.SettingsParser;
+import org.mimosahinge.api.error.ErrorCode;
+import org.mimosahinge.api.error.InvalidDocumentException;
+import org.mimosahinge.api.error.Problem;
+
+/** Checks files without a daemon. */
+final class FileChecks {
+    private FileChecks() {}
+
+    /**
+     * A section file.
+     *
+     * @param file the path
+     * @param json the content
+     * @param section the parsed content
+     */
+    record SectionFile(String file, byte[] json, Section section) {}
+
+    /**
+     * Body of the report.
+     *
+     * @param ok the files without problems
+     */
+    record Checked(List<String> ok) {}
+
+    /** Parses one file's content. */
+    private interface FileParser {
+        void parse(String file, byte[] json);
+    }
+
+    static void check(Invocation call) {
+        if (call.options().has("together") && call.options().has("settings")) {
+            throw new UsageException("--together and --settings exclude each other");
+        }
+        List<Problem> problems = new ArrayList<>();
+        Map<String, SectionFile> sections = new LinkedHashMap<>();
+        FileParser parser = call.options().has("settings")
+                ? SettingsParser::parse
+                : (file, json) -> addSection(new SectionFile(file, json, SectionParser.parse(file, json)), sections);
+        for (String file : call.arguments()) {
+            byte[] json = read(file);
+            try {
+                parser.parse(file, json);
+            } catch (InvalidDocumentException e) {
+                problems.addAll(e.problems());
+            }
+        }
+        if (call.options().has("together")) {
+            problems.addAll(together(sections));
+        }
+        if (!problems.isEmpty()) {
+            throw new InvalidDocumentException(problems);
+        }
+        call.output()
+                .accept(new Report(
+                        new Checked(call.arguments()),
+                        call.arguments().stream().map(file -> file + ": ok").toList()));
+    }
+
+    static SectionFile readSection(String file) {
+        byte[] json = read(file);
+        return new SectionFile(file, json, SectionParser.parse(file, json));
+    }
+
+    private static void addSection(SectionFile file, Map<String, SectionFile> sections) {
+        SectionFile other = sections.putIfAbsent(file.section().team(), file);
+        if (other != null) {
+            Problem problem = new Problem(
+                    ErrorCode.DUPLICATE_NAME,
+                    file.file(),
+                    0,
+                    0,
+                    "team",
+                    "\"" + file.section().team() + "\"",
+                    "a team other than that of " + other.file());
+            throw new InvalidDocumentException(ProblemLocator.locate(file.file(), file.json(), List.of(problem)));
+        }
+    }
+
+    private static List<Problem> together(Map<String, SectionFile> sections) {
+        Map<String, Section> document = new LinkedHashMap<>();
+        sections.forEach((team, file) -> document.put(team, file.section()));
+        List<Problem> problems = DocumentCheck.check(document);
+        return sections.entrySet().stream()
+                .flatMap(entry -> ProblemLocator.locate(
+                        entry.getValue().file(),
+                        entry.getValue().json(),
+                        problems.stream()
+                                .filter(problem -> problem.file().equals(entry.getKey()))
+                                .toList())
+                        .stream())
+                .toList();
+    }
+
+    private static byte[] read(String file) {
+        try {
+            return Files.readAllBytes(Path.of(file));
+        } catch (IOException e) {
+            throw new UsageException("Cannot read " + file + ": " + e);
+        }
+    }
+}
--- /dev/null
+++ b/cli/src/main/java/org/mimosahinge/cli/Help.java
@@ -0,0 +1,43 @@
+package org.mimosahinge.cli;
+
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+
+/** The help text. */
+final class Help {
+    private Help() {}
+
+    static List<String> lines() {
+        List<String> lines = new ArrayList<>();
+        lines.add("Usage: mimosahinge VERB [ARGUMENTS] [OPTIONS]");
+        lines.add("");
+        lines.add("Verbs:");
+        for (Verb verb : Verbs.ALL) {
+            lines.add("  " + (verb.name() + " " + verb.arguments()).strip());
+            lines.add("      " + verb.summary());
+        }
+        lines.addAll(
+                """
+
+                Options:
+                  --node HOST:PORT   operator port of any daemon (default 127.0.0.1:9090)
+                  --output FORMAT    text or json (default text); json prints one object per line
+                  --timeout TIME     limit of the whole command, such as 500ms, 10s or 1m
+                                     (default 10s; watch runs without limit)
+                  --help             this text
+
+                Example of a change:
+                  mimosahinge document listings > listings.json   # the first line names the revision
+                  mimosahinge check listings.json
+                  mimosahinge submit listings.json --base 3 --wait
+
+                Exit codes:"""
+                        .lines()
+                        .toList());
+        Arrays.stream(ExitCode.values())
+                .map(code -> "  " + code.status() + "  " + code.meaning())
+                .forEach(lines::add);
+        return lines;
+    }
+}
--- /dev/null
+++ b/cli/src/main/java/org/mimosahinge/cli/Options.java
@@ -0,0 +1,109 @@
+package org.mimosahinge.cli;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.stream.Collectors;
+import joptsimple.OptionException;
+import joptsimple.OptionParser;
+import joptsimple.OptionSet;
+import org.mimosahinge.api.document.Durations;
+import org.mimosahinge.api.error.InvalidAddressException;
+import org.mimosahinge.api.world.HostPort;
+
+/** The options of a command line. */
+final class Options {
+    /** Options that every verb takes. */
+    static final Set<String> COMMON = Set.of("node", "output", "timeout", "help");
+
+    private static final String DEFAULT_NODE = "127.0.0.1:9090";
+    private static final Map<String, Boolean> FORMATS = Map.of("text", false, "json", true);
+    private static final Duration DEFAULT_TIMEOUT = Duration.ofSeconds(10);
+
+    private final OptionSet set;
+
+    private Options(OptionSet set) {
+        this.set = set;
+    }
+
+    static Options parse(String... arguments) {
+        // Abbreviations would change their meaning when an option is added.
+        OptionParser parser = new OptionParser(false);
+        parser.accepts("node").withRequiredArg();
+        parser.accepts("output").withRequiredArg();
+        parser.accepts("timeout").withRequiredArg();
+        parser.accepts("help");
+        parser.accepts("base").withRequiredArg();
+        parser.accepts("wait");
+        parser.accepts("together");
+        parser.accepts("settings");
+        try {
+            return new Options(parser.parse(arguments));
+        } catch (OptionException e) {
+            throw new UsageException(e.getMessage());
+        }
+    }
+
+    List<String> words() {
+        return set.nonOptionArguments().stream().map(String::valueOf).toList();
+    }
+
+    /** Returns the names of the options given. */
+    Set<String> names() {
+        return set.asMap().keySet().stream()
+                .map(spec -> spec.options().get(0))
+                .filter(set::has)
+                .collect(Collectors.toSet());
+    }
+
+    boolean has(String name) {
+        return set.has(name);
+    }
+
+    boolean json() {
+        String format = value("output").orElse("text");
+        if (!FORMATS.containsKey(format)) {
+            throw new UsageException("--output is \"" + format + "\", expected text or json");
+        }
+        return FORMATS.get(format);
+    }
+
+    HostPort node() {
+        String address = value("node").orElse(DEFAULT_NODE);
+        try {
+            return HostPort.parse(address);
+        } catch (InvalidAddressException e) {
+            throw new UsageException("--node: " + e.getMessage());
+        }
+    }
+
+    Optional<Duration> timeout() {
+        return value("timeout").map(text -> Durations.parse(text)
+                .orElseThrow(() -> new UsageException(
+                        "--timeout is \"" + text + "\", expected a number with a unit, such as 500ms, 10s or 1m")));
+    }
+
+    Deadline deadline() {
+        return Deadline.in(timeout().orElse(DEFAULT_TIMEOUT));
+    }
+
+    long base() {
+        String text =
+                value("base").orElseThrow(() -> new UsageException("submit needs --base REV; 0 for a new section"));
+        // Eighteen digits hold every revision that a table service reaches and fit into a long.
+        if (!text.matches("[0-9]{1,18}")) {
+            throw new UsageException("--base is \"" + text + "\", expected a revision");
+        }
+        return Long.parseLong(text);
+    }
+
+    private Optional<String> value(String name) {
+        List<?> values = set.valuesOf(name);
+        if (values.size() > 1) {
+            throw new UsageException("--" + name + " stands more than once");
+        }
+        return values.stream().map(String::valueOf).findFirst();
+    }
+}
--- /dev/null
+++ b/cli/src/main/java/org/mimosahinge/cli/UsageException.java
@@ -0,0 +1,14 @@
+package org.mimosahinge.cli;
+
+import org.mimosahinge.api.error.ErrorCode;
+import org.mimosahinge.api.error.MimosahingeException;
+
+/** The command line is wrong. */
+final class UsageException extends MimosahingeException {
+
+    private static final long serialVersionUID = 1L;
+
+    UsageException(String message) {
+        super(ErrorCode.USAGE, message);
+    }
+}
--- /dev/null
+++ b/cli/src/main/java/org/mimosahinge/cli/Verbs.java
@@ -0,0 +1,53 @@
+package org.mimosahinge.cli;
+
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+
+/** The table of verbs. */
+final class Verbs {
+    private static final int MANY = Integer.MAX_VALUE;
+
+    /** All verbs in the order of the help text. */
+    static final List<Verb> ALL = List.of(
+            new Verb(
+                    "check",
+                    "FILE... [--together | --settings]",
+                    "check sections offline; --together as one document, --settings as daemon settings",
+                    1,
+                    MANY,
+                    Set.of("together", "settings"),
+                    FileChecks::check),
+            new Verb(
+                    "submit",
+                    "FILE --base REV [--wait]",
+                    "submit a section based on revision REV (0 for a new one); --wait until in force everywhere",
+                    1,
+                    1,
+                    Set.of("base", "wait"),
+                    Submit::submit),
+            new Verb("status", "", "show what is in force and where", 0, 0, Set.of(), Views::status),
+            new Verb(
+                    "document",
+                    "[TEAM]",
+                    "show the document, or one section in a form that submit accepts",
+                    0,
+                    1,
+                    Set.of(),
+                    Views::document),
+            new Verb("moves", "", "show moves and why each was taken back", 0, 0, Set.of(), Views::moves),
+            new Verb("nodes", "", "show the nodes", 0, 0, Set.of(), Views::nodes),
+            new Verb("endpoints", "", "show the endpoints", 0, 0, Set.of(), Views::endpoints),
+            new Verb("drain", "ENDPOINT", "take an endpoint out of new choices", 1, 1, Set.of(), Views::drain),
+            new Verb("watch", "", "report changes of status and moves until stopped", 0, 0, Set.of(), Watch::watch));
+
+    private Verbs() {}
+
+    static Optional<Verb> find(String name) {
+        return ALL.stream().filter(verb -> verb.name().equals(name)).findFirst();
+    }
+
+    static List<String> names() {
+        return ALL.stream().map(Verb::name).toList();
+    }
+}
--- /dev/null
+++ b/cli/src/main/java/org/mimosahinge/cli/package-info.java
@@ -0,0 +1,2 @@
+/** The command-line client of operators. */
+package org.mimosahinge.cli;
--- /dev/null
+++ b/cli/src/test/java/org/mimosahinge/cli/FailureTest.java
@@ -0,0 +1,129 @@
+package org.mimosahinge.cli;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
+import org.mimosahinge.api.error.ErrorCode;
+
+class FailureTest {
+    private static final String SECTION = "{\"team\": \"a\"}";
+
+    @TempDir
+    private Path folder;
+
+    /** Guards against a script that cannot tell the kinds of failure apart. */
+    @ParameterizedTest
+    @CsvSource({
+        "section_conflict, 409, CONFLICT",
+        "dangling_reference, 400, INVALID_DOCUMENT",
+        "platform_unavailable, 503, UNAVAILABLE",
+        "platform_answer_lost, 503, UNAVAILABLE",
+        "not_found, 404, NOT_FOUND",
+        "deadline_exceeded, 504, TIMEOUT",
+        "internal, 500, INTERNAL",
+        "code_of_a_newer_daemon, 400, INTERNAL"
+    })
+    void mapsRefusalsToExitCodes(String code, int status, ExitCode exit) throws IOException {
+        try (StandInDaemon daemon = new StandInDaemon()
+                .answer("PUT /v1/sections/a?base=3", status, "{\"code\":\"" + code + "\",\"message\":\"why\"}")) {
+            Run run = submit(daemon, "--base", "3");
+            assertEquals(exit, run.exit(), run.err());
+            assertTrue(run.err().startsWith("error: " + code + ": why"), run.err());
+            assertEquals("", run.out());
+        }
+    }
+
+    /** Guards against a refusal whose further problems are not shown. */
+    @Test
+    void showsEveryProblemOfARefusal() throws IOException {
+        String problem = "{\"code\":\"dangling_reference\",\"file\":\"a\",\"line\":%d,\"column\":1,\"path\":\"p\","
+                + "\"found\":\"f\",\"expected\":\"e\"}";
+        try (StandInDaemon daemon = new StandInDaemon()
+                .answer(
+                        "PUT /v1/sections/a?base=0",
+                        400,
+                        "{\"code\":\"dangling_reference\",\"message\":\"m\",\"problems\":[" + problem.formatted(1) + ","
+                                + problem.formatted(2) + "]}")) {
+            Run run = submit(daemon, "--base", "0");
+            assertEquals(ExitCode.INVALID_DOCUMENT, run.exit());
+            assertEquals(2, run.err().lines().count(), run.err());
+        }
+    }
+
+    /** Guards against a hanging daemon that holds a command for ever, and against a lost outcome told as a refusal. */
+    @Test
+    void endsAtTheTimeoutWhenTheDaemonHangs() throws IOException {
+        try (StandInDaemon daemon = new StandInDaemon()) {
+            Run run = submit(daemon, "--base", "3", "--timeout", "50ms");
+            assertEquals(ExitCode.TIMEOUT, run.exit());
+            assertTrue(run.err().contains("may have been accepted"), run.err());
+        }
+    }
+
+    /** Guards against a refused connection reported as an internal failure or as an unknown outcome. */
+    @Test
+    void reportsADaemonThatDoesNotListen() throws IOException {
+        StandInDaemon daemon = new StandInDaemon();
+        daemon.close();
+        Run run = submit(daemon, "--base", "3");
+        assertEquals(ExitCode.UNAVAILABLE, run.exit(), run.err());
+        assertTrue(run.err().startsWith("error: connection_lost: Cannot connect"), run.err());
+    }
+
+    /** Guards against an answer of another shape that ends in a stack trace. */
+    @ParameterizedTest
+    @ValueSource(strings = {"", "{", "[]", "<html>", "{\"moves\":[{\"phase\":\"x\"}]}"})
+    void reportsUnreadableAnswers(String body) {
+        try (StandInDaemon daemon = new StandInDaemon().answer("GET /v1/moves", 200, body)) {
+            Run run = Run.of("moves", "--node", daemon.address(), "--output", "json");
+            assertEquals(ExitCode.INTERNAL, run.exit(), run.err());
+            assertTrue(run.err().startsWith("{\"code\":\"internal\""), run.err());
+        }
+    }
+
+    /** Guards against mistakes of the command line that are ignored. */
+    @ParameterizedTest
+    @ValueSource(
+            strings = {
+                "",
+                "deploy",
+                "status extra",
+                "check",
+                "submit a.json",
+                "submit missing.json --base 1",
+                "submit a.json --base -1",
+                "submit a.json --base 99999999999999999999",
+                "status --base 1",
+                "status --node nowhere",
+                "status --node a:1 --node b:2",
+                "status --output yaml",
+                "status --timeout 5",
+                "status --unknown",
+                "status --out json",
+                "check a.json --together --settings"
+            })
+    void refusesWrongCommandLines(String command) {
+        Run run = Run.of(command.isEmpty() ? new String[0] : command.split(" "));
+        assertEquals(ExitCode.USAGE, run.exit(), run.err());
+        assertTrue(run.err().startsWith("error: " + ErrorCode.USAGE.code()), run.err());
+    }
+
+    private Run submit(StandInDaemon daemon, String... options) throws IOException {
+        Path file = Files.writeString(folder.resolve("a.json"), SECTION);
+        String[] command = new String[4 + options.length];
+        command[0] = "submit";
+        command[1] = file.toString();
+        command[2] = "--node";
+        command[3] = daemon.address();
+        System.arraycopy(options, 0, command, 4, options.length);
+        return Run.of(command);
+    }
+}
--- /dev/null
+++ b/cli/src/test/java/org/mimosahinge/cli/Run.java
@@ -0,0 +1,24 @@
+package org.mimosahinge.cli;
+
+import java.io.ByteArrayOutputStream;
+import java.io.PrintStream;
+import java.nio.charset.StandardCharsets;
+
+/**
+ * One run of the client.
+ *
+ * @param exit how it ended
+ * @param out what it reported
+ * @param err its failure
+ */
+record Run(ExitCode exit, String out, String err) {
+    static Run of(String... arguments) {
+        ByteArrayOutputStream out = new ByteArrayOutputStream();
+        ByteArrayOutputStream err = new ByteArrayOutputStream();
+        ExitCode exit = Mimosahinge.run(
+                new PrintStream(out, true, StandardCharsets.UTF_8),
+                new PrintStream(err, true, StandardCharsets.UTF_8),
+                arguments);
+        return new Run(exit, out.toString(StandardCharsets.UTF_8), err.toString(StandardCharsets.UTF_8));
+    }
+}
