--- a/bench/src/main/java/org/mimosahinge/bench/Measure.java
+++ b/bench/src/main/java/org/mimosahinge/bench/Measure.java
@@ -3,14 +3,19 @@
 import java.io.PrintStream;
 import java.util.Map;
 import java.util.TreeMap;
+import org.mimosahinge.bench.control.Convergence;
+import org.mimosahinge.bench.control.LinkBytes;
 import org.mimosahinge.bench.footprint.Footprint;
 import org.mimosahinge.bench.latency.Latency;
 
 /** Dispatches {@code bin/measure NAME [--full]}. */
 public final class Measure {
 
-    private static final Map<String, Measurement> TABLE =
-            new TreeMap<>(Map.of("latency", Latency::run, "footprint", Footprint::run));
+    private static final Map<String, Measurement> TABLE = new TreeMap<>(Map.of(
+            "latency", Latency::run,
+            "footprint", Footprint::run,
+            "convergence", Convergence::run,
+            "link", LinkBytes::run));
 
     private Measure() {}
 
--- /dev/null
+++ b/bench/src/main/java/org/mimosahinge/bench/control/ControlNode.java
@@ -0,0 +1,81 @@
+package org.mimosahinge.bench.control;
+
+import io.netty.channel.EventLoopGroup;
+import java.util.concurrent.Future;
+import java.util.concurrent.TimeUnit;
+import org.mimosahinge.api.platform.ObjectStore;
+import org.mimosahinge.api.platform.TableService;
+import org.mimosahinge.api.settings.NodeSettings;
+import org.mimosahinge.api.world.HostPort;
+import org.mimosahinge.api.world.Node;
+import org.mimosahinge.core.fanout.FanoutPolicy;
+import org.mimosahinge.daemon.control.ControlLoop;
+import org.mimosahinge.daemon.control.ControlPlane;
+import org.mimosahinge.daemon.control.ControlTraffic;
+import org.mimosahinge.daemon.control.NodeContext;
+import org.mimosahinge.daemon.control.PeerChannels;
+import org.mimosahinge.daemon.control.SnapshotReference;
+
+/** A node without traffic: the control plane of a daemon with its own control thread and sockets. */
+final class ControlNode implements AutoCloseable {
+
+    private static final HostPort ANY_PORT = new HostPort("127.0.0.1", 0);
+
+    private final Node self;
+    private final ControlTraffic traffic = new ControlTraffic();
+    private final SnapshotReference snapshots = new SnapshotReference();
+    private final ControlLoop loop = ControlLoop.start();
+    private final PeerChannels peers;
+    private final ControlPlane plane;
+    private final Future<?> ticks;
+    private volatile boolean stopped;
+
+    ControlNode(
+            NodeSettings settings, TableService table, ObjectStore objects, FanoutPolicy fanout, EventLoopGroup group) {
+        peers = new PeerChannels(group, traffic);
+        HostPort address = peers.listen(ANY_PORT, group);
+        self = new Node(settings.nodeId(), System.currentTimeMillis(), settings.zone(), address);
+        plane = new ControlPlane(
+                new NodeContext(self, settings, table, objects, loop, System::nanoTime), loop, snapshots, fanout);
+        peers.serve(plane, hello -> {
+            throw new UnsupportedOperationException("calls are not measured here");
+        });
+        loop.execute(() -> plane.use(peers));
+        ticks = group.next()
+                .scheduleAtFixedRate(
+                        () -> loop.offer(plane::tick), 0, ControlPlane.TICK.toMillis(), TimeUnit.MILLISECONDS);
+    }
+
+    Node node() {
+        return self;
+    }
+
+    ControlPlane plane() {
+        return plane;
+    }
+
+    long version() {
+        return snapshots.get().version();
+    }
+
+    boolean ready() {
+        return snapshots.get().provenCurrent();
+    }
+
+    long controlBytes() {
+        return traffic.sentBytes() + traffic.receivedBytes();
+    }
+
+    boolean isStopped() {
+        return stopped;
+    }
+
+    /** Stops at once, as a crash would. */
+    @Override
+    public void close() {
+        stopped = true;
+        ticks.cancel(false);
+        peers.abort();
+        loop.close();
+    }
+}
--- /dev/null
+++ b/bench/src/main/java/org/mimosahinge/bench/control/FarTable.java
@@ -0,0 +1,42 @@
+package org.mimosahinge.bench.control;
+
+import java.util.concurrent.CompletionStage;
+import java.util.function.UnaryOperator;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+import org.mimosahinge.api.platform.ReadRequest;
+import org.mimosahinge.api.platform.ReadResult;
+import org.mimosahinge.api.platform.Row;
+import org.mimosahinge.api.platform.TableService;
+import org.mimosahinge.api.platform.Transaction;
+import org.mimosahinge.api.platform.TransactionResult;
+import org.mimosahinge.api.world.HostPort;
+
+/** The table service as a far region sees it: the store gateway's address leads through the region link. */
+record FarTable(TableService table, String storeGatewayKey, UnaryOperator<HostPort> throughLink)
+        implements TableService {
+
+    private static final Pattern ADDRESS = Pattern.compile("\"address\":\"([^\"]+)\"");
+
+    @Override
+    public CompletionStage<TransactionResult> commit(Transaction transaction) {
+        return table.commit(transaction);
+    }
+
+    @Override
+    public CompletionStage<ReadResult> read(ReadRequest request) {
+        return table.read(request)
+                .thenApply(result -> new ReadResult(
+                        result.revision(),
+                        result.rows().stream().map(this::translate).toList()));
+    }
+
+    private Row translate(Row row) {
+        Matcher address = ADDRESS.matcher(row.value());
+        if (!row.key().equals(storeGatewayKey) || !address.find()) {
+            return row;
+        }
+        HostPort near = throughLink.apply(HostPort.parse(address.group(1)));
+        return new Row(row.key(), row.revision(), address.replaceFirst("\"address\":\"" + near + "\""));
+    }
+}
--- a/daemon/src/main/java/org/mimosahinge/daemon/Daemon.java
+++ b/daemon/src/main/java/org/mimosahinge/daemon/Daemon.java
@@ -7,6 +7,7 @@
 import org.mimosahinge.api.settings.NodeSettings;
 import org.mimosahinge.api.world.HostPort;
 import org.mimosahinge.api.world.Node;
+import org.mimosahinge.core.fanout.FanoutPolicy;
 import org.mimosahinge.daemon.control.ControlLoop;
 import org.mimosahinge.daemon.control.ControlPlane;
 import org.mimosahinge.daemon.control.ControlTraffic;
@@ -53,13 +54,17 @@
         Node self = new Node(settings.nodeId(), System.currentTimeMillis(), settings.zone(), settings.peerAddress());
         ControlTraffic counters = new ControlTraffic();
         control = new ControlPlane(
-                new NodeContext(self, settings, platform, platform, loop, System::nanoTime), loop, snapshots);
+                new NodeContext(self, settings, platform, platform, loop, System::nanoTime),
+                loop,
+                snapshots,
+                FanoutPolicy.standard());
         traffic = TrafficPlane.start(
                 new TrafficConfig(self, settings.callerAddress(), TRAFFIC_THREADS, settings.logSampling()),
                 snapshots,
                 platform,
                 event -> loop.offer(() -> trafficEvent(event)));
-        peers = new PeerChannels(controlIo, counters, control, hello -> traffic.callConnection());
+        peers = new PeerChannels(controlIo, counters);
+        peers.serve(control, hello -> traffic.callConnection());
         peerAddress = peers.listen(settings.peerAddress(), traffic.eventLoops());
         loop.execute(() -> control.use(peers));
         DaemonMetrics metrics = new DaemonMetrics(snapshots, counters, loop);
--- a/daemon/src/main/java/org/mimosahinge/daemon/control/ControlPlane.java
+++ b/daemon/src/main/java/org/mimosahinge/daemon/control/ControlPlane.java
@@ -14,7 +14,7 @@
 import org.mimosahinge.api.world.EndpointState;
 import org.mimosahinge.api.world.Node;
 import org.mimosahinge.core.fanout.AdmissionRate;
-import org.mimosahinge.core.fanout.TreePlacement;
+import org.mimosahinge.core.fanout.FanoutPolicy;
 import org.mimosahinge.core.lease.LeaseTiming;
 import org.mimosahinge.core.membership.FailureDetector;
 import org.mimosahinge.core.move.Evidence;
@@ -29,9 +29,6 @@
 
     private static final EventLog LOG = EventLog.of("control");
 
-    /** A tree of this degree keeps 300 nodes within three levels and a parent's sending within 3 KB/s. */
-    private static final int TREE_DEGREE = 8;
-
     /** Children admitted per second after a storm of reconnects, and at once. */
     private static final double ADMISSIONS_PER_SECOND = 20;
 
@@ -40,6 +37,7 @@
     private final NodeContext context;
     private final ControlLoop loop;
     private final SnapshotReference snapshots;
+    private final FanoutPolicy fanout;
     private final Links links = new Links();
     private final LocalEndpoints local;
     private final Membership membership;
@@ -67,9 +65,11 @@
      * @param context the node, its settings and its surroundings
      * @param loop the control thread
      * @param snapshots receives each new snapshot
+     * @param fanout how configuration reaches the nodes
      */
-    public ControlPlane(NodeContext context, ControlLoop loop, SnapshotReference snapshots) {
+    public ControlPlane(NodeContext context, ControlLoop loop, SnapshotReference snapshots, FanoutPolicy fanout) {
         this.context = context;
+        this.fanout = fanout;
         this.loop = loop;
         this.snapshots = snapshots;
         Node self = context.self();
@@ -80,9 +80,8 @@
         distribution = new Distribution(snapshots, links);
         relay = new LeaseKeeper(Rows.relay(self.zone()), context, timing);
         gateway = new LeaseKeeper(Rows.gateway(settings.region()), context, timing);
-        headReader = new HeadReader(context, snapshots, gateway);
-        parentSearch = new ParentSearch(
-                context, TreePlacement.rendezvousTree(TREE_DEGREE), relay, gateway, this::dial, distribution::require);
+        headReader = new HeadReader(context, snapshots, gateway, fanout.headAccess());
+        parentSearch = new ParentSearch(context, fanout.placement(), relay, gateway, this::dial, distribution::require);
         submissions = new Submissions(context, snapshots, this::headMoved);
         fleet = new Fleet(links, snapshots);
         moves = new MoveCoordinator(context, timing, snapshots, links, membership, this::headMoved);
@@ -140,8 +139,9 @@
     }
 
     private boolean isRoot() {
-        return context.settings().region().equals(context.settings().storeRegion())
-                && gateway.held().isPresent();
+        boolean storeRegion =
+                context.settings().region().equals(context.settings().storeRegion());
+        return fanout.headAccess().readsHead(storeRegion && gateway.held().isPresent());
     }
 
     private void removeFailedNodes() {
@@ -330,6 +330,17 @@
         return fleet.nodesInForce(version);
     }
 
+    /**
+     * Tells whether this node passes configuration on without holding a role.
+     *
+     * @return whether it has a parent and children and is not a relay
+     */
+    public boolean isInnerNode() {
+        return links.parent().isPresent()
+                && !links.children().isEmpty()
+                && relay.held().isEmpty();
+    }
+
     /**
      * Lists the nodes that are registered with the platform.
      *
--- a/daemon/src/main/java/org/mimosahinge/daemon/control/HeadReader.java
+++ b/daemon/src/main/java/org/mimosahinge/daemon/control/HeadReader.java
@@ -13,7 +13,7 @@
 import org.mimosahinge.api.platform.ReadRequest;
 import org.mimosahinge.api.platform.ReadResult;
 import org.mimosahinge.core.config.ReadinessDecision;
-import org.mimosahinge.core.lease.HeldLease;
+import org.mimosahinge.core.fanout.HeadAccess;
 import org.mimosahinge.net.log.EventLog;
 
 /** Reads the head row in the role of the store region's gateway and fetches what has changed. */
@@ -24,10 +24,12 @@
     private final NodeContext context;
     private final SnapshotReference snapshots;
     private final LeaseKeeper gateway;
+    private final HeadAccess access;
     private boolean reading;
     private boolean readAgain;
 
-    HeadReader(NodeContext context, SnapshotReference snapshots, LeaseKeeper gateway) {
+    HeadReader(NodeContext context, SnapshotReference snapshots, LeaseKeeper gateway, HeadAccess access) {
+        this.access = access;
         this.context = context;
         this.snapshots = snapshots;
         this.gateway = gateway;
@@ -61,10 +63,7 @@
     }
 
     private CompletionStage<ConfigUpdate> update(ReadResult read) {
-        HeldLease lease = gateway.held().orElse(null);
-        OptionalLong epoch =
-                OptionalLong.of(Rows.lease(read, gateway.key()).value().lease().epoch());
-        if (lease == null || !ReadinessDecision.relayMayUse(lease, epoch, context.now())) {
+        if (!access.readsHead(false) && !fenced(read)) {
             return CompletableFuture.completedFuture(null);
         }
         Head head = Rows.head(read).value();
@@ -77,6 +76,15 @@
                         current.version(), head.version(), sections, removed(head, current), head.moves()));
     }
 
+    /** A read that was sent before the lease was lost must not be used after it. */
+    private boolean fenced(ReadResult read) {
+        OptionalLong epoch =
+                OptionalLong.of(Rows.lease(read, gateway.key()).value().lease().epoch());
+        return gateway.held()
+                .map(lease -> ReadinessDecision.relayMayUse(lease, epoch, context.now()))
+                .orElse(false);
+    }
+
     private static Set<String> removed(Head head, Snapshot current) {
         Set<String> removed = new HashSet<>(current.sections().keySet());
         removed.removeAll(head.sections().keySet());
--- a/daemon/src/main/java/org/mimosahinge/daemon/control/PeerChannels.java
+++ b/daemon/src/main/java/org/mimosahinge/daemon/control/PeerChannels.java
@@ -11,10 +11,13 @@
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.group.ChannelGroup;
+import io.netty.channel.group.DefaultChannelGroup;
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.timeout.ReadTimeoutHandler;
+import io.netty.util.concurrent.GlobalEventExecutor;
 import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.util.concurrent.TimeUnit;
@@ -38,8 +41,9 @@
 
     private final EventLoopGroup group;
     private final ControlTraffic counters;
-    private final Events events;
-    private final Function<Frame.Hello, ChannelHandler> callConnections;
+    private volatile Events events;
+    private volatile Function<Frame.Hello, ChannelHandler> callConnections;
+    private final ChannelGroup connections = new DefaultChannelGroup(GlobalEventExecutor.INSTANCE);
     private Channel server;
 
     /** What happens on control connections; called on an event loop. */
@@ -82,30 +86,33 @@
      *
      * @param group event loop of control connections
      * @param counters counts control bytes
-     * @param events receives what happens on control connections
-     * @param callConnections makes the handler of an accepted connection for calls
      */
-    public PeerChannels(
-            EventLoopGroup group,
-            ControlTraffic counters,
-            Events events,
-            Function<Frame.Hello, ChannelHandler> callConnections) {
+    public PeerChannels(EventLoopGroup group, ControlTraffic counters) {
         this.group = group;
         this.counters = counters;
-        this.events = events;
-        this.callConnections = callConnections;
+    }
+
+    /**
+     * Sets who handles connections; until then accepted connections are closed.
+     *
+     * @param controlEvents receives what happens on control connections
+     * @param callHandlers makes the handler of an accepted connection for calls
+     */
+    public void serve(Events controlEvents, Function<Frame.Hello, ChannelHandler> callHandlers) {
+        callConnections = callHandlers;
+        events = controlEvents;
     }
 
     /**
      * Starts to accept connections.
      *
      * @param address the address to listen on; port 0 picks a free port
-     * @param connections event loops of accepted connections
+     * @param loops event loops of accepted connections
      * @return the bound address
      */
-    public HostPort listen(HostPort address, EventLoopGroup connections) {
+    public HostPort listen(HostPort address, EventLoopGroup loops) {
         server = new ServerBootstrap()
-                .group(group, connections)
+                .group(group, loops)
                 .channel(NioServerSocketChannel.class)
                 .childOption(ChannelOption.TCP_NODELAY, true)
                 .childHandler(initializer(() -> new AcceptHandler()))
@@ -143,6 +150,7 @@
         return new ChannelInitializer<>() {
             @Override
             protected void initChannel(SocketChannel channel) {
+                connections.add(channel);
                 channel.pipeline()
                         .addLast(
                                 HELLO_TIMEOUT_HANDLER,
@@ -152,6 +160,12 @@
         };
     }
 
+    /** Closes everything at once, as a crash would. */
+    public void abort() {
+        close();
+        connections.close().awaitUninterruptibly();
+    }
+
     @Override
     public void close() {
         if (server != null) {
@@ -164,6 +178,10 @@
 
         @Override
         protected void channelRead0(ChannelHandlerContext context, Frame frame) {
+            if (events == null) {
+                context.close();
+                return;
+            }
             if (!(frame instanceof Frame.Hello hello)) {
                 LOG.warn("peer_rejected", "remote", context.channel().remoteAddress(), "reason", "no_hello");
                 context.close();
--- a/net/src/main/java/org/mimosahinge/net/frame/Deflate.java
+++ b/net/src/main/java/org/mimosahinge/net/frame/Deflate.java
@@ -7,7 +7,7 @@
 import org.mimosahinge.api.error.FrameException;
 
 /** Compresses section content for the wire. */
-final class Deflate {
+public final class Deflate {
 
     /** Largest section; bounds what a small malformed frame can make the receiver allocate. */
     private static final int MAX_CONTENT_BYTES = 1 << 20;
@@ -16,7 +16,13 @@
 
     private Deflate() {}
 
-    static byte[] compress(byte[] content) {
+    /**
+     * Compresses content.
+     *
+     * @param content the content
+     * @return the compressed bytes
+     */
+    public static byte[] compress(byte[] content) {
         Deflater deflater = new Deflater(Deflater.BEST_COMPRESSION, true);
         try {
             deflater.setInput(content);
@@ -32,7 +38,13 @@
         }
     }
 
-    static byte[] decompress(byte[] compressed) {
+    /**
+     * Restores compressed content of at most 1 MiB.
+     *
+     * @param compressed the compressed bytes
+     * @return the content
+     */
+    public static byte[] decompress(byte[] compressed) {
         Inflater inflater = new Inflater(true);
         try {
             inflater.setInput(compressed);
