--- a/bench/src/main/java/org/mimosahinge/bench/control/ControlFleet.java
+++ b/bench/src/main/java/org/mimosahinge/bench/control/ControlFleet.java
@@ -74,8 +74,11 @@
         return link;
     }
 
-    /** Waits until every live node is ready and the tree knows all of them. */
+    /** Waits until every live node is ready and the tree knows all of them; polling nodes have no tree. */
     void awaitAttached() {
+        if (fanout.headAccess().readsHead(false)) {
+            return;
+        }
         int count = live().size();
         Await.until(LIMIT, "attachment of " + count + " nodes", () -> live().stream()
                 .allMatch(node -> node.ready()
