--- a/api/src/main/java/org/mimosahinge/api/operator/ErrorBody.java
+++ b/api/src/main/java/org/mimosahinge/api/operator/ErrorBody.java
@@ -39,6 +39,16 @@
         problems = problems == null ? List.of() : List.copyOf(problems);
     }
 
+    /**
+     * Replaces the problems.
+     *
+     * @param replacement the problems to hold instead
+     * @return the changed body
+     */
+    public ErrorBody withProblems(List<Problem> replacement) {
+        return new ErrorBody(code, message, path, found, expected, line, column, replacement);
+    }
+
     /**
      * Describes a failure.
      *
--- a/api/src/main/java/org/mimosahinge/api/operator/UnreadableBodyException.java
+++ b/api/src/main/java/org/mimosahinge/api/operator/UnreadableBodyException.java
@@ -15,6 +15,6 @@
      * @param cause what the decoder found
      */
     public UnreadableBodyException(Class<?> type, Throwable cause) {
-        super(ErrorCode.INTERNAL, "Body is not a " + type.getSimpleName() + ": " + cause.getMessage(), cause);
+        super(ErrorCode.SYNTAX, "Body is not a " + type.getSimpleName() + ": " + cause.getMessage(), cause);
     }
 }
--- a/cli/src/main/java/org/mimosahinge/cli/OperatorClient.java
+++ b/cli/src/main/java/org/mimosahinge/cli/OperatorClient.java
@@ -13,6 +13,7 @@
 import org.mimosahinge.api.operator.ErrorBody;
 import org.mimosahinge.api.operator.OperatorJson;
 import org.mimosahinge.api.operator.Submission;
+import org.mimosahinge.api.operator.UnreadableBodyException;
 import org.mimosahinge.api.world.HostPort;
 import org.mimosahinge.net.http.HttpExchangeException;
 import org.mimosahinge.net.http.HttpMessageClient;
@@ -39,8 +40,7 @@
     }
 
     <T extends Record> T get(String uri, Class<T> type, Deadline deadline) {
-        return OperatorJson.read(
-                type, send(HttpMessageRequest.get(uri), deadline).body());
+        return decode(type, send(HttpMessageRequest.get(uri), deadline));
     }
 
     Submission submit(String team, long base, byte[] section, Deadline deadline) {
@@ -49,7 +49,7 @@
                 "/v1/sections/" + segment(team) + "?base=" + base,
                 Map.of("content-type", "application/json"),
                 section);
-        return OperatorJson.read(Submission.class, send(request, deadline).body());
+        return decode(Submission.class, send(request, deadline));
     }
 
     void drain(String endpoint, Deadline deadline) {
@@ -64,7 +64,7 @@
             if (response.status() / 100 == 2) {
                 return response;
             }
-            throw new RefusedException(OperatorJson.read(ErrorBody.class, response.body()));
+            throw new RefusedException(decode(ErrorBody.class, response));
         } catch (TimeoutException e) {
             throw new CommandTimeoutException("No response from " + node + " to " + request.method() + " "
                     + request.path() + " within the timeout");
@@ -78,6 +78,14 @@
         }
     }
 
+    private <T extends Record> T decode(Class<T> type, HttpMessageResponse response) {
+        try {
+            return OperatorJson.read(type, response.body());
+        } catch (UnreadableBodyException e) {
+            throw new UnreadableResponseException(node, response.status(), e);
+        }
+    }
+
     // Endpoint ids contain an address and may contain a slash.
     private static String segment(String text) {
         return URLEncoder.encode(text, StandardCharsets.UTF_8).replace("+", "%20");
--- a/cli/src/main/java/org/mimosahinge/cli/Submit.java
+++ b/cli/src/main/java/org/mimosahinge/cli/Submit.java
@@ -1,9 +1,14 @@
 package org.mimosahinge.cli;
 
 import java.time.Duration;
+import java.util.List;
 import java.util.Optional;
+import java.util.stream.Stream;
+import org.mimosahinge.api.document.ProblemLocator;
 import org.mimosahinge.api.error.ErrorCode;
 import org.mimosahinge.api.error.MimosahingeException;
+import org.mimosahinge.api.error.Problem;
+import org.mimosahinge.api.operator.ErrorBody;
 import org.mimosahinge.api.operator.Status;
 import org.mimosahinge.api.operator.Submission;
 import org.mimosahinge.net.http.HttpExchangeException;
@@ -22,7 +27,10 @@
         try {
             accepted = call.client().get().submit(file.section().team(), base, file.json(), call.deadline());
         } catch (MimosahingeException e) {
-            throw mayHaveTakenEffect(e) ? new UnknownOutcomeException(base, e) : e;
+            if (mayHaveTakenEffect(e)) {
+                throw new UnknownOutcomeException(base, e);
+            }
+            throw e instanceof RefusedException refused ? located(refused, file) : e;
         }
         call.output().accept(Report.of(accepted, "version=" + accepted.version(), "revision=" + accepted.revision()));
         if (call.options().has("wait")) {
@@ -31,6 +39,17 @@
         }
     }
 
+    // The daemon finds dangling references without the text; a problem of another team's section stays as it is.
+    private static MimosahingeException located(RefusedException refused, FileChecks.SectionFile file) {
+        ErrorBody body = refused.body();
+        List<Problem> problems = body.problems().stream()
+                .flatMap(problem -> problem.file().equals(file.section().team())
+                        ? ProblemLocator.locate(file.file(), file.json(), List.of(problem)).stream()
+                        : Stream.of(problem))
+                .toList();
+        return new RefusedException(body.withProblems(problems));
+    }
+
     private static boolean mayHaveTakenEffect(MimosahingeException failure) {
         return failure instanceof CommandTimeoutException
                 || failure.code() == ErrorCode.PLATFORM_ANSWER_LOST
--- a/cli/src/main/java/org/mimosahinge/cli/Views.java
+++ b/cli/src/main/java/org/mimosahinge/cli/Views.java
@@ -10,6 +10,7 @@
 import java.util.stream.Collectors;
 import org.mimosahinge.api.document.SectionParser;
 import org.mimosahinge.api.error.ErrorCode;
+import org.mimosahinge.api.error.MimosahingeException;
 import org.mimosahinge.api.operator.DocumentView;
 import org.mimosahinge.api.operator.DocumentView.SectionView;
 import org.mimosahinge.api.operator.EndpointList;
@@ -36,7 +37,7 @@
         List<String> lines = new ArrayList<>();
         lines.add(inForce(status));
         if (!call.options().json()) {
-            lines.addAll(byZone(call.get("/v1/nodes", NodeList.class), status.version()));
+            lines.addAll(zoneLines(call, status.version()));
         }
         lines.add("answered by " + status.node() + " in zone " + status.zone() + ", region " + status.region()
                 + (status.ready() ? ", ready" : ", not ready"));
@@ -47,6 +48,18 @@
         return "version " + status.version() + " in force on " + status.inForce() + " of " + status.nodes();
     }
 
+    // The list of nodes comes from the platform, but the status must be shown during its outages too.
+    private static List<String> zoneLines(Invocation call, long version) {
+        try {
+            return byZone(call.get("/v1/nodes", NodeList.class), version);
+        } catch (MimosahingeException e) {
+            if (ExitCode.of(e.code()) != ExitCode.UNAVAILABLE) {
+                throw e;
+            }
+            return List.of("  zones not known: " + e.code().code() + ": " + e.getMessage());
+        }
+    }
+
     private static List<String> byZone(NodeList list, long version) {
         Map<String, List<NodeList.Entry>> zones = list.nodes().stream()
                 .collect(Collectors.groupingBy(
--- a/cli/src/test/java/org/mimosahinge/cli/FailureTest.java
+++ b/cli/src/test/java/org/mimosahinge/cli/FailureTest.java
@@ -6,6 +6,7 @@
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.List;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -41,20 +42,23 @@
         }
     }
 
-    /** Guards against a refusal whose further problems are not shown. */
+    /** Guards against a refusal whose further problems are not shown or whose place in the file is not found. */
     @Test
     void showsEveryProblemOfARefusal() throws IOException {
-        String problem = "{\"code\":\"dangling_reference\",\"file\":\"a\",\"line\":%d,\"column\":1,\"path\":\"p\","
-                + "\"found\":\"f\",\"expected\":\"e\"}";
+        String problem = "{\"code\":\"dangling_reference\",\"file\":\"%s\",\"line\":0,\"column\":0,"
+                + "\"path\":\"team\",\"found\":\"f\",\"expected\":\"e\"}";
         try (StandInDaemon daemon = new StandInDaemon()
                 .answer(
                         "PUT /v1/sections/a?base=0",
                         400,
-                        "{\"code\":\"dangling_reference\",\"message\":\"m\",\"problems\":[" + problem.formatted(1) + ","
-                                + problem.formatted(2) + "]}")) {
+                        "{\"code\":\"dangling_reference\",\"message\":\"m\",\"problems\":[" + problem.formatted("a")
+                                + "," + problem.formatted("b") + "]}")) {
             Run run = submit(daemon, "--base", "0");
             assertEquals(ExitCode.INVALID_DOCUMENT, run.exit());
-            assertEquals(2, run.err().lines().count(), run.err());
+            String rest = ": dangling_reference at team: found f, expected e";
+            assertEquals(
+                    List.of(folder.resolve("a.json") + ":1:10" + rest, "b:0:0" + rest),
+                    run.err().lines().toList());
         }
     }
 
--- a/cli/src/test/java/org/mimosahinge/cli/ViewsTest.java
+++ b/cli/src/test/java/org/mimosahinge/cli/ViewsTest.java
@@ -6,6 +6,7 @@
 import java.util.Arrays;
 import java.util.List;
 import java.util.stream.Stream;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.MethodSource;
 
@@ -102,4 +103,21 @@
             assertEquals(ExitCode.OK, run.exit());
         }
     }
+
+    /** Guards against a status that cannot be shown while the platform is unavailable. */
+    @Test
+    void showsTheStatusWithoutTheListOfNodes() {
+        try (StandInDaemon daemon = new StandInDaemon()
+                .answer("GET /v1/status", 200, STATUS)
+                .answer("GET /v1/nodes", 503, "{\"code\":\"platform_unavailable\",\"message\":\"No platform\"}")) {
+            Run run = Run.of("status", "--node", daemon.address());
+            assertEquals(ExitCode.OK, run.exit(), run.err());
+            assertEquals(
+                    List.of(
+                            "version 7 in force on 1 of 2",
+                            "  zones not known: platform_unavailable: No platform",
+                            "answered by n1 in zone z, region r, ready"),
+                    run.out().lines().toList());
+        }
+    }
 }
