Take over a relay as soon as its lease has expired

Cause: with a relay killed, convergence took 6.0 s against the bound of 5 s. The search for a parent waited out its backoff of up to 1.6 s twice: after the lease had expired, and again after it had been acquired. Ruled out: the time to live itself (3 s) and the read through the region link (24 ms). The search now wakes when the observed lease expires, spread over 200 ms, and at once when a role was acquired.

--- a/daemon/src/main/java/org/mimosahinge/daemon/control/LeaseKeeper.java
+++ b/daemon/src/main/java/org/mimosahinge/daemon/control/LeaseKeeper.java
@@ -77,14 +77,18 @@
                 observed.map(earlier -> earlier.then(row, now)).orElseGet(() -> LeaseObservation.first(row, now)));
     }
 
-    /** Acquires a free lease, renews or gives up a held one. */
-    void advance() {
+    /**
+     * Acquires a free lease, renews or gives up a held one.
+     *
+     * @return when the next decision is possible without a new read; the current time when that is not known
+     */
+    long advance() {
         if (writing) {
-            return;
+            return context.now();
         }
         if (observed.isEmpty()) {
             read();
-            return;
+            return context.now();
         }
         LeaseView view = view();
         LeaseAction action = LeaseDecision.decide(view);
@@ -105,7 +109,10 @@
             LOG.warn("lease_lost", "lease", key, "holder", holder.map(Node::id).orElse(null));
             held = Optional.empty();
             read();
+        } else if (action instanceof LeaseAction.Await await) {
+            return await.untilNanos();
         }
+        return context.now();
     }
 
     /** Stops renewing; the lease is released by the next {@link #advance()}. */
--- a/daemon/src/main/java/org/mimosahinge/daemon/control/ParentSearch.java
+++ b/daemon/src/main/java/org/mimosahinge/daemon/control/ParentSearch.java
@@ -28,6 +28,8 @@
     /** A candidate that could not be reached is passed over for this long. */
     private static final Duration UNREACHABLE_TIME = Duration.ofSeconds(5);
 
+    private static final Duration TAKEOVER_SPREAD = Duration.ofMillis(200);
+
     private final NodeContext context;
     private final TreePlacement placement;
     private final LeaseKeeper relay;
@@ -40,6 +42,7 @@
     private Dial dialing;
     private boolean reading;
     private int attempts;
+    private int rolesAtLastAttempt;
     private long nextAttemptNanos;
 
     /** An attempt to connect to a candidate. */
@@ -82,10 +85,13 @@
     /** Takes the next step if it is time; called while the node has no parent. */
     void advance() {
         long now = context.now();
-        if (reading || dialing != null || now - nextAttemptNanos < 0) {
+        // A role that was just acquired decides where this node attaches, so the backoff ends.
+        boolean roleAcquired = rolesHeld() > rolesAtLastAttempt;
+        if (reading || dialing != null || (now - nextAttemptNanos < 0 && !roleAcquired)) {
             return;
         }
         reading = true;
+        rolesAtLastAttempt = rolesHeld();
         ReadRequest request = new ReadRequest(
                 List.of(
                         Rows.HEAD,
@@ -171,12 +177,27 @@
 
     /** Takes the role whose holder this node cannot reach, once its lease has expired. */
     private void seekRole() {
+        long free = context.now();
         if (relay.held().isEmpty()) {
-            relay.advance();
+            free = relay.advance();
         } else if (gateway.held().isEmpty()) {
-            gateway.advance();
+            free = gateway.advance();
         }
         retryLater();
+        if (free - context.now() > 0) {
+            // Waiting out a backoff after the lease has expired would add up to 1.6 s to a takeover.
+            long takeOver = free + jitterNanos();
+            nextAttemptNanos = nextAttemptNanos - takeOver > 0 ? takeOver : nextAttemptNanos;
+        }
+    }
+
+    private int rolesHeld() {
+        return (relay.held().isPresent() ? 1 : 0) + (gateway.held().isPresent() ? 1 : 0);
+    }
+
+    /** Spreads the candidates of a zone so that the first one's write is seen by most of the others. */
+    private static long jitterNanos() {
+        return ThreadLocalRandom.current().nextLong(TAKEOVER_SPREAD.toNanos());
     }
 
     private List<Node> reachable(List<Node> candidates) {
