Sum the evidence of a period in place

Cause: the measurement spent most of its time in short-lived maps and in usual rates computed again each second.

--- a/bench/src/main/java/org/mimosahinge/bench/move/TrafficGenerator.java
+++ b/bench/src/main/java/org/mimosahinge/bench/move/TrafficGenerator.java
@@ -172,7 +172,7 @@
             buckets[cell] = new long[LatencyHistogram.BUCKETS];
         }
         double shift = latencyFactor == 1 ? 0 : 2 * Math.log(latencyFactor) / Math.log(2);
-        int bucket = (int) (halfOctaves[random.nextInt(LATENCIES)] + shift);
+        int bucket = (int) (halfOctaves[random.nextInt() & (LATENCIES - 1)] + shift);
         buckets[cell][Math.max(0, Math.min(LatencyHistogram.BUCKETS - 1, bucket))]++;
     }
 
--- a/core/src/main/java/org/mimosahinge/core/move/Capacity.java
+++ b/core/src/main/java/org/mimosahinge/core/move/Capacity.java
@@ -18,9 +18,11 @@
      * @return the share in permille, 0 to 1000
      */
     public static int carriedPermille(Observation observation, int readySlots) {
-        Tally old = observation.step().ofVersion(observation.versions().from());
-        Tally fresh = observation.step().ofVersion(observation.versions().to());
-        double inProgress = observation.callsPerSecond() * Math.max(meanMs(old), meanMs(fresh)) / 1000;
+        double inProgress = observation.callsPerSecond()
+                * Math.max(
+                        meanMs(observation.step().old()),
+                        meanMs(observation.step().fresh()))
+                / 1000;
         if (readySlots == 0) {
             return 0;
         }
--- a/core/src/main/java/org/mimosahinge/core/move/Counts.java
+++ b/core/src/main/java/org/mimosahinge/core/move/Counts.java
@@ -57,12 +57,17 @@
      */
     public Counts plus(Counts other) {
         long[] sum = values.clone();
-        for (int i = 0; i < sum.length; i++) {
-            sum[i] += other.values[i];
-        }
+        other.addTo(sum);
         return new Counts(sum);
     }
 
+    /** Adds the counters to an array of the same size. */
+    void addTo(long[] sums) {
+        for (int i = 0; i < sums.length; i++) {
+            sums[i] += values[i];
+        }
+    }
+
     /**
      * Sums the counters from a position to the end.
      *
--- a/core/src/main/java/org/mimosahinge/core/move/Evidence.java
+++ b/core/src/main/java/org/mimosahinge/core/move/Evidence.java
@@ -52,10 +52,13 @@
      * @return the sum
      */
     public Tally total(Predicate<EvidenceKey> wanted) {
-        return tallies.entrySet().stream()
-                .filter(entry -> wanted.test(entry.getKey()))
-                .map(Map.Entry::getValue)
-                .reduce(Tally.EMPTY, Tally::plus);
+        TallySum sum = new TallySum();
+        tallies.forEach((key, tally) -> {
+            if (wanted.test(key)) {
+                sum.add(tally);
+            }
+        });
+        return sum.toTally();
     }
 
     /**
--- a/core/src/main/java/org/mimosahinge/core/move/EvidenceRecorder.java
+++ b/core/src/main/java/org/mimosahinge/core/move/EvidenceRecorder.java
@@ -5,7 +5,7 @@
 
 /** Counts call outcomes on one thread and hands them out as evidence; not thread-safe. */
 public final class EvidenceRecorder {
-    private final Map<EvidenceKey, Cell> cells = new HashMap<>();
+    private final Map<EvidenceKey, TallySum> sums = new HashMap<>();
 
     /**
      * Records a call that succeeded.
@@ -14,9 +14,7 @@
      * @param latencyMs latency in milliseconds
      */
     public void succeeded(EvidenceKey key, double latencyMs) {
-        Cell cell = cell(key);
-        cell.calls++;
-        cell.buckets[LatencyHistogram.bucket(latencyMs)]++;
+        sum(key).succeeded(LatencyHistogram.bucket(latencyMs));
     }
 
     /**
@@ -26,9 +24,7 @@
      * @param kind how the call failed
      */
     public void failed(EvidenceKey key, FailureKind kind) {
-        Cell cell = cell(key);
-        cell.calls++;
-        cell.failures[kind.index()]++;
+        sum(key).failed(kind);
     }
 
     /**
@@ -38,19 +34,12 @@
      */
     public Evidence drain() {
         Map<EvidenceKey, Tally> tallies = new HashMap<>();
-        cells.forEach((key, cell) -> tallies.put(
-                key, new Tally(cell.calls, Counts.of(cell.failures), new LatencyHistogram(Counts.of(cell.buckets)))));
-        cells.clear();
+        sums.forEach((key, sum) -> tallies.put(key, sum.toTally()));
+        sums.clear();
         return new Evidence(tallies);
     }
 
-    private Cell cell(EvidenceKey key) {
-        return cells.computeIfAbsent(key, absent -> new Cell());
-    }
-
-    private static final class Cell {
-        private long calls;
-        private final long[] failures = new long[FailureKind.COUNT];
-        private final long[] buckets = new long[LatencyHistogram.BUCKETS];
+    private TallySum sum(EvidenceKey key) {
+        return sums.computeIfAbsent(key, absent -> new TallySum());
     }
 }
--- a/core/src/main/java/org/mimosahinge/core/move/Judge.java
+++ b/core/src/main/java/org/mimosahinge/core/move/Judge.java
@@ -1,12 +1,12 @@
 package org.mimosahinge.core.move;
 
 import java.util.ArrayList;
-import java.util.EnumMap;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
-import org.mimosahinge.core.move.SequentialTest.Period;
+import java.util.function.BiConsumer;
+import org.mimosahinge.core.move.History.Usual;
 
 /**
  * Compares a new version with an old one over the same periods, routes and zones.
@@ -15,9 +15,6 @@
  * a link or a shared dependency is in trouble, plus a margin.
  */
 public final class Judge {
-    /** Weight in calls of the rate assumed for a route and zone in which the old version has few calls. */
-    private static final double PRIOR_CALLS = 50;
-
     /** Calls of the old version on a route and zone below which its latency is no measure. */
     private static final long LATENCY_CALLS = 100;
 
@@ -40,17 +37,20 @@
      */
     static Judgement advance(Judgement before, Evidence evidence, Versions versions, boolean judgeLatency) {
         Map<Scope, Pair> cells = cells(evidence, versions);
-        Map<Scope, ScopeState> scopes = new HashMap<>(before.scopes());
-        updateRecent(scopes, cells, before);
-        Map<Scope, Map<Signal, Period>> periods = new HashMap<>();
+        Map<Scope, History> history = new HashMap<>(before.history());
+        Map<Scope, PeriodSums> sums = new HashMap<>();
+        before.scopes().keySet().forEach(scope -> sums.put(scope, new PeriodSums()));
+        cells.forEach((cell, pair) -> addOld(pair, history.computeIfAbsent(cell, History::of), sums));
+        Map<Scope, ScopeState> scopes = new HashMap<>();
+        sums.forEach((scope, sum) ->
+                scopes.put(scope, sum.updateRecent(before.scopes().getOrDefault(scope, ScopeState.START))));
         cells.forEach((cell, pair) -> {
             if (pair.fresh.calls() > 0) {
-                addPeriods(periods, cell, pair, before.history().getOrDefault(cell, Tally.EMPTY), scopes, judgeLatency);
+                compare(pair, history.get(cell), scopes, sums, judgeLatency);
             }
         });
-        periods.forEach((scope, bySignal) -> scopes.put(scope, scopes.get(scope).plus(bySignal)));
-        Map<Scope, Tally> history = new HashMap<>(before.history());
-        cells.forEach((cell, pair) -> history.merge(cell, pair.old, Tally::plus));
+        sums.forEach((scope, sum) -> scopes.computeIfPresent(scope, (same, state) -> sum.updateTests(state)));
+        cells.forEach((cell, pair) -> history.computeIfPresent(cell, (same, usual) -> usual.plus(pair.old)));
         return new Judgement(history, scopes);
     }
 
@@ -63,11 +63,13 @@
      */
     public static List<Finding> faults(Judgement judgement, double strictness) {
         List<Finding> findings = new ArrayList<>();
-        judgement.scopes().forEach((scope, state) -> state.tests().forEach((signal, test) -> {
-            if (proven(judgement, scope, signal, test, strictness * SequentialTest.THRESHOLD)) {
-                findings.add(finding(signal.code(), scope, test));
-            }
-        }));
+        judgement
+                .scopes()
+                .forEach((scope, state) -> forEachTest(state, (signal, test) -> {
+                    if (proven(judgement, scope, signal, test, strictness * SequentialTest.THRESHOLD)) {
+                        findings.add(finding(signal.code(), scope, test));
+                    }
+                }));
         return findings;
     }
 
@@ -79,11 +81,13 @@
      */
     public static List<Finding> suspicions(Judgement judgement) {
         List<Finding> findings = new ArrayList<>();
-        judgement.scopes().forEach((scope, state) -> state.tests().forEach((signal, test) -> {
-            if (test.sum() >= SUSPICION * SequentialTest.THRESHOLD) {
-                findings.add(finding(Finding.Code.SUSPECTED, scope, test));
-            }
-        }));
+        judgement
+                .scopes()
+                .forEach((scope, state) -> forEachTest(state, (signal, test) -> {
+                    if (test.sum() >= SUSPICION * SequentialTest.THRESHOLD) {
+                        findings.add(finding(Finding.Code.SUSPECTED, scope, test));
+                    }
+                }));
         return findings;
     }
 
@@ -140,73 +144,60 @@
         return cells;
     }
 
-    private static void updateRecent(Map<Scope, ScopeState> scopes, Map<Scope, Pair> cells, Judgement before) {
-        Map<Scope, Map<Signal, RecentRate>> rates = new HashMap<>();
-        scopes.forEach((scope, state) -> {
-            Map<Signal, RecentRate> decayed = new EnumMap<>(Signal.class);
-            state.recent().forEach((signal, rate) -> decayed.put(signal, rate.decayed()));
-            rates.put(scope, decayed);
-        });
-        cells.forEach((cell, pair) -> {
-            Tally history = before.history().getOrDefault(cell, Tally.EMPTY);
-            for (Signal signal : Signal.values()) {
-                Usual usual = Usual.of(signal, history);
-                long trials = signal.trials(pair.old);
-                double excess = signal.hits(pair.old, usual.slowBucket) - usual.rate * trials;
-                for (Scope scope : cell.containing()) {
-                    rates.computeIfAbsent(scope, absent -> new EnumMap<>(Signal.class))
-                            .merge(
-                                    signal,
-                                    RecentRate.NONE.plus(excess, trials),
-                                    (rate, one) -> rate.plus(excess, trials));
-                }
+    private static void forEachTest(ScopeState state, BiConsumer<Signal, SequentialTest> action) {
+        for (Signal signal : Signal.values()) {
+            action.accept(signal, state.test(signal));
+        }
+    }
+
+    private static void addOld(Pair pair, History history, Map<Scope, PeriodSums> sums) {
+        List<PeriodSums> containing = new ArrayList<>(history.scopes().size());
+        for (Scope scope : history.scopes()) {
+            containing.add(sums.computeIfAbsent(scope, absent -> new PeriodSums()));
+        }
+        for (Signal signal : Signal.values()) {
+            Usual usual = history.usual().get(signal.index());
+            long hits = signal.hits(pair.old, usual.slowBucket());
+            long trials = signal.trials(pair.old);
+            for (PeriodSums sum : containing) {
+                sum.addOld(signal, usual, hits, trials);
             }
-        });
-        rates.forEach((scope, bySignal) ->
-                scopes.put(scope, scopes.getOrDefault(scope, ScopeState.START).withRecent(bySignal)));
+        }
     }
 
-    private static void addPeriods(
-            Map<Scope, Map<Signal, Period>> periods,
-            Scope cell,
+    private static void compare(
             Pair pair,
-            Tally history,
+            History history,
             Map<Scope, ScopeState> scopes,
+            Map<Scope, PeriodSums> sums,
             boolean judgeLatency) {
+        List<ScopeState> states = history.scopes().stream().map(scopes::get).toList();
+        List<PeriodSums> containing = history.scopes().stream().map(sums::get).toList();
+        boolean latencyKnown = judgeLatency && history.total().latency().total() >= LATENCY_CALLS;
         for (Signal signal : Signal.values()) {
-            if (signal.isLatency() && (!judgeLatency || history.latency().total() < LATENCY_CALLS)) {
+            if (signal.isLatency() && !latencyKnown) {
                 continue;
             }
-            Usual usual = Usual.of(signal, history);
+            Usual usual = history.usual().get(signal.index());
             double excess = 0;
-            for (Scope scope : cell.containing()) {
-                excess = Math.max(excess, scopes.get(scope).recent(signal).excess());
+            for (ScopeState state : states) {
+                excess = Math.max(excess, state.recent().get(signal.index()).excess());
             }
             Signal.Margin margin = signal.margin();
-            double tolerable = Math.min(1, margin.tolerance() * (usual.rate + excess) + margin.allowance());
+            double tolerable = Math.min(1, margin.tolerance() * (usual.rate() + excess) + margin.allowance());
             long trials = signal.trials(pair.fresh);
-            Period period = new Period(
-                    signal.hits(pair.fresh, usual.slowBucket),
+            SequentialTest.Period period = new SequentialTest.Period(
+                    signal.hits(pair.fresh, usual.slowBucket()),
                     trials,
                     tolerable * trials,
-                    signal.hits(pair.old, usual.slowBucket),
+                    signal.hits(pair.old, usual.slowBucket()),
                     signal.trials(pair.old));
-            for (Scope scope : cell.containing()) {
-                periods.computeIfAbsent(scope, absent -> new EnumMap<>(Signal.class))
-                        .merge(signal, period, Period::plus);
+            for (PeriodSums sum : containing) {
+                sum.addCompared(signal, period);
             }
         }
     }
 
-    /** The old version's usual rate of one signal on one route and zone. */
-    private record Usual(double rate, int slowBucket) {
-        static Usual of(Signal signal, Tally history) {
-            int bucket = signal.isLatency() ? history.latency().bucketAbove(signal.quantile()) : 0;
-            double hits = signal.hits(history, bucket) + PRIOR_CALLS * signal.prior();
-            return new Usual(hits / (signal.trials(history) + PRIOR_CALLS), bucket);
-        }
-    }
-
     /** Calls of both versions on one route and zone. */
     private record Pair(Tally old, Tally fresh) {
         Pair plus(Pair other) {
--- a/core/src/main/java/org/mimosahinge/core/move/Judgement.java
+++ b/core/src/main/java/org/mimosahinge/core/move/Judgement.java
@@ -8,11 +8,7 @@
  * @param history the old version's calls by route and zone since the comparison began
  * @param scopes tests by scope
  */
-public record Judgement(Map<Scope, Tally> history, Map<Scope, ScopeState> scopes) {
+public record Judgement(Map<Scope, History> history, Map<Scope, ScopeState> scopes) {
     /** A comparison without calls. */
     public static final Judgement START = new Judgement(Map.of(), Map.of());
-
-    ScopeState scope(Scope scope) {
-        return scopes.getOrDefault(scope, ScopeState.START);
-    }
 }
--- a/core/src/main/java/org/mimosahinge/core/move/LatencyHistogram.java
+++ b/core/src/main/java/org/mimosahinge/core/move/LatencyHistogram.java
@@ -1,5 +1,7 @@
 package org.mimosahinge.core.move;
 
+import java.util.stream.IntStream;
+
 /**
  * Latencies in logarithmic buckets, two per factor of two, from 1 ms to 65 s.
  *
@@ -15,6 +17,9 @@
     public static final LatencyHistogram EMPTY = new LatencyHistogram(Counts.zeros(BUCKETS));
 
     private static final double LOG_OF_BUCKET = Math.log(2) / 2;
+    private static final double[] MIDDLES_MS = IntStream.range(0, BUCKETS)
+            .mapToDouble(bucket -> Math.exp((bucket + 0.5) * LOG_OF_BUCKET))
+            .toArray();
 
     /**
      * Returns the bucket of a latency.
@@ -80,7 +85,7 @@
     public double sumMs() {
         double sum = 0;
         for (int i = 0; i < BUCKETS; i++) {
-            sum += counts.at(i) * Math.exp((i + 0.5) * LOG_OF_BUCKET);
+            sum += counts.at(i) * MIDDLES_MS[i];
         }
         return sum;
     }
--- a/core/src/main/java/org/mimosahinge/core/move/Observation.java
+++ b/core/src/main/java/org/mimosahinge/core/move/Observation.java
@@ -11,7 +11,7 @@
  * @param stepStartedAt when the observer began to collect under the current share
  * @param latencyFrom when latency begins to count; new processes are slow until caches and code are warm
  * @param lastAt end of the last period included
- * @param step evidence under the current share
+ * @param step calls under the current share
  * @param judgement comparison of the versions, kept across steps
  */
 public record Observation(
@@ -19,7 +19,7 @@
         Instant stepStartedAt,
         Instant latencyFrom,
         Instant lastAt,
-        Evidence step,
+        StepCalls step,
         Judgement judgement) {
     /** Time after the first share during which a new version may be slow. */
     public static final Duration WARM_UP = Duration.ofMinutes(4);
@@ -39,7 +39,7 @@
         Instant warm = state.since().plus(WARM_UP);
         boolean first = state.sharePermille() > 0 && state.sharePermille() <= MovePlan.FIRST_SHARE_PERMILLE;
         Instant latencyFrom = first && warm.isAfter(settled) ? warm : settled;
-        return new Observation(Versions.of(state), now, latencyFrom, now, Evidence.EMPTY, Judgement.START);
+        return new Observation(Versions.of(state), now, latencyFrom, now, StepCalls.EMPTY, Judgement.START);
     }
 
     /**
@@ -50,8 +50,22 @@
      * @return the observation with the period included
      */
     public Observation plus(Instant until, Evidence evidence) {
+        if (evidence.tallies().isEmpty()) {
+            return new Observation(versions, stepStartedAt, latencyFrom, until, step, judgement);
+        }
         Judgement next = Judge.advance(judgement, evidence, versions, !until.isBefore(latencyFrom));
-        return new Observation(versions, stepStartedAt, latencyFrom, until, step.plus(evidence), next);
+        return new Observation(versions, stepStartedAt, latencyFrom, until, step.plus(evidence, versions), next);
+    }
+
+    /**
+     * Adds the calls of a period without comparing the versions, for policies that do not look at the comparison.
+     *
+     * @param until end of the period
+     * @param evidence merged evidence of that period
+     * @return the observation with the calls included
+     */
+    public Observation withoutComparison(Instant until, Evidence evidence) {
+        return new Observation(versions, stepStartedAt, latencyFrom, until, step.plus(evidence, versions), judgement);
     }
 
     /**
@@ -64,7 +78,7 @@
     public Observation nextStep(MoveState before, MoveState after) {
         Instant now = after.since();
         boolean first = before.sharePermille() == 0;
-        return new Observation(versions, now, now.plus(first ? WARM_UP : SETTLE), lastAt, Evidence.EMPTY, judgement);
+        return new Observation(versions, now, now.plus(first ? WARM_UP : SETTLE), lastAt, StepCalls.EMPTY, judgement);
     }
 
     /**
@@ -82,6 +96,6 @@
      * @return calls per second
      */
     public double callsPerSecond() {
-        return step.total(key -> true).calls() / Math.max(1.0, soaked().toMillis() / 1000.0);
+        return step.calls() / Math.max(1.0, soaked().toMillis() / 1000.0);
     }
 }
--- a/core/src/main/java/org/mimosahinge/core/move/RecentRate.java
+++ b/core/src/main/java/org/mimosahinge/core/move/RecentRate.java
@@ -19,12 +19,13 @@
     /** Calls without hits added to each estimate, so that one hit among few calls is not taken for trouble. */
     private static final double SHRINKAGE = 3;
 
-    RecentRate decayed() {
-        return new RecentRate(fast * FAST_DECAY, fastTrials * FAST_DECAY, slow * SLOW_DECAY, slowTrials * SLOW_DECAY);
-    }
-
+    /** Lets one period pass and adds its calls. */
     RecentRate plus(double excessHits, long trials) {
-        return new RecentRate(fast + excessHits, fastTrials + trials, slow + excessHits, slowTrials + trials);
+        return new RecentRate(
+                fast * FAST_DECAY + excessHits,
+                fastTrials * FAST_DECAY + trials,
+                slow * SLOW_DECAY + excessHits,
+                slowTrials * SLOW_DECAY + trials);
     }
 
     double excess() {
--- a/core/src/main/java/org/mimosahinge/core/move/Signal.java
+++ b/core/src/main/java/org/mimosahinge/core/move/Signal.java
@@ -7,20 +7,20 @@
 @SuppressWarnings("ImmutableEnumChecker") // The margins are records of numbers and the lambdas hold no state.
 public enum Signal {
     /** Failed calls, against a rate of a few times the old version's. */
-    FAILURES(Code.MORE_ERRORS, Signal::failures, new Margin(1.5, 0.002, 4, 0.5)),
+    FAILURES(0, Code.MORE_ERRORS, Signal::failures, new Margin(1.5, 0.002, 4, 0.5)),
     /** Failed calls, against a far higher rate, which few calls suffice to show. */
-    SEVERE_FAILURES(Code.MORE_ERRORS, Signal::failures, new Margin(1.5, 0.002, 20, 0.5)),
+    SEVERE_FAILURES(1, Code.MORE_ERRORS, Signal::failures, new Margin(1.5, 0.002, 20, 0.5)),
     /** Failures that no network causes; they count even when they show in one zone only. */
-    SERVER_FAILURES(Code.MORE_ERRORS, Signal::serverFailures, new Margin(1.5, 0.002, 20, 0.5)),
+    SERVER_FAILURES(2, Code.MORE_ERRORS, Signal::serverFailures, new Margin(1.5, 0.002, 20, 0.5)),
     /** Calls slower than nine in ten of the old version's. */
-    SLOW(Code.SLOWER, null, new Margin(1.5, 0.02, 3, 0.2)),
+    SLOW(3, Code.SLOWER, null, new Margin(1.5, 0.02, 3, 0.2)),
     /** Calls slower than 99 in 100 of the old version's. */
-    SLOW_TAIL(Code.SLOWER, null, new Margin(2, 0.01, 6, 0.2)),
+    SLOW_TAIL(4, Code.SLOWER, null, new Margin(2, 0.01, 6, 0.2)),
     /** Calls shed; old backend servers under load shed too, so the margin is wide. */
-    SHED(Code.MORE_SHED, tally -> tally.failed(FailureKind.SHED), new Margin(2, 0.02, 6, 0.2)),
+    SHED(5, Code.MORE_SHED, tally -> tally.failed(FailureKind.SHED), new Margin(2, 0.02, 6, 0.2)),
     /** Calls rejected with 4xx; one faulty caller can cause many, so the margin is wide. */
     CALLER_ERRORS(
-            Code.MORE_CALLER_ERRORS, tally -> tally.failed(FailureKind.CALLER_ERROR), new Margin(2, 0.02, 5, 0.2));
+            6, Code.MORE_CALLER_ERRORS, tally -> tally.failed(FailureKind.CALLER_ERROR), new Margin(2, 0.02, 5, 0.2));
 
     /**
      * Weight of one crash in failed calls.
@@ -30,11 +30,16 @@
      */
     private static final int CRASH_WEIGHT = 2;
 
+    /** Number of signals. */
+    static final int COUNT = values().length;
+
+    private final int index;
     private final Code code;
     private final ToLongFunction<Tally> counted;
     private final Margin margin;
 
-    Signal(Code code, ToLongFunction<Tally> counted, Margin margin) {
+    Signal(int index, Code code, ToLongFunction<Tally> counted, Margin margin) {
+        this.index = index;
         this.code = code;
         this.counted = counted;
         this.margin = margin;
@@ -51,6 +56,11 @@
      */
     record Margin(double tolerance, double allowance, double ratio, double step) {}
 
+    /** Returns the position in lists by signal. */
+    int index() {
+        return index;
+    }
+
     Code code() {
         return code;
     }
--- a/core/src/main/java/org/mimosahinge/core/move/StandardMovePolicy.java
+++ b/core/src/main/java/org/mimosahinge/core/move/StandardMovePolicy.java
@@ -4,8 +4,6 @@
 import java.time.Instant;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.TreeSet;
-import java.util.stream.Collectors;
 import org.mimosahinge.api.config.MovePhase;
 import org.mimosahinge.api.config.MoveState;
 import org.mimosahinge.api.contract.Move;
@@ -100,20 +98,12 @@
     }
 
     private static List<Finding> notJudged(Observation observation) {
-        TreeSet<String> routes = observation.step().tallies().keySet().stream()
-                .map(EvidenceKey::route)
-                .collect(Collectors.toCollection(TreeSet::new));
         List<Finding> findings = new ArrayList<>();
-        for (String route : routes) {
-            long calls = observation
-                    .step()
-                    .total(key -> key.route().equals(route)
-                            && key.version().equals(observation.versions().to()))
-                    .calls();
+        observation.step().freshByRoute().forEach((route, calls) -> {
             if (calls < JUDGED_CALLS) {
                 findings.add(new Finding(Code.TOO_LITTLE_TRAFFIC, "route " + route, "new version got " + calls));
             }
-        }
+        });
         return findings;
     }
 
--- a/core/src/main/java/org/mimosahinge/core/move/Tally.java
+++ b/core/src/main/java/org/mimosahinge/core/move/Tally.java
@@ -18,6 +18,9 @@
      * @return the sum
      */
     public Tally plus(Tally other) {
+        if (calls == 0 || other.calls == 0) {
+            return calls == 0 ? other : this;
+        }
         return new Tally(calls + other.calls, failures.plus(other.failures), latency.plus(other.latency));
     }
 
