--- a/bench/src/main/java/org/mimosahinge/bench/move/MoveMeasurement.java
+++ b/bench/src/main/java/org/mimosahinge/bench/move/MoveMeasurement.java
@@ -41,8 +41,8 @@
             if (failures) {
                 standard.stream()
                         .filter(outcome -> !outcome.wanted())
-                        .forEach(outcome ->
-                                System.out.println("failure deployment=" + deployment.name() + " " + outcome));
+                        .forEach(outcome -> System.out.println("failure deployment=" + deployment.name() + " kind="
+                                + outcome.kind().name() + " seed=" + outcome.seed() + " " + outcome.result()));
                 continue;
             }
             printKinds(deployment, standard, kinds);
--- a/core/src/main/java/org/mimosahinge/core/move/PeriodSums.java
+++ b/core/src/main/java/org/mimosahinge/core/move/PeriodSums.java
@@ -41,14 +41,9 @@
         List<SequentialTest> tests = new ArrayList<>(Signal.COUNT);
         for (Signal signal : Signal.values()) {
             int i = signal.index();
-            SequentialTest test = before.tests().get(i);
-            tests.add(
-                    newTrials[i] == 0
-                            ? test
-                            : test.plus(
-                                    new SequentialTest.Period(
-                                            newHits[i], newTrials[i], expected[i], oldHits[i], oldTrials[i]),
-                                    signal.margin()));
+            SequentialTest.Period period =
+                    new SequentialTest.Period(newHits[i], newTrials[i], expected[i], oldHits[i], oldTrials[i]);
+            tests.add(before.tests().get(i).plus(period, signal.margin()));
         }
         return new ScopeState(tests, before.recent());
     }
--- a/core/src/main/java/org/mimosahinge/core/move/SequentialTest.java
+++ b/core/src/main/java/org/mimosahinge/core/move/SequentialTest.java
@@ -25,6 +25,9 @@
     /** A test without evidence. */
     public static final SequentialTest START = new SequentialTest(0, 0, 0, 0, 0);
 
+    /** Largest sum; a higher one would outlast the fault and hold the share back. */
+    public static final double CEILING = 2 * THRESHOLD;
+
     /** Above the tolerable rate times this ratio no larger ratio fits below certainty. */
     private static final double CERTAIN = 0.95;
 
@@ -42,10 +45,9 @@
     record Period(long newHits, long newTrials, double expected, long oldHits, long oldTrials) {}
 
     SequentialTest plus(Period period, Signal.Margin margin) {
-        double highest = CERTAIN * period.newTrials / period.expected;
-        double ratio = Math.max(SMALLEST_RATIO, Math.min(margin.ratio(), highest));
-        double increment = period.newHits * Math.log(ratio) - period.expected * (ratio - 1);
-        double next = sum + Math.min(increment, margin.step() * THRESHOLD);
+        double next = Math.min(CEILING, sum + increment(period, margin));
+        // The old version's calls count even in a period without calls of the new one, or a rare route would have no
+        // contrast.
         return next <= 0
                 ? START
                 : new SequentialTest(
@@ -56,6 +58,21 @@
                         oldTrials + period.oldTrials);
     }
 
+    private static double increment(Period period, Signal.Margin margin) {
+        if (period.newTrials == 0) {
+            return 0;
+        }
+        double highest = CERTAIN * period.newTrials / period.expected;
+        double ratio = Math.max(SMALLEST_RATIO, Math.min(margin.ratio(), highest));
+        double evidence = period.newHits * Math.log(ratio) - period.expected * (ratio - 1);
+        return Math.min(evidence, margin.step() * THRESHOLD);
+    }
+
+    /** Keeps the sum and compares the versions anew, because calls under another share do not compare. */
+    SequentialTest underNewShare() {
+        return sum == 0 ? START : new SequentialTest(sum, 0, 0, 0, 0);
+    }
+
     /**
      * Measures how clearly the hits since the start fell on the new version instead of on both.
      *
--- a/core/src/test/java/org/mimosahinge/core/move/MoveInvariantsTest.java
+++ b/core/src/test/java/org/mimosahinge/core/move/MoveInvariantsTest.java
@@ -71,6 +71,30 @@
                 : STANDARD.decide(view);
     };
 
+    private static final MovePolicy FIXED_THRESHOLD_ONLY = view -> {
+        MoveDecision decision = STANDARD.decide(view);
+        return decision.kind() == Kind.TAKE_BACK ? FIXED_THRESHOLD.decide(withoutJudgement(view)) : decision;
+    };
+
+    private static final MovePolicy FORGETS_COMPARISONS =
+            view -> STANDARD.decide(withObservation(view, view.observation().judgement()));
+
+    private static final MovePolicy JUDGES_WITHOUT_CONTROL =
+            view -> Judge.uncontrolled(view.observation().judgement()).isEmpty()
+                    ? STANDARD.decide(view)
+                    : MoveDecision.of(Kind.TAKE_BACK, 0, Finding.of(Code.MORE_ERRORS, ""));
+
+    private static MoveView withoutJudgement(MoveView view) {
+        return withObservation(view, Judgement.START);
+    }
+
+    private static MoveView withObservation(MoveView view, Judgement judgement) {
+        Observation seen = view.observation();
+        Observation other = new Observation(
+                seen.versions(), seen.stepStartedAt(), seen.latencyFrom(), seen.lastAt(), seen.step(), judgement, 0);
+        return new MoveView(view.now(), view.state(), view.move(), other, view.conditions());
+    }
+
     private static MoveDecision raise(int share) {
         return MoveDecision.of(Kind.RAISE, share, Finding.of(Code.NOT_DUE, ""));
     }
@@ -172,6 +196,28 @@
                         good.withWithdrawal(second -> second > 900),
                         IGNORES_WITHDRAWAL,
                         ticks -> endsAt(ticks, MovePhase.CANCELLED)),
+                invariant(
+                        "a fault on a rare route is taken back",
+                        Scenario.of(Outcome.ofNew(
+                                (second, key, share, random) -> key.route().equals("statement")
+                                        ? Outcome.failure(FailureKind.SERVER_ERROR)
+                                        : Outcome.usual(random))),
+                        FIXED_THRESHOLD_ONLY,
+                        ticks -> endsAt(ticks, MovePhase.TAKEN_BACK)),
+                invariant(
+                        "a fault that shows only under load is taken back",
+                        Scenario.of(Outcome.ofNew((second, key, share, random) ->
+                                share > 850 ? 5 * Math.abs(Outcome.usual(random)) : Outcome.usual(random))),
+                        FORGETS_COMPARISONS,
+                        ticks -> endsAt(ticks, MovePhase.TAKEN_BACK)),
+                invariant(
+                        "trouble of both versions under full share takes no good version back",
+                        Scenario.of((second, key, share, random) ->
+                                second >= 1530 && second < 1560 && random.nextInt(6) == 0
+                                        ? Outcome.failure(FailureKind.SERVER_ERROR)
+                                        : Outcome.usual(random)),
+                        JUDGES_WITHOUT_CONTROL,
+                        ticks -> endsAt(ticks, MovePhase.DONE)),
                 invariant(
                         "trouble of a zone takes no good version back",
                         Scenario.of(failingInZone(600, 900)),
