Test the decisions under crossed updates, pauses and drifting clocks

Properties with fixed seeds and parameterised cases; faulty variants as lambdas show that a property can fail.

The lease simulation found that a holder could count a lease from a repeated write although the first one had taken effect, and so act after a successor. LeaseState now keeps the time of the first write until a read settles it. Endpoint removals are expanded into tombstones per endpoint, because a removal by node would not reach nodes that learn of the endpoint later.

--- a/core/src/main/java/org/mimosahinge/core/config/Endpoints.java
+++ b/core/src/main/java/org/mimosahinge/core/config/Endpoints.java
@@ -1,13 +1,14 @@
 package org.mimosahinge.core.config;
 
-import java.util.ArrayList;
+import java.util.Collection;
 import java.util.Comparator;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
-import java.util.function.UnaryOperator;
+import java.util.stream.Collectors;
 import org.mimosahinge.api.world.Endpoint;
 import org.mimosahinge.api.world.EndpointState;
 import org.mimosahinge.api.world.Stamp;
@@ -20,43 +21,49 @@
     private Endpoints() {}
 
     /**
-     * Merges one state.
+     * Merges states.
      *
      * @param known endpoints by service
-     * @param update the state received
+     * @param updates the states received
      * @return the merged endpoints, the same map when nothing changes
      */
-    static Map<String, List<Endpoint>> merge(Map<String, List<Endpoint>> known, Endpoint update) {
-        Optional<Endpoint> held = find(known, update.id());
-        if (held.isPresent() && LATEST.compare(held.get(), update) >= 0) {
-            return known;
+    static Map<String, List<Endpoint>> merge(Map<String, List<Endpoint>> known, Collection<Endpoint> updates) {
+        Map<String, Endpoint> byId = new HashMap<>();
+        known.values().forEach(endpoints -> endpoints.forEach(endpoint -> byId.put(endpoint.id(), endpoint)));
+        Set<String> changed = new HashSet<>();
+        for (Endpoint update : updates) {
+            Endpoint held = byId.get(update.id());
+            if (held == null || LATEST.compare(held, update) < 0) {
+                byId.put(update.id(), update);
+                changed.add(service(update));
+                if (held != null) {
+                    // A backend server may return at the same address for another service.
+                    changed.add(service(held));
+                }
+            }
         }
-        Map<String, List<Endpoint>> merged = new HashMap<>(known);
-        // A backend server may return at the same address for another service.
-        held.ifPresent(old -> without(merged, old));
-        List<Endpoint> ofService = new ArrayList<>(merged.getOrDefault(service(update), List.of()));
-        ofService.add(update);
-        ofService.sort(Comparator.comparing(Endpoint::id));
-        merged.put(service(update), List.copyOf(ofService));
-        return merged;
+        return changed.isEmpty() ? known : replaced(known, changed, byId.values());
     }
 
     /**
-     * Turns the endpoints of a failed node into tombstones that no state of the failed incarnation can replace.
+     * Lists the tombstones of a failed node, which replace every state of the failed incarnation.
+     *
+     * <p>The relay sends them as ordinary states. A node that has not known an endpoint before then learns of the
+     * tombstone as well and ignores a late older state.
      *
      * @param known endpoints by service
      * @param removal the failed node
-     * @return the endpoints, the same map when nothing changes
+     * @return one tombstone for each endpoint that the removal changes
      */
-    static Map<String, List<Endpoint>> remove(Map<String, List<Endpoint>> known, NodeRemoval removal) {
+    public static List<Endpoint> tombstones(Map<String, List<Endpoint>> known, NodeRemoval removal) {
         Stamp last = new Stamp(removal.incarnation(), Long.MAX_VALUE);
-        return mapEach(known, endpoint -> {
-            boolean applies = endpoint.node().id().equals(removal.node())
-                    && endpoint.stamp().compareTo(last) < 0;
-            return applies
-                    ? new Endpoint(endpoint.id(), endpoint.server(), endpoint.node(), EndpointState.GONE, last)
-                    : endpoint;
-        });
+        return known.values().stream()
+                .flatMap(List::stream)
+                .filter(endpoint -> endpoint.node().id().equals(removal.node())
+                        && endpoint.stamp().compareTo(last) < 0)
+                .map(endpoint ->
+                        new Endpoint(endpoint.id(), endpoint.server(), endpoint.node(), EndpointState.GONE, last))
+                .toList();
     }
 
     /**
@@ -67,11 +74,11 @@
      * @return the remaining endpoints, the same map when nothing changes
      */
     static Map<String, List<Endpoint>> prune(Map<String, List<Endpoint>> known, Set<String> endpointIds) {
-        return mapEach(
-                known,
-                endpoint -> endpoint.state() == EndpointState.GONE && endpointIds.contains(endpoint.id())
-                        ? null
-                        : endpoint);
+        List<Endpoint> all = known.values().stream().flatMap(List::stream).toList();
+        List<Endpoint> kept = all.stream()
+                .filter(endpoint -> endpoint.state() != EndpointState.GONE || !endpointIds.contains(endpoint.id()))
+                .toList();
+        return kept.size() == all.size() ? known : replaced(known, known.keySet(), kept);
     }
 
     /**
@@ -88,39 +95,15 @@
         return removed ? Optional.of(new Stamp(heard.stamp().incarnation() + 1, 0)) : Optional.empty();
     }
 
-    private static Optional<Endpoint> find(Map<String, List<Endpoint>> known, String id) {
-        return known.values().stream()
-                .flatMap(List::stream)
-                .filter(endpoint -> endpoint.id().equals(id))
-                .findFirst();
-    }
-
-    private static void without(Map<String, List<Endpoint>> endpoints, Endpoint old) {
-        List<Endpoint> rest = endpoints.get(service(old)).stream()
-                .filter(endpoint -> !endpoint.id().equals(old.id()))
-                .toList();
-        putOrRemove(endpoints, service(old), rest);
-    }
-
-    private static Map<String, List<Endpoint>> mapEach(
-            Map<String, List<Endpoint>> known, UnaryOperator<Endpoint> change) {
-        Map<String, List<Endpoint>> changed = new HashMap<>();
-        known.forEach((service, endpoints) -> putOrRemove(
-                changed,
-                service,
-                endpoints.stream()
-                        .map(change)
-                        .filter(endpoint -> endpoint != null)
-                        .toList()));
-        return changed.equals(known) ? known : changed;
-    }
-
-    private static void putOrRemove(Map<String, List<Endpoint>> endpoints, String service, List<Endpoint> ofService) {
-        if (ofService.isEmpty()) {
-            endpoints.remove(service);
-        } else {
-            endpoints.put(service, ofService);
-        }
+    private static Map<String, List<Endpoint>> replaced(
+            Map<String, List<Endpoint>> known, Set<String> services, Collection<Endpoint> all) {
+        Map<String, List<Endpoint>> result = new HashMap<>(known);
+        result.keySet().removeAll(services);
+        result.putAll(all.stream()
+                .filter(endpoint -> services.contains(service(endpoint)))
+                .sorted(Comparator.comparing(Endpoint::id))
+                .collect(Collectors.groupingBy(Endpoints::service, Collectors.toUnmodifiableList())));
+        return result;
     }
 
     private static String service(Endpoint endpoint) {
--- a/core/src/main/java/org/mimosahinge/core/config/SnapshotBuilder.java
+++ b/core/src/main/java/org/mimosahinge/core/config/SnapshotBuilder.java
@@ -1,5 +1,6 @@
 package org.mimosahinge.core.config;
 
+import java.util.Collection;
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -106,7 +107,18 @@
      * @return the snapshot with this state, or the same snapshot when nothing changes
      */
     public static Snapshot withEndpoint(Snapshot current, Endpoint endpoint) {
-        return withEndpoints(current, Endpoints.merge(current.endpoints(), endpoint));
+        return withEndpoints(current, List.of(endpoint));
+    }
+
+    /**
+     * Records the states of several endpoints.
+     *
+     * @param current the snapshot in force
+     * @param endpoints the states, as for one endpoint
+     * @return the snapshot with these states, or the same snapshot when nothing changes
+     */
+    public static Snapshot withEndpoints(Snapshot current, Collection<Endpoint> endpoints) {
+        return replaceEndpoints(current, Endpoints.merge(current.endpoints(), endpoints));
     }
 
     /**
@@ -117,7 +129,7 @@
      * @return the snapshot in which this and earlier incarnations have no live endpoint
      */
     public static Snapshot withRemoval(Snapshot current, NodeRemoval removal) {
-        return withEndpoints(current, Endpoints.remove(current.endpoints(), removal));
+        return withEndpoints(current, Endpoints.tombstones(current.endpoints(), removal));
     }
 
     /**
@@ -128,7 +140,7 @@
      * @return the snapshot without these tombstones; live endpoints stay
      */
     public static Snapshot withoutTombstones(Snapshot current, Set<String> endpointIds) {
-        return withEndpoints(current, Endpoints.prune(current.endpoints(), endpointIds));
+        return replaceEndpoints(current, Endpoints.prune(current.endpoints(), endpointIds));
     }
 
     /**
@@ -199,7 +211,7 @@
         return mark.sectionRevision() < revisions.getOrDefault(mark.service(), 0L);
     }
 
-    private static Snapshot withEndpoints(Snapshot current, Map<String, List<Endpoint>> endpoints) {
+    private static Snapshot replaceEndpoints(Snapshot current, Map<String, List<Endpoint>> endpoints) {
         return endpoints == current.endpoints()
                 ? current
                 : copy(current, endpoints, current.halts(), current.provenCurrent());
--- /dev/null
+++ b/core/src/main/java/org/mimosahinge/core/lease/LeaseAttempt.java
@@ -0,0 +1,9 @@
+package org.mimosahinge.core.lease;
+
+/**
+ * A conditional write of a lease row whose outcome is not known yet.
+ *
+ * @param write the row and the revision that it must have before
+ * @param sentNanos when the write was first sent, by the sender's monotonic clock
+ */
+public record LeaseAttempt(Stored<LeaseRow> write, long sentNanos) {}
--- a/core/src/main/java/org/mimosahinge/core/lease/LeaseDecision.java
+++ b/core/src/main/java/org/mimosahinge/core/lease/LeaseDecision.java
@@ -21,72 +21,80 @@
      * @return the action
      */
     public static LeaseAction decide(LeaseView view) {
-        return view.held().map(held -> asHolder(view, held)).orElseGet(() -> asCandidate(view));
+        return view.state().held().map(held -> asHolder(view, held)).orElseGet(() -> asCandidate(view));
     }
 
     /**
-     * Takes note of a row that is held by this node after an acquisition or renewal, also when its response was lost
-     * and the row was read back.
+     * Takes note of the row from a response to a write, a conflict or a read.
      *
-     * @param view what the node knew when it sent the write
-     * @param row the row as committed or read back
-     * @param sentNanos when the write was sent; after several unanswered writes the earliest of them
-     * @return the held lease, empty when the row belongs to another holder or incarnation
+     * <p>A revision above the one that the node's last write required settles that write: it has taken effect if the
+     * row carries this node and the epoch written, and can no longer take effect otherwise. A lost response is handled
+     * by the next read.
+     *
+     * @param view what the node knows
+     * @param row the row as committed or read
+     * @return the state afterwards
      */
-    public static Optional<HeldLease> confirm(LeaseView view, Stored<LeaseRow> row, long sentNanos) {
-        boolean epochKept =
-                view.held().map(held -> held.epoch() == row.value().epoch()).orElse(true);
-        if (!heldBy(row.value(), view.self()) || !epochKept) {
-            return Optional.empty();
-        }
-        boolean written =
-                view.held().map(held -> held.rowRevision() != row.rowRevision()).orElse(true);
-        if (!written) {
-            return view.held();
-        }
-        long validNanos = TimeUnit.MILLISECONDS.toNanos(
-                row.value().ttlMs() - view.timing().marginMs());
-        return Optional.of(
-                new HeldLease(view.key(), row.rowRevision(), row.value().epoch(), sentNanos, sentNanos + validNanos));
+    public static LeaseState received(LeaseView view, Stored<LeaseRow> row) {
+        LeaseState state = view.state();
+        LeaseObservation observed = state.observed().then(row, view.nowNanos());
+        Optional<LeaseAttempt> settled = state.attempt()
+                .filter(attempt -> row.rowRevision() > attempt.write().rowRevision());
+        Optional<HeldLease> written = settled.filter(attempt -> heldBy(row.value(), view.self())
+                        && row.value().epoch() == attempt.write().value().epoch())
+                .map(attempt -> held(view, row, attempt.sentNanos()));
+        return new LeaseState(
+                observed, written.or(state::held), settled.isPresent() ? Optional.empty() : state.attempt());
+    }
+
+    private static HeldLease held(LeaseView view, Stored<LeaseRow> row, long sentNanos) {
+        long validMs = row.value().ttlMs() - view.timing().marginMs();
+        return new HeldLease(
+                view.key(),
+                row.rowRevision(),
+                row.value().epoch(),
+                sentNanos,
+                sentNanos + TimeUnit.MILLISECONDS.toNanos(validMs));
     }
 
     private static LeaseAction asHolder(LeaseView view, HeldLease held) {
-        Stored<LeaseRow> row = view.observed().row();
+        Stored<LeaseRow> row = view.state().observed().row();
         boolean replaced = row.rowRevision() > held.rowRevision()
                 && (!heldBy(row.value(), view.self()) || row.value().epoch() != held.epoch());
         if (replaced || !held.validAt(view.nowNanos())) {
             return new LeaseAction.GiveUp();
         }
-        LeaseRow own = new LeaseRow(
-                Optional.of(view.self().id()),
-                view.self().incarnation(),
-                held.epoch(),
-                view.timing().ttlMs());
-        if (view.leaving() && view.successorReady()) {
-            return new LeaseAction.Release(
-                    new Stored<>(held.rowRevision(), new LeaseRow(Optional.empty(), 0, held.epoch(), own.ttlMs())));
-        }
         long renewAt = held.confirmedNanos()
                 + TimeUnit.MILLISECONDS.toNanos(view.timing().renewMs());
+        if (view.writing()) {
+            return new LeaseAction.Await(held.validUntilNanos());
+        }
+        if (view.leaving() && view.successorReady()) {
+            LeaseRow free = new LeaseRow(
+                    Optional.empty(), 0, held.epoch(), view.timing().ttlMs());
+            return new LeaseAction.Release(new Stored<>(held.rowRevision(), free));
+        }
         return view.nowNanos() - renewAt >= 0
-                ? new LeaseAction.Renew(new Stored<>(held.rowRevision(), own))
+                ? new LeaseAction.Renew(new Stored<>(held.rowRevision(), own(view, held.epoch())))
                 : new LeaseAction.Await(renewAt);
     }
 
     private static LeaseAction asCandidate(LeaseView view) {
-        LeaseRow row = view.observed().row().value();
+        LeaseObservation observed = view.state().observed();
+        LeaseRow row = observed.row().value();
         long freeAt = row.holder().isEmpty()
                 ? view.nowNanos()
-                : view.observed().sinceNanos() + TimeUnit.MILLISECONDS.toNanos(row.ttlMs());
-        if (view.leaving() || view.nowNanos() - freeAt < 0) {
+                : observed.sinceNanos() + TimeUnit.MILLISECONDS.toNanos(row.ttlMs());
+        if (view.writing() || view.leaving() || view.nowNanos() - freeAt < 0) {
             return new LeaseAction.Await(freeAt);
         }
-        LeaseRow taken = new LeaseRow(
-                Optional.of(view.self().id()),
-                view.self().incarnation(),
-                row.epoch() + 1,
-                view.timing().ttlMs());
-        return new LeaseAction.Acquire(new Stored<>(view.observed().row().rowRevision(), taken));
+        return new LeaseAction.Acquire(new Stored<>(observed.row().rowRevision(), own(view, row.epoch() + 1)));
+    }
+
+    private static LeaseRow own(LeaseView view, long epoch) {
+        Node self = view.self();
+        return new LeaseRow(
+                Optional.of(self.id()), self.incarnation(), epoch, view.timing().ttlMs());
     }
 
     private static boolean heldBy(LeaseRow row, Node node) {
--- a/core/src/main/java/org/mimosahinge/core/lease/LeaseObservation.java
+++ b/core/src/main/java/org/mimosahinge/core/lease/LeaseObservation.java
@@ -12,23 +12,9 @@
      *
      * @param read the row read
      * @param receivedNanos when the response was received
-     * @return the observation; an unchanged row keeps its time
+     * @return the observation; an unchanged row keeps its time and a response overtaken by a later one is ignored
      */
     public LeaseObservation then(Stored<LeaseRow> read, long receivedNanos) {
-        if (read.rowRevision() > row.rowRevision()) {
-            return new LeaseObservation(read, receivedNanos);
-        }
-        return this;
-    }
-
-    /**
-     * Starts from the first read.
-     *
-     * @param read the row read
-     * @param receivedNanos when the response was received
-     * @return the observation
-     */
-    public static LeaseObservation first(Stored<LeaseRow> read, long receivedNanos) {
-        return new LeaseObservation(read, receivedNanos);
+        return read.rowRevision() > row.rowRevision() ? new LeaseObservation(read, receivedNanos) : this;
     }
 }
--- a/core/src/main/java/org/mimosahinge/core/lease/LeaseView.java
+++ b/core/src/main/java/org/mimosahinge/core/lease/LeaseView.java
@@ -1,6 +1,5 @@
 package org.mimosahinge.core.lease;
 
-import java.util.Optional;
 import org.mimosahinge.api.world.Node;
 
 /**
@@ -9,8 +8,8 @@
  * @param self the deciding node
  * @param key key of the lease row
  * @param timing durations
- * @param observed the row as last read
- * @param held the lease if this node holds it
+ * @param state what the node remembers about the lease
+ * @param writing whether a write of the row is under way and has neither been answered nor timed out
  * @param leaving whether this node is stopping or no longer wants the role
  * @param successorReady whether a successor is known or there is no other candidate to wait for
  * @param nowNanos time by the node's monotonic clock
@@ -19,8 +18,8 @@
         Node self,
         String key,
         LeaseTiming timing,
-        LeaseObservation observed,
-        Optional<HeldLease> held,
+        LeaseState state,
+        boolean writing,
         boolean leaving,
         boolean successorReady,
         long nowNanos) {}
--- /dev/null
+++ b/core/src/test/java/org/mimosahinge/core/config/UpdateOrderTest.java
@@ -0,0 +1,146 @@
+package org.mimosahinge.core.config;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Random;
+import java.util.Set;
+import java.util.SortedMap;
+import java.util.TreeMap;
+import java.util.stream.IntStream;
+import java.util.stream.Stream;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.IntRange;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.Arguments;
+import org.junit.jupiter.params.provider.MethodSource;
+import org.mimosahinge.api.config.ConfigUpdate;
+import org.mimosahinge.api.config.RevisedSection;
+import org.mimosahinge.api.config.Snapshot;
+import org.mimosahinge.api.contract.Section;
+
+/** Guards against updates that are crossed, repeated or lost on their way and against open references in a subset. */
+class UpdateOrderTest {
+    private static final List<String> TEAMS = List.of("archive", "calendar", "ledger", "listings", "storefront");
+
+    /** How a node handles an update that it receives. */
+    private interface Receiver {
+        Snapshot receive(Snapshot current, ConfigUpdate update);
+    }
+
+    private static final Receiver NODE =
+            (current, update) -> SnapshotBuilder.fit(current, update) == SnapshotBuilder.Fit.NEXT
+                    ? SnapshotBuilder.apply(current, update)
+                    : current;
+
+    @Property(seed = "20261204", tries = 300)
+    void updatesInAnyOrderGiveAVersionThatWasAccepted(
+            @ForAll long seed, @ForAll @IntRange(min = 1, max = 8) int versions) {
+        deliver(NODE, new Random(seed), versions);
+    }
+
+    static Stream<Arguments> receivers() {
+        Receiver withoutBase = (current, update) -> SnapshotBuilder.fit(current, update) == SnapshotBuilder.Fit.STALE
+                ? current
+                : SnapshotBuilder.apply(
+                        current,
+                        new ConfigUpdate(
+                                update.full() ? 0 : current.version(),
+                                update.version(),
+                                update.sections(),
+                                update.removedTeams(),
+                                update.moves()));
+        Receiver latestArrival = (current, update) ->
+                update.full() ? SnapshotBuilder.apply(Snapshot.EMPTY, update) : NODE.receive(current, update);
+        Receiver keepsRemoved = (current, update) -> NODE.receive(
+                current,
+                new ConfigUpdate(update.baseVersion(), update.version(), update.sections(), Set.of(), update.moves()));
+        return Stream.of(
+                Arguments.of("no base check", withoutBase),
+                Arguments.of("no version check on full state", latestArrival),
+                Arguments.of("removed sections stay", keepsRemoved));
+    }
+
+    @ParameterizedTest(name = "{0} is noticed")
+    @MethodSource("receivers")
+    void aFaultyReceiverIsNoticed(String fault, Receiver receiver) {
+        assertThrows(
+                Throwable.class,
+                () -> IntStream.range(0, 100).forEach(seed -> deliver(receiver, new Random(seed), 6)),
+                fault);
+    }
+
+    private static void deliver(Receiver receiver, Random random, int versions) {
+        List<Snapshot> history = history(random, versions);
+        Interest interest = interest(random);
+        Snapshot held = Snapshot.EMPTY;
+        for (int step = 0; step < 6 * versions; step++) {
+            Snapshot to = history.get(1 + random.nextInt(versions));
+            Snapshot from = history.get(random.nextInt((int) to.version()));
+            Snapshot next = receiver.receive(held, UpdateBuilder.between(from, to, interest));
+            assertTrue(next.version() >= held.version(), "the version went back");
+            assertEquals(interest.select(history.get((int) next.version()).sections()), next.sections());
+            held = next;
+        }
+        Snapshot last = history.get(versions);
+        if (held.version() < versions) {
+            held = receiver.receive(held, UpdateBuilder.full(last, interest));
+        }
+        assertEquals(interest.select(last.sections()), held.sections());
+    }
+
+    @Property(seed = "20261205", tries = 300)
+    void aSubsetIsClosedAndHoldsEveryRouteOfInterest(@ForAll long seed) {
+        Random random = new Random(seed);
+        Snapshot whole = history(random, 3).get(3);
+        Interest interest = interest(random);
+        Snapshot subset = SnapshotBuilder.apply(Snapshot.EMPTY, UpdateBuilder.full(whole, interest));
+        assertEquals(whole.version(), subset.version());
+        long wanted = whole.routes().stream()
+                .filter(route -> interest.services().contains(route.service()))
+                .count();
+        long held = subset.routes().stream()
+                .filter(route -> interest.services().contains(route.service()))
+                .count();
+        assertEquals(wanted, held);
+        // A parent that holds the union selects for its child what the whole would give.
+        Snapshot parent =
+                SnapshotBuilder.apply(Snapshot.EMPTY, UpdateBuilder.full(whole, interest.union(interest(random))));
+        assertEquals(subset.sections(), interest.select(parent.sections()));
+    }
+
+    private static Interest interest(Random random) {
+        List<String> some =
+                TEAMS.stream().filter(team -> random.nextInt(3) == 0).toList();
+        return new Interest(Set.copyOf(some));
+    }
+
+    /** Versions 0 to n; each adds, changes or removes one section and stays closed. */
+    private static List<Snapshot> history(Random random, int versions) {
+        List<Snapshot> history = new ArrayList<>(List.of(Snapshot.EMPTY));
+        SortedMap<String, RevisedSection> sections = new TreeMap<>();
+        while (history.size() <= versions) {
+            SortedMap<String, RevisedSection> next = new TreeMap<>(sections);
+            String team = TEAMS.get(random.nextInt(TEAMS.size()));
+            String[] targets = TEAMS.stream()
+                    .filter(other -> other.equals(team) || (next.containsKey(other) && random.nextBoolean()))
+                    .toArray(String[]::new);
+            if (next.containsKey(team) && random.nextInt(3) == 0) {
+                next.remove(team);
+            } else {
+                next.put(team, new RevisedSection(history.size(), Samples.section(team, targets)));
+            }
+            List<Section> contents =
+                    next.values().stream().map(RevisedSection::section).toList();
+            if (References.unresolved(contents, List.of()).isEmpty()) {
+                sections = next;
+                history.add(SnapshotBuilder.apply(Snapshot.EMPTY, Samples.update(0, history.size(), next)));
+            }
+        }
+        return history;
+    }
+}
--- /dev/null
+++ b/core/src/test/java/org/mimosahinge/core/lease/LeaseDecisionTest.java
@@ -0,0 +1,151 @@
+package org.mimosahinge.core.lease;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.Optional;
+import java.util.Random;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Function;
+import java.util.stream.IntStream;
+import java.util.stream.Stream;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.Arguments;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.MethodSource;
+import org.mimosahinge.api.world.AvailabilityZone;
+import org.mimosahinge.api.world.HostPort;
+import org.mimosahinge.api.world.Node;
+import org.mimosahinge.api.world.NodeId;
+import org.mimosahinge.api.world.Region;
+
+/** Guards against two holders of one role and against writes by a holder that was paused past its lease. */
+class LeaseDecisionTest {
+    private static final String KEY = "lease/gateway/ch-west";
+    private static final Node SELF = node("n1", 5);
+
+    @ParameterizedTest(name = "holder {0}, unchanged for {1} ms, leaving {2}: {3}")
+    @CsvSource({
+        "'', 0, false, Acquire",
+        "'', 0, true, Await",
+        "n2, 2999, false, Await",
+        "n2, 3000, false, Acquire",
+        "n2, 9000, true, Await",
+        "n1, 2999, false, Await"
+    })
+    void aCandidateWaitsForTheWholeTimeToLive(String holder, long unchangedMs, boolean leaving, String action) {
+        LeaseAction decided =
+                LeaseDecision.decide(view(LeaseState.first(row(9, holder, 4, 3), 0), unchangedMs, leaving));
+        assertEquals(action, decided.getClass().getSimpleName());
+        if (decided instanceof LeaseAction.Acquire acquire) {
+            assertEquals(row(9, "n1", 5, 4), acquire.row());
+        }
+    }
+
+    @ParameterizedTest(name = "row {0} of {1} epoch {2}, {3} ms after the write, leaving {4}: {5}")
+    @CsvSource({
+        "9, n1, 3, 999, false, Await",
+        "9, n1, 3, 1000, false, Renew",
+        "9, n1, 3, 2699, false, Renew",
+        "9, n1, 3, 2700, false, GiveUp",
+        "9, n1, 3, 999, true, Release",
+        "10, n2, 4, 999, false, GiveUp",
+        "10, '', 3, 999, false, GiveUp",
+        "10, n1, 4, 999, false, GiveUp"
+    })
+    void aHolderRenewsAndStopsBeforeOthersMayTakeOver(
+            long revision, String holder, long epoch, long elapsedMs, boolean leaving, String action) {
+        HeldLease held = new HeldLease(KEY, 9, 3, 0, TimeUnit.MILLISECONDS.toNanos(2_700));
+        LeaseObservation observed = new LeaseObservation(row(revision, holder, 5, epoch), 0);
+        LeaseState state = new LeaseState(observed, Optional.of(held), Optional.empty());
+        LeaseAction decided = LeaseDecision.decide(view(state, elapsedMs, leaving));
+        assertEquals(action, decided.getClass().getSimpleName());
+        if (decided instanceof LeaseAction.Release release) {
+            assertEquals(row(9, "", 0, 3), release.row());
+        }
+    }
+
+    @ParameterizedTest(name = "row {0} of {1} incarnation {2} epoch {3}: valid until {4} ms, settled {5}")
+    @CsvSource({
+        "10, n1, 5, 3, 3200, true",
+        "9, n1, 5, 3, 2700, false",
+        "10, n1, 4, 3, 2700, true",
+        "10, n1, 5, 4, 2700, true",
+        "10, n2, 5, 4, 2700, true"
+    })
+    void aRowReadBackConfirmsOnlyAWriteThatTookEffect(
+            long revision, String holder, long incarnation, long epoch, long validUntilMs, boolean settled) {
+        Stored<LeaseRow> before = row(9, "n1", 5, 3);
+        HeldLease held = new HeldLease(KEY, 9, 3, 0, TimeUnit.MILLISECONDS.toNanos(2_700));
+        LeaseState sent = new LeaseState(new LeaseObservation(before, 0), Optional.of(held), Optional.empty())
+                .sent(before, TimeUnit.MILLISECONDS.toNanos(500))
+                // The first write may be the one that takes effect, so the repetition must not extend the lease.
+                .sent(before, TimeUnit.MILLISECONDS.toNanos(900));
+        LeaseState after = LeaseDecision.received(view(sent, 950, false), row(revision, holder, incarnation, epoch));
+        assertEquals(
+                TimeUnit.MILLISECONDS.toNanos(validUntilMs),
+                after.held().orElseThrow().validUntilNanos());
+        assertEquals(settled, after.attempt().isEmpty());
+    }
+
+    @Property(seed = "20261207", tries = 100)
+    void noTwoNodesActWithPausesDriftAndLostResponses(@ForAll long seed) {
+        LeaseSimulation.Outcome outcome =
+                new LeaseSimulation(new Random(seed), LeaseDecision::decide, LeaseTiming.DEFAULT).run(120_000);
+        assertEquals(0, outcome.overlaps());
+        assertEquals(0, outcome.unfencedWrites());
+        assertTrue(outcome.acquisitions() > 0, "nobody ever held the lease");
+    }
+
+    static Stream<Arguments> faults() {
+        Function<LeaseView, LeaseAction> neverGivesUp = view -> {
+            LeaseAction action = LeaseDecision.decide(view);
+            return action instanceof LeaseAction.GiveUp ? new LeaseAction.Await(0) : action;
+        };
+        Function<LeaseView, LeaseAction> impatient = view -> {
+            LeaseObservation seen = view.state().observed();
+            LeaseObservation earlier = new LeaseObservation(seen.row(), seen.sinceNanos() - 2_000_000_000L);
+            return LeaseDecision.decide(new LeaseView(
+                    view.self(),
+                    view.key(),
+                    view.timing(),
+                    new LeaseState(earlier, view.state().held(), view.state().attempt()),
+                    view.writing(),
+                    view.leaving(),
+                    view.successorReady(),
+                    view.nowNanos()));
+        };
+        return Stream.of(
+                Arguments.of("an observer that waits 1 s only", impatient, LeaseTiming.DEFAULT),
+                Arguments.of(
+                        "a holder that counts a second too long", neverGivesUp, new LeaseTiming(3_000, 1_000, -1_000)));
+    }
+
+    @ParameterizedTest(name = "{0} is noticed")
+    @MethodSource("faults")
+    void aFaultyNodeIsNoticed(String fault, Function<LeaseView, LeaseAction> decision, LeaseTiming timing) {
+        int overlaps = IntStream.range(0, 50)
+                .map(seed -> new LeaseSimulation(new Random(seed), decision, timing)
+                        .run(120_000)
+                        .overlaps())
+                .sum();
+        assertTrue(overlaps > 0, fault);
+    }
+
+    private static LeaseView view(LeaseState state, long elapsedMs, boolean leaving) {
+        long nowNanos = TimeUnit.MILLISECONDS.toNanos(elapsedMs);
+        return new LeaseView(SELF, KEY, LeaseTiming.DEFAULT, state, false, leaving, true, nowNanos);
+    }
+
+    private static Stored<LeaseRow> row(long revision, String holder, long incarnation, long epoch) {
+        Optional<NodeId> id = holder.isEmpty() ? Optional.empty() : Optional.of(new NodeId(holder));
+        return new Stored<>(revision, new LeaseRow(id, incarnation, epoch, 3_000));
+    }
+
+    private static Node node(String id, long incarnation) {
+        AvailabilityZone zone = new AvailabilityZone("west-1", new Region("ch-west"));
+        return new Node(new NodeId(id), incarnation, zone, new HostPort("10.0.0.1", 7000));
+    }
+}
--- /dev/null
+++ b/core/src/test/java/org/mimosahinge/core/lease/LeaseSimulation.java
@@ -0,0 +1,166 @@
+package org.mimosahinge.core.lease;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Random;
+import java.util.function.Function;
+import org.mimosahinge.api.world.AvailabilityZone;
+import org.mimosahinge.api.world.HostPort;
+import org.mimosahinge.api.world.Node;
+import org.mimosahinge.api.world.NodeId;
+import org.mimosahinge.api.world.Region;
+
+/**
+ * Several nodes compete for one lease in virtual time.
+ *
+ * <p>Their clocks have different offsets and rates; nodes are paused, writes are delayed and responses are lost.
+ */
+final class LeaseSimulation {
+    private static final String KEY = "lease/relay/west-1";
+    private static final long STEP_MS = 50;
+    private static final AvailabilityZone ZONE = new AvailabilityZone("west-1", new Region("ch-west"));
+
+    private final Random random;
+    private final Function<LeaseView, LeaseAction> decision;
+    private final LeaseTiming timing;
+    private final List<Candidate> candidates = new ArrayList<>();
+    private final Map<Long, List<Runnable>> due = new HashMap<>();
+    private Stored<LeaseRow> row = new Stored<>(0, LeaseRow.ABSENT);
+    private long nowMs;
+    private int acquisitions;
+
+    LeaseSimulation(Random random, Function<LeaseView, LeaseAction> decision, LeaseTiming timing) {
+        this.random = random;
+        this.decision = decision;
+        this.timing = timing;
+        for (int i = 0; i < 4; i++) {
+            candidates.add(new Candidate(
+                    new Node(new NodeId("n" + i), 1, ZONE, new HostPort("10.0.0." + i, 7000)),
+                    random.nextInt(1_000_000),
+                    0.98 + random.nextDouble() * 0.04));
+        }
+    }
+
+    /** What a run has shown. */
+    record Outcome(int overlaps, int unfencedWrites, int acquisitions) {}
+
+    Outcome run(long durationMs) {
+        int overlaps = 0;
+        int unfenced = 0;
+        for (nowMs = 0; nowMs < durationMs; nowMs += STEP_MS) {
+            Optional.ofNullable(due.remove(nowMs)).ifPresent(arrivals -> arrivals.forEach(Runnable::run));
+            candidates.forEach(Candidate::step);
+            overlaps += candidates.stream().filter(Candidate::acting).count() > 1 ? 1 : 0;
+            unfenced += (int) candidates.stream()
+                    .filter(candidate -> candidate.fencePasses() && !candidate.owner())
+                    .count();
+        }
+        return new Outcome(overlaps, unfenced, acquisitions);
+    }
+
+    private void later(long delayMs, Runnable arrival) {
+        long atMs = nowMs + STEP_MS + delayMs / STEP_MS * STEP_MS;
+        due.computeIfAbsent(atMs, at -> new ArrayList<>()).add(arrival);
+    }
+
+    private final class Candidate {
+        private final Node node;
+        private final long offsetMs;
+        private final double rate;
+        private LeaseState state;
+        private int writes;
+        private boolean writing;
+        private long pausedUntilMs;
+
+        private Candidate(Node node, long offsetMs, double rate) {
+            this.node = node;
+            this.offsetMs = offsetMs;
+            this.rate = rate;
+            this.state = LeaseState.first(row, clock());
+        }
+
+        private long clock() {
+            return (long) ((offsetMs + nowMs * rate) * 1_000_000);
+        }
+
+        private boolean acting() {
+            return state.held().isPresent() && state.held().get().validAt(clock());
+        }
+
+        private boolean fencePasses() {
+            return state.held().isPresent() && state.held().get().fence().revision() == row.rowRevision();
+        }
+
+        private boolean owner() {
+            return row.value().holder().equals(Optional.of(node.id()));
+        }
+
+        private LeaseView view() {
+            return new LeaseView(node, KEY, timing, state, writing, false, true, clock());
+        }
+
+        private void step() {
+            if (random.nextInt(400) == 0) {
+                pausedUntilMs = nowMs + random.nextInt(8_000);
+            }
+            if (nowMs < pausedUntilMs) {
+                return;
+            }
+            if (random.nextInt(4) == 0) {
+                Stored<LeaseRow> seen = row;
+                later(random.nextInt(300), () -> whenAwake(() -> received(seen)));
+            }
+            LeaseAction action = decision.apply(view());
+            if (action instanceof LeaseAction.GiveUp) {
+                state = state.gaveUp();
+            } else if (action instanceof LeaseAction.Acquire acquire) {
+                write(acquire.row());
+            } else if (action instanceof LeaseAction.Renew renew) {
+                write(renew.row());
+            }
+        }
+
+        /** One write in five is late and its response comes after the sender's timeout or never. */
+        private void write(Stored<LeaseRow> wanted) {
+            state = state.sent(wanted, clock());
+            writing = true;
+            int number = ++writes;
+            boolean late = random.nextInt(5) == 0;
+            later(late ? random.nextInt(4_000) : random.nextInt(200), () -> {
+                if (wanted.rowRevision() == row.rowRevision()) {
+                    acquisitions += wanted.value().epoch() > row.value().epoch() ? 1 : 0;
+                    row = new Stored<>(row.rowRevision() + 1, wanted.value());
+                }
+                Stored<LeaseRow> result = row;
+                if (!late) {
+                    later(
+                            random.nextInt(200),
+                            () -> whenAwake(() -> {
+                                received(result);
+                                answered(number);
+                            }));
+                }
+            });
+            later(500, () -> whenAwake(() -> answered(number)));
+        }
+
+        private void answered(int number) {
+            writing &= number != writes;
+        }
+
+        private void received(Stored<LeaseRow> seen) {
+            state = LeaseDecision.received(view(), seen);
+        }
+
+        private void whenAwake(Runnable step) {
+            if (nowMs < pausedUntilMs) {
+                later(pausedUntilMs - nowMs, () -> whenAwake(step));
+            } else {
+                step.run();
+            }
+        }
+    }
+}
