--- a/core/src/test/tla/Accepting.tla
+++ b/core/src/test/tla/Accepting.tla
@@ -168,7 +168,8 @@
 \* The platform works in the end and every daemon goes on.
 Fairness ==
     /\ \A o \in Operations :
-        /\ WF_vars(Edit(o)) /\ WF_vars(Check(o)) /\ WF_vars(Timeout(o))
+        /\ WF_vars(Edit(o)) /\ WF_vars(Timeout(o))
+        /\ WF_vars(Check(o) \/ CheckInTwoReads(o))
     /\ WF_vars(\E r \in flight : Land(r))
 
 Spec == Init /\ [][Next]_vars /\ Fairness
