--- a/core/src/test/java/org/mimosahinge/core/lease/LeaseDecisionTest.java
+++ b/core/src/test/java/org/mimosahinge/core/lease/LeaseDecisionTest.java
@@ -4,6 +4,7 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Random;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Function;
@@ -90,6 +91,21 @@
         assertEquals(settled, after.attempt().isEmpty());
     }
 
+    @ParameterizedTest(name = "rank {0}, without a parent for {1} ms: {2}")
+    @CsvSource({
+        "0, , false",
+        "1, , true",
+        "4, , true",
+        "5, , false",
+        "5, 2999, false",
+        "5, 3000, true",
+        "299, 3000, true"
+    })
+    void onlyAFewNodesReadTheRowUnlessNobodyTakesOver(int rank, Long orphanedMs, boolean observes) {
+        OptionalLong orphaned = orphanedMs == null ? OptionalLong.empty() : OptionalLong.of(orphanedMs);
+        assertEquals(observes, LeaseCandidacy.observes(rank, orphaned));
+    }
+
     @Property(seed = "20261207", tries = 100)
     void noTwoNodesActWithPausesDriftAndLostResponses(@ForAll long seed) {
         LeaseSimulation.Outcome outcome =
