Share test samples and count slightly late ticks as silence

A failure detector whose ticks are a little late every time no longer forgives the difference at each tick, which delayed suspicion. Tests of the decisions use one set of samples.

--- a/core/src/main/java/org/mimosahinge/core/membership/FailureDetector.java
+++ b/core/src/main/java/org/mimosahinge/core/membership/FailureDetector.java
@@ -79,7 +79,10 @@
      * @return the suspects and the detector afterwards
      */
     public Verdict tick(long nowNanos) {
-        long pausedNanos = Math.max(0, nowNanos - tickNanos - TimeUnit.MILLISECONDS.toNanos(tickMs));
+        long expectedNanos = TimeUnit.MILLISECONDS.toNanos(tickMs);
+        long elapsedNanos = nowNanos - tickNanos;
+        // A tick that is late by less than an interval counts in full, or slightly slow ticks would hide failures.
+        long pausedNanos = elapsedNanos > 2 * expectedNanos ? elapsedNanos - expectedNanos : 0;
         Map<NodeId, Long> heard = new HashMap<>(heardNanos);
         heard.replaceAll((node, at) -> Math.min(nowNanos, at + pausedNanos));
         Set<NodeId> suspects = heard.entrySet().stream()
--- a/core/src/test/java/org/mimosahinge/core/config/AcceptDecisionTest.java
+++ b/core/src/test/java/org/mimosahinge/core/config/AcceptDecisionTest.java
@@ -23,6 +23,7 @@
 import org.mimosahinge.api.contract.Section;
 import org.mimosahinge.api.contract.Service;
 import org.mimosahinge.api.platform.ObjectHash;
+import org.mimosahinge.core.Samples;
 import org.mimosahinge.core.lease.Stored;
 
 /** Guards against lost edits, edits that are accepted twice and moves that jump because of an unrelated edit. */
--- a/core/src/test/java/org/mimosahinge/core/config/EndpointsTest.java
+++ b/core/src/test/java/org/mimosahinge/core/config/EndpointsTest.java
@@ -23,6 +23,7 @@
 import org.mimosahinge.api.world.EndpointState;
 import org.mimosahinge.api.world.NodeId;
 import org.mimosahinge.api.world.Stamp;
+import org.mimosahinge.core.Samples;
 
 /** Guards against endpoint states whose result depends on the order of arrival and against revived endpoints. */
 class EndpointsTest {
--- a/core/src/test/java/org/mimosahinge/core/config/ReadinessDecisionTest.java
+++ b/core/src/test/java/org/mimosahinge/core/config/ReadinessDecisionTest.java
@@ -6,6 +6,7 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 import org.mimosahinge.api.config.Snapshot;
+import org.mimosahinge.core.Samples;
 import org.mimosahinge.core.lease.HeldLease;
 
 /** Guards against a restarted node that serves an older version than before its restart. */
