--- a/core/src/main/java/org/mimosahinge/core/routing/EndpointChoosers.java
+++ b/core/src/main/java/org/mimosahinge/core/routing/EndpointChoosers.java
@@ -120,7 +120,7 @@
 
     private static boolean hasRoom(Endpoint endpoint, EndpointLoad load) {
         boolean reportedFull = load.reportedPermille() >= FULL_PERMILLE && load.reportAgeMs() < REPORT_LIFETIME_MS;
-        return load.outstanding() < endpoint.server().slots() && !reportedFull;
+        return !load.suspect() && load.outstanding() < endpoint.server().slots() && !reportedFull;
     }
 
     private static Endpoint twoChoices(List<Endpoint> candidates, LoadView loads, RandomSource random) {
--- a/core/src/test/java/org/mimosahinge/core/routing/RoutingTest.java
+++ b/core/src/test/java/org/mimosahinge/core/routing/RoutingTest.java
@@ -139,30 +139,32 @@
                 .choose(
                         new ChoiceRequest("shop", "v1", ZONES.get("near"), Set.of(excluded)),
                         snapshot,
-                        id -> new EndpointLoad(outstanding.get(id), 0, Long.MAX_VALUE, 60_000),
+                        id -> new EndpointLoad(outstanding.get(id), 0, Long.MAX_VALUE, 60_000, false),
                         new Random(1)::nextInt)
                 .orElseThrow();
         assertEquals(expected, choice.endpoint().id());
     }
 
-    @ParameterizedTest(name = "{0} own calls, report {1} of age {2} ms, ready for {3} ms against 4 own calls: {4}")
+    @ParameterizedTest(
+            name = "{0} own calls, report {1} of age {2} ms, ready for {3} ms, suspect {4}, against 4 own calls: {5}")
     @CsvSource({
-        "0, 0, 99999, 60000, true",
-        "8, 0, 99999, 60000, false",
-        "0, 900, 10, 60000, false",
-        "0, 900, 99999, 60000, true",
-        "1, 0, 99999, 0, false",
-        "0, 1000, 10, 60000, false"
+        "0, 0, 99999, 60000, false, true",
+        "0, 0, 99999, 60000, true, false",
+        "8, 0, 99999, 60000, false, false",
+        "0, 900, 10, 60000, false, false",
+        "0, 900, 99999, 60000, false, true",
+        "1, 0, 99999, 0, false, false",
+        "0, 1000, 10, 60000, false, false"
     })
-    void weighsOwnCallsReportsAndWarmth(int own, int report, long age, long readyFor, boolean chosen) {
+    void weighsOwnCallsReportsAndWarmth(int own, int report, long age, long readyFor, boolean suspect, boolean chosen) {
         Snapshot snapshot = snapshot(
                 Optional.empty(),
                 Set.of(),
                 endpoint("a", "v1", "near", EndpointState.READY),
                 endpoint("b", "v1", "near", EndpointState.READY));
         LoadView loads = id -> id.equals("a")
-                ? new EndpointLoad(own, report, age, readyFor)
-                : new EndpointLoad(4, 0, Long.MAX_VALUE, 60_000);
+                ? new EndpointLoad(own, report, age, readyFor, suspect)
+                : new EndpointLoad(4, 0, Long.MAX_VALUE, 60_000, false);
         Choice choice = EndpointChoosers.standard()
                 .choose(
                         new ChoiceRequest("shop", "v1", ZONES.get("near"), Set.of()),
--- a/daemon/src/main/java/org/mimosahinge/daemon/traffic/Attempt.java
+++ b/daemon/src/main/java/org/mimosahinge/daemon/traffic/Attempt.java
@@ -1,6 +1,9 @@
 package org.mimosahinge.daemon.traffic;
 
 import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+import org.mimosahinge.api.contract.Route;
+import org.mimosahinge.api.error.ErrorCode;
 import org.mimosahinge.api.world.Endpoint;
 import org.mimosahinge.core.move.EvidenceKey;
 import org.mimosahinge.core.move.EvidenceRecorder;
@@ -12,47 +15,70 @@
 
     private static final double NANOS_PER_MS = 1e6;
 
+    /** Silence within a body that is tolerated while the caller has taken everything. */
+    private static final long BODY_SILENCE_MS = 1_500;
+
     private final EntryCall call;
     private final TrafficLoop loop;
     private final EndpointTracker tracker;
     private final Endpoint endpoint;
-    private final String route;
+    private final Route route;
     private final long startedNanos = System.nanoTime();
+    private final long silenceLimitMs;
     private Exchange exchange = EndedExchange.INSTANCE;
-    private long responseNanos;
+    private long progressNanos = startedNanos;
+    private long startMs;
+    private long untaken;
+    private boolean requestSent;
+    private boolean responding;
     private int status;
     private boolean ended;
 
-    Attempt(EntryCall call, TrafficLoop loop, Endpoint endpoint, String route) {
+    Attempt(EntryCall call, TrafficLoop loop, Endpoint endpoint, Route route) {
         this.call = call;
         this.loop = loop;
         this.endpoint = endpoint;
         this.route = route;
+        silenceLimitMs = loop.pace(route.name()).silenceLimitMs();
         tracker = loop.tracker(endpoint.id());
         tracker.started();
+        loop.watch(this);
     }
 
     /** Sends the call; a target may fail it before this method returns. */
     void begin(Frame.CallStart start) {
-        Exchange started = loop.target(endpoint).start(start, this);
-        if (ended) {
-            return;
+        requestSent = !start.hasBody();
+        Exchange begun = loop.target(endpoint).start(start, this);
+        if (!ended) {
+            exchange = begun;
         }
-        exchange = started;
-    }
-
-    Exchange exchange() {
-        return exchange;
     }
 
     Endpoint endpoint() {
         return endpoint;
     }
 
+    Exchange exchange() {
+        return exchange;
+    }
+
     boolean ended() {
         return ended;
     }
 
+    void requestBody(byte[] bytes, boolean last) {
+        requestSent |= last;
+        progressNanos = System.nanoTime();
+        exchange.body(bytes, last);
+    }
+
+    /** The caller has taken bytes of the response. */
+    void credited(int bytes) {
+        untaken -= bytes;
+        progressNanos = System.nanoTime();
+        exchange.credit(bytes);
+    }
+
     /** Gives the attempt up because the endpoint took too long. */
     void timedOut() {
         if (!ended) {
@@ -69,14 +95,38 @@
         }
     }
 
+    /** Gives the attempt up when its connection seems to have lost its state and another attempt can follow. */
+    void checkSilence(long nowNanos) {
+        long silentMs = TimeUnit.NANOSECONDS.toMillis(nowNanos - progressNanos);
+        boolean silent =
+                responding ? untaken <= 0 && silentMs >= BODY_SILENCE_MS : requestSent && silentMs >= silenceLimitMs;
+        if (silent && call.mayRetrySilent()) {
+            if (!responding) {
+                loop.observePace(route.name(), silentMs);
+            }
+            timedOut();
+            call.attemptFailed(
+                    this, Failures.mayHaveRun(0, ErrorCode.CONNECTION_LOST, "The endpoint stopped responding"));
+        }
+    }
+
     @Override
     public void started(Frame.ResponseStart start) {
         if (ended) {
             return;
         }
         tracker.reported(start.loadPermille(), TrafficLoop.nowMs());
+        if (start.status() == 503 && HeaderMaps.NOT_RUN.equals(start.headers().get(HeaderMaps.OUTCOME))) {
+            // The rest of the refusal is read and dropped so that the connection can be kept.
+            end(Optional.of(FailureKind.SHED));
+            call.attemptFailed(this, Failures.notRun(0, ErrorCode.OVERLOADED, "The backend server refused the call"));
+            return;
+        }
         status = start.status();
-        responseNanos = System.nanoTime();
+        responding = true;
+        progressNanos = System.nanoTime();
+        startMs = (long) ((progressNanos - startedNanos) / NANOS_PER_MS);
+        loop.observePace(route.name(), startMs);
         call.started(this, start);
     }
 
@@ -85,6 +135,8 @@
         if (ended) {
             return;
         }
+        progressNanos = System.nanoTime();
+        untaken += bytes.length;
         if (last) {
             end(ofStatus(status));
         }
@@ -103,6 +155,10 @@
         if (ended) {
             return;
         }
+        ErrorCode code = Failures.code(failure);
+        if (code == ErrorCode.CONNECTION_LOST || code == ErrorCode.NO_ENDPOINT || code == ErrorCode.NOT_READY) {
+            tracker.connectionFailed(TrafficLoop.nowMs());
+        }
         end(Optional.of(Failures.kind(failure)));
         call.attemptFailed(this, failure);
     }
@@ -115,18 +171,21 @@
     private void end(Optional<FailureKind> failure) {
         finish();
         EvidenceKey key = new EvidenceKey(
-                endpoint.server().version(), route, endpoint.node().zone().name());
+                endpoint.server().version(),
+                route.name(),
+                endpoint.node().zone().name());
         EvidenceRecorder recorder = loop.evidence(endpoint.server().service());
         if (failure.isPresent()) {
             recorder.failed(key, failure.get());
         } else {
-            recorder.succeeded(key, (responseNanos - startedNanos) / NANOS_PER_MS);
+            recorder.succeeded(key, startMs);
         }
     }
 
     private void finish() {
         ended = true;
         tracker.ended();
+        loop.unwatch(this);
     }
 
     private static Optional<FailureKind> ofStatus(int status) {
--- a/daemon/src/main/java/org/mimosahinge/daemon/traffic/BackendConnection.java
+++ b/daemon/src/main/java/org/mimosahinge/daemon/traffic/BackendConnection.java
@@ -44,12 +44,18 @@
     private boolean keepAlive;
     private boolean requestSent;
     private boolean informational;
+    private int calls;
 
     @Override
     public void handlerAdded(ChannelHandlerContext context) {
         channel = context.channel();
     }
 
+    /** Tells whether the connection served another call before. */
+    boolean reused() {
+        return calls > 1;
+    }
+
     boolean usable() {
         return channel.isActive();
     }
@@ -57,6 +63,7 @@
     /** Sends a request's head and binds the connection to the call. */
     void send(Frame.CallStart start, int deadlineMs, User next) {
         user = next;
+        calls++;
         keepAlive = false;
         requestSent = !start.hasBody();
         DefaultHttpRequest request =
--- a/daemon/src/main/java/org/mimosahinge/daemon/traffic/BackendPool.java
+++ b/daemon/src/main/java/org/mimosahinge/daemon/traffic/BackendPool.java
@@ -29,9 +29,9 @@
     }
 
     /** Hands over a kept connection at once or a new one later; null tells that none could be opened. */
-    void acquire(Consumer<BackendConnection> receiver) {
+    void acquire(boolean fresh, Consumer<BackendConnection> receiver) {
         // The connection used last is the least likely one to have been closed for idleness.
-        for (BackendConnection kept = idle.pollLast(); kept != null; kept = idle.pollLast()) {
+        for (BackendConnection kept = fresh ? null : idle.pollLast(); kept != null; kept = idle.pollLast()) {
             if (kept.usable()) {
                 receiver.accept(kept);
                 return;
--- /dev/null
+++ b/daemon/src/main/java/org/mimosahinge/daemon/traffic/CallPlan.java
@@ -0,0 +1,91 @@
+package org.mimosahinge.daemon.traffic;
+
+import java.util.HashSet;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import org.mimosahinge.api.config.Snapshot;
+import org.mimosahinge.api.contract.Route;
+import org.mimosahinge.api.contract.Service;
+import org.mimosahinge.core.retry.RetryView;
+import org.mimosahinge.core.routing.Choice;
+import org.mimosahinge.core.routing.ChoiceRequest;
+import org.mimosahinge.core.routing.VersionPicker;
+import org.mimosahinge.net.frame.Frame;
+
+/** Where a routed call goes: its attempts so far and the choice of the next one. */
+final class CallPlan {
+
+    private final TrafficLoop loop;
+    private final CallRequest request;
+    private final RequestBody body;
+    private final Route route;
+    private final Service service;
+    private final long deadlineNanos;
+    private final Set<String> tried = new HashSet<>();
+
+    CallPlan(TrafficLoop loop, CallRequest request, RequestBody body, Route route, Service service, long timeoutMs) {
+        this.loop = loop;
+        this.request = request;
+        this.body = body;
+        this.route = route;
+        this.service = service;
+        deadlineNanos = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(timeoutMs);
+    }
+
+    Service service() {
+        return service;
+    }
+
+    /** Chooses an endpoint that was not tried yet. */
+    Optional<Choice> choose() {
+        Snapshot snapshot = loop.snapshot();
+        TrafficPolicies policies = loop.context().policies();
+        return VersionPicker.pick(service, snapshot, policies.random()).flatMap(version -> {
+            ChoiceRequest wanted = new ChoiceRequest(
+                    service.name(), version, loop.context().config().self().zone(), tried);
+            return policies.chooser().choose(wanted, snapshot, loop::load, policies.random());
+        });
+    }
+
+    /** Tells whether a failed attempt may be followed by another one. */
+    boolean mayRetry(boolean notRun) {
+        boolean idempotent = route.idempotent() && !route.atMostOnce();
+        RetryView view = new RetryView(
+                idempotent,
+                notRun,
+                tried.size(),
+                body.replayable(),
+                remainingMs(),
+                loop.budgets().of(service));
+        return loop.context().policies().retry().retries(view);
+    }
+
+    Attempt attempt(EntryCall call, Choice choice) {
+        loop.logChoice(route, choice);
+        tried.add(choice.endpoint().id());
+        return new Attempt(call, loop, choice.endpoint(), route);
+    }
+
+    void send(Attempt attempt, Map<String, String> headers) {
+        attempt.begin(new Frame.CallStart(
+                loop.nextCallId(),
+                attempt.endpoint().id(),
+                service.name(),
+                route.callClass(),
+                (int) remainingMs(),
+                request.method(),
+                request.uri(),
+                headers,
+                request.hasBody()));
+        if (!attempt.ended()) {
+            body.replay(attempt);
+            attempt.exchange().flush();
+        }
+    }
+
+    private long remainingMs() {
+        return Math.max(0, TimeUnit.NANOSECONDS.toMillis(deadlineNanos - System.nanoTime()));
+    }
+}
--- a/daemon/src/main/java/org/mimosahinge/daemon/traffic/CallerConnection.java
+++ b/daemon/src/main/java/org/mimosahinge/daemon/traffic/CallerConnection.java
@@ -3,6 +3,7 @@
 import io.netty.buffer.ByteBufUtil;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.SimpleChannelInboundHandler;
@@ -16,6 +17,7 @@
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
@@ -23,11 +25,15 @@
 import io.netty.util.ReferenceCountUtil;
 import java.util.ArrayDeque;
 import java.util.Queue;
+import java.util.concurrent.TimeUnit;
 import org.mimosahinge.api.error.CallException;
 import org.mimosahinge.net.frame.Frame;
 
 /** A caller's HTTP/1.1 connection; serves one request after the other. */
-final class CallerConnection extends SimpleChannelInboundHandler<HttpObject> {
+final class CallerConnection extends SimpleChannelInboundHandler<HttpObject> implements Drainable {
+
+    /** Time for a request that is already on its way to arrive before an idle connection is closed. */
+    private static final long DRAIN_IDLE_MS = 500;
 
     /** Pipelined messages that may wait; a caller that sends more is not read until some are served. */
     private static final int MAX_PIPELINED = 64;
@@ -47,7 +53,25 @@
     @Override
     public void channelActive(ChannelHandlerContext context) {
         channel = context.channel();
-        plane.callerConnected(channel);
+        loop.connections().add(this);
+        if (plane.draining()) {
+            drain();
+        }
+    }
+
+    @Override
+    public void drain() {
+        if (turn == null) {
+            channel.eventLoop()
+                    .schedule(
+                            () -> {
+                                if (turn == null) {
+                                    channel.close();
+                                }
+                            },
+                            DRAIN_IDLE_MS,
+                            TimeUnit.MILLISECONDS);
+        }
     }
 
     @Override
@@ -92,7 +116,9 @@
     }
 
     private void updateReading() {
-        channel.config().setAutoRead(pipelined.size() < MAX_PIPELINED && (turn == null || turn.requestWindow.open()));
+        channel.config()
+                .setAutoRead(pipelined.size() < MAX_PIPELINED
+                        && (turn == null || turn.answered || turn.requestWindow.open()));
     }
 
     @Override
@@ -106,6 +132,7 @@
     public void channelInactive(ChannelHandlerContext context) {
         pipelined.forEach(ReferenceCountUtil::release);
         pipelined.clear();
+        loop.connections().remove(this);
         if (turn != null) {
             turn.call.callerLeft();
         }
@@ -221,19 +248,21 @@
             channel.flush();
         }
 
-        private void prepare(io.netty.handler.codec.http.HttpResponse response) {
+        private void prepare(HttpResponse response) {
             if (!keepAlive || plane.draining()) {
                 response.headers().set(HttpHeaderNames.CONNECTION, "close");
             }
         }
 
-        private void finish(io.netty.channel.ChannelFuture written) {
+        private void finish(ChannelFuture written) {
             answered = true;
             if (!keepAlive || plane.draining()) {
                 channel.flush();
                 written.addListener(ChannelFutureListener.CLOSE);
             } else if (requestComplete) {
                 next();
+            } else {
+                updateReading();
             }
         }
     }
--- a/daemon/src/main/java/org/mimosahinge/daemon/traffic/EntryCall.java
+++ b/daemon/src/main/java/org/mimosahinge/daemon/traffic/EntryCall.java
@@ -1,8 +1,8 @@
 package org.mimosahinge.daemon.traffic;
 
-import java.util.HashSet;
+import java.util.HashMap;
+import java.util.Map;
 import java.util.Optional;
-import java.util.Set;
 import java.util.concurrent.ScheduledFuture;
 import java.util.concurrent.TimeUnit;
 import org.mimosahinge.api.config.Snapshot;
@@ -10,10 +10,9 @@
 import org.mimosahinge.api.contract.Service;
 import org.mimosahinge.api.error.CallException;
 import org.mimosahinge.api.error.ErrorCode;
+import org.mimosahinge.core.once.ClaimStep;
 import org.mimosahinge.core.routing.Choice;
-import org.mimosahinge.core.routing.ChoiceRequest;
 import org.mimosahinge.core.routing.RouteMatcher;
-import org.mimosahinge.core.routing.VersionPicker;
 import org.mimosahinge.net.frame.Frame;
 
 /** A caller's call at the node that the caller is connected to. */
@@ -23,19 +22,20 @@
     private final CallRequest request;
     private final CallerSink sink;
     private final RequestBody body = new RequestBody();
-    private final Set<String> tried = new HashSet<>();
-    private Route route;
-    private Service service;
-    private long deadlineNanos;
+    private final ResponseProgress progress;
+    private CallPlan plan;
+    private PoisonGuard poison;
+    private OnceGuard once;
     private ScheduledFuture<?> timer;
     private Attempt attempt;
-    private boolean responseStarted;
+    private boolean held;
     private boolean ended;
 
     EntryCall(TrafficLoop loop, CallRequest request, CallerSink sink) {
         this.loop = loop;
         this.request = request;
         this.sink = sink;
+        progress = new ResponseProgress(request);
     }
 
     /** Routes the call. */
@@ -50,61 +50,81 @@
             refuse(ErrorCode.NO_ROUTE, "No route matches " + RouteMatcher.path(request.uri()));
             return;
         }
-        route = matched.get();
-        service = snapshot.services().get(route.service());
-        long timeoutMs = route.timeout().toMillis();
-        deadlineNanos = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(timeoutMs);
+        Route route = matched.get();
+        Service service = snapshot.services().get(route.service());
+        long timeoutMs =
+                HeaderMaps.deadlineMs(request.headers(), route.timeout().toMillis());
+        plan = new CallPlan(loop, request, body, route, service, timeoutMs);
         timer = loop.eventLoop().schedule(this::deadlinePassed, timeoutMs, TimeUnit.MILLISECONDS);
-        attempt(snapshot);
-    }
-
-    private void attempt(Snapshot snapshot) {
-        Optional<Choice> choice = VersionPicker.pick(
-                        service, snapshot, loop.context().random())
-                .flatMap(version -> loop.context()
-                        .chooser()
-                        .choose(
-                                new ChoiceRequest(
-                                        service.name(),
-                                        version,
-                                        loop.context().config().self().zone(),
-                                        tried),
-                                snapshot,
-                                loop::load,
-                                loop.context().random()));
-        if (choice.isEmpty()) {
-            refuse(ErrorCode.NO_ENDPOINT, "No endpoint of service \"" + service.name() + "\" can take the call");
-            return;
+        if (route.atMostOnce()) {
+            String key = request.headers().getOrDefault(OnceGuard.KEY_HEADER, "");
+            if (!OnceGuard.valid(key)) {
+                refuse(ErrorCode.KEY_REQUIRED, "Route \"" + route.name() + "\" needs an idempotency-key");
+                return;
+            }
+            once = new OnceGuard(loop, service.name(), key, request);
+        }
+        poison = new PoisonGuard(loop.context(), route.name(), request, body);
+        held = poison.needsBody();
+        if (!held) {
+            admit();
+        }
+    }
+
+    private void admit() {
+        held = false;
+        if (poison.refused()) {
+            refuse(ErrorCode.REQUEST_QUARANTINED, "The request crashed several backend servers");
+        } else if (once != null) {
+            once.claim(this::claimed);
+        } else {
+            firstAttempt();
         }
-        loop.logChoice(route, choice.get());
-        Attempt next = new Attempt(this, loop, choice.get().endpoint(), route.name());
-        tried.add(next.endpoint().id());
-        attempt = next;
-        next.begin(new Frame.CallStart(
-                loop.nextCallId(),
-                next.endpoint().id(),
-                service.name(),
-                route.callClass(),
-                remainingMs(),
-                request.method(),
-                request.uri(),
-                request.headers(),
-                request.hasBody()));
-        if (!next.ended()) {
-            body.replay(next.exchange());
-            next.exchange().flush();
+    }
+
+    private void claimed(ClaimStep step) {
+        if (ended) {
+            // The caller was already told that the call did not run, so the key must become free again.
+            once.notRun();
+        } else if (step instanceof ClaimStep.Forward) {
+            firstAttempt();
+        } else if (step instanceof ClaimStep.Answer answer) {
+            end();
+            OnceGuard.answer(answer.claim(), sink);
+        } else if (step instanceof ClaimStep.Refuse refusal) {
+            refuse(refusal.code(), refusal.reason());
+        } else {
+            fail(CallException.mayHaveRun(
+                    ErrorCode.OUTCOME_UNKNOWN, "Another call with this idempotency-key may have run"));
+        }
+    }
+
+    private void firstAttempt() {
+        loop.budgets().attempted(plan.service());
+        Optional<Choice> choice = plan.choose();
+        if (choice.isEmpty()) {
+            notRun(
+                    ErrorCode.NO_ENDPOINT,
+                    "No endpoint of service \"" + plan.service().name() + "\" can take the call");
+        } else {
+            attempt(choice.get(), request.headers());
         }
     }
 
-    private int remainingMs() {
-        return (int) Math.max(1, TimeUnit.NANOSECONDS.toMillis(deadlineNanos - System.nanoTime()));
+    private void attempt(Choice choice, Map<String, String> headers) {
+        attempt = plan.attempt(this, choice);
+        plan.send(attempt, headers);
     }
 
     /** Takes part of the request's body from the caller. */
     void requestBody(byte[] bytes, boolean last) {
         body.add(bytes, last);
         if (attempt != null && !attempt.ended()) {
-            attempt.exchange().body(bytes, last);
+            if (request.hasBody()) {
+                attempt.requestBody(bytes, last);
+            }
+        } else if (held && !ended && (last || !body.replayable())) {
+            admit();
         }
     }
 
@@ -117,32 +137,60 @@
     /** The caller has taken bytes of the response. */
     void responseCredit(int bytes) {
         if (attempt != null && !attempt.ended()) {
-            attempt.exchange().credit(bytes);
+            attempt.credited(bytes);
         }
     }
 
     /** The caller has left. */
     void callerLeft() {
-        if (end() && attempt != null) {
-            attempt.abandon();
+        if (!ended) {
+            end();
+            if (attempt != null) {
+                attempt.abandon();
+            }
         }
     }
 
     void started(Attempt from, Frame.ResponseStart start) {
-        if (from == attempt && !ended) {
-            responseStarted = true;
-            sink.started(start);
+        if (from != attempt || ended) {
+            return;
         }
+        if (progress.begun()) {
+            if (!progress.resumes(start)) {
+                attempt.abandon();
+                cut();
+            }
+            return;
+        }
+        progress.begin(start);
+        if (once != null) {
+            once.started(start);
+        }
+        sink.started(start);
     }
 
     void responseBody(Attempt from, byte[] bytes, boolean last) {
         if (from != attempt || ended) {
             return;
         }
+        byte[] wanted = progress.take(bytes);
+        if (wanted.length < bytes.length && !last) {
+            from.credited(bytes.length - wanted.length);
+        }
+        if (last && !progress.complete()) {
+            attemptFailed(from, Failures.mayHaveRun(0, ErrorCode.ANSWER_TRUNCATED, "The response is too short"));
+            return;
+        }
+        if (once != null) {
+            once.body(wanted, last);
+        }
         if (last) {
+            poison.succeeded();
             end();
         }
-        sink.body(bytes, last);
+        if (wanted.length > 0 || last) {
+            sink.body(wanted, last);
+        }
     }
 
     void requestCredit(int bytes) {
@@ -156,40 +204,90 @@
         sink.flush();
     }
 
+    /** An attempt ended without a whole response. */
     void attemptFailed(Attempt from, Frame.CallFailure failure) {
-        if (from == attempt && !ended) {
-            fail(Failures.exception(failure));
+        if (from != attempt || ended) {
+            return;
+        }
+        if (Failures.crash(failure) && poison.crashed()) {
+            conclude(CallException.mayHaveRun(
+                    ErrorCode.REQUEST_QUARANTINED, "The request crashed several backend servers"));
+            return;
+        }
+        Optional<Map<String, String>> headers = progress.begun()
+                ? progress.resumeHeaders().map(this::withRequestHeaders)
+                : Optional.of(request.headers());
+        if (headers.isEmpty() || !plan.mayRetry(failure.notRun() && !progress.begun())) {
+            conclude(Failures.exception(failure));
+            return;
+        }
+        Optional<Choice> choice = plan.choose();
+        if (choice.isEmpty()) {
+            conclude(Failures.exception(failure));
+            return;
         }
+        loop.budgets().retried(plan.service());
+        attempt(choice.get(), headers.get());
+    }
+
+    /** Tells whether giving up a silent attempt leads to another one. */
+    boolean mayRetrySilent() {
+        return (!progress.begun() || progress.resumeHeaders().isPresent()) && plan.mayRetry(false);
+    }
+
+    private Map<String, String> withRequestHeaders(Map<String, String> extra) {
+        Map<String, String> headers = new HashMap<>(request.headers());
+        headers.putAll(extra);
+        return headers;
     }
 
     private void deadlinePassed() {
-        if (!ended) {
-            if (attempt != null) {
-                attempt.timedOut();
-            }
-            fail(CallException.mayHaveRun(ErrorCode.DEADLINE_EXCEEDED, "The deadline passed"));
+        if (ended) {
+            return;
+        }
+        if (attempt == null) {
+            refuse(ErrorCode.DEADLINE_EXCEEDED, "The deadline passed before the call was forwarded");
+            return;
+        }
+        attempt.timedOut();
+        conclude(CallException.mayHaveRun(ErrorCode.DEADLINE_EXCEEDED, "The deadline passed"));
+    }
+
+    private void conclude(CallException failure) {
+        if (progress.begun()) {
+            cut();
+        } else if (failure.notRun()) {
+            notRun(failure.code(), failure.getMessage());
+        } else {
+            fail(failure);
         }
     }
 
+    private void notRun(ErrorCode code, String message) {
+        if (once != null) {
+            once.notRun();
+        }
+        refuse(code, message);
+    }
+
     private void refuse(ErrorCode code, String message) {
         fail(CallException.notRun(code, message));
     }
 
     private void fail(CallException failure) {
         end();
-        if (responseStarted) {
-            sink.cut();
-        } else {
-            sink.failed(failure);
-        }
+        sink.failed(failure);
+    }
+
+    private void cut() {
+        end();
+        sink.cut();
     }
 
-    private boolean end() {
-        boolean first = !ended;
+    private void end() {
         ended = true;
         if (timer != null) {
             timer.cancel(false);
         }
-        return first;
     }
 }
--- a/daemon/src/main/java/org/mimosahinge/daemon/traffic/HeaderMaps.java
+++ b/daemon/src/main/java/org/mimosahinge/daemon/traffic/HeaderMaps.java
@@ -53,9 +53,20 @@
         });
     }
 
+    /** Returns the time that the caller allows, at most the route's. */
+    static long deadlineMs(Map<String, String> headers, long routeMs) {
+        long callerMs = number(headers, DEADLINE);
+        return callerMs > 0 ? Math.min(callerMs, routeMs) : routeMs;
+    }
+
     static long contentLength(Map<String, String> headers) {
+        return number(headers, "content-length");
+    }
+
+    /** Reads a numeric header, -1 when it is missing or no number. */
+    static long number(Map<String, String> headers, String name) {
         try {
-            return Long.parseLong(headers.getOrDefault("content-length", "-1"));
+            return Long.parseLong(headers.getOrDefault(name, "-1"));
         } catch (NumberFormatException e) {
             return -1;
         }
--- /dev/null
+++ b/daemon/src/main/java/org/mimosahinge/daemon/traffic/Heartbeats.java
@@ -0,0 +1,50 @@
+package org.mimosahinge.daemon.traffic;
+
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+import java.util.concurrent.ScheduledFuture;
+import java.util.concurrent.TimeUnit;
+import org.mimosahinge.net.frame.Frame;
+
+/** Sends heartbeats on a connection for calls and closes it when no byte arrives; a dead path shows no other sign. */
+final class Heartbeats extends ChannelInboundHandlerAdapter {
+
+    private static final long INTERVAL_MS = 500;
+    private static final long SILENCE_NANOS = TimeUnit.MILLISECONDS.toNanos(1_500);
+
+    private ScheduledFuture<?> timer;
+    private long lastReadNanos = System.nanoTime();
+    private long sequence;
+
+    /** Starts heartbeats on a connection; must see raw bytes, so it goes before the frame decoder. */
+    static void install(Channel channel) {
+        channel.pipeline().addFirst(new Heartbeats());
+    }
+
+    @Override
+    public void handlerAdded(ChannelHandlerContext context) {
+        timer = context.executor()
+                .scheduleAtFixedRate(() -> beat(context.channel()), INTERVAL_MS, INTERVAL_MS, TimeUnit.MILLISECONDS);
+    }
+
+    private void beat(Channel channel) {
+        if (System.nanoTime() - lastReadNanos > SILENCE_NANOS) {
+            channel.close();
+        } else {
+            channel.writeAndFlush(new Frame.Heartbeat(++sequence));
+        }
+    }
+
+    @Override
+    public void channelRead(ChannelHandlerContext context, Object message) {
+        lastReadNanos = System.nanoTime();
+        context.fireChannelRead(message);
+    }
+
+    @Override
+    public void channelInactive(ChannelHandlerContext context) {
+        timer.cancel(false);
+        context.fireChannelInactive();
+    }
+}
--- a/daemon/src/main/java/org/mimosahinge/daemon/traffic/PeerConnection.java
+++ b/daemon/src/main/java/org/mimosahinge/daemon/traffic/PeerConnection.java
@@ -15,6 +15,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.concurrent.TimeUnit;
 import org.mimosahinge.api.error.ErrorCode;
 import org.mimosahinge.api.world.HostPort;
 import org.mimosahinge.net.frame.Frame;
@@ -27,6 +28,9 @@
     /** Above the round trip over a region link with a lost packet, below the patience of a caller. */
     private static final int CONNECT_TIMEOUT_MS = 1_000;
 
+    /** Heartbeats cost bytes, so connections without calls are closed; opening one again takes about 1 ms. */
+    private static final long IDLE_MS = 30_000;
+
     private final TrafficLoop loop;
     private final HostPort address;
     private final Map<Long, PeerExchange> calls = new HashMap<>();
@@ -34,6 +38,8 @@
     private final Set<ResponseObserver> touched = new LinkedHashSet<>();
     private Channel channel;
     private boolean closed;
+    private boolean retiring;
+    private long idleSinceMs = TrafficLoop.nowMs();
 
     private PeerConnection(TrafficLoop loop, HostPort address) {
         this.loop = loop;
@@ -59,7 +65,7 @@
     }
 
     boolean usable() {
-        return !closed;
+        return !closed && !retiring;
     }
 
     @Override
@@ -77,6 +83,8 @@
             return;
         }
         channel = future.channel();
+        Heartbeats.install(channel);
+        channel.eventLoop().schedule(this::closeWhenIdle, IDLE_MS, TimeUnit.MILLISECONDS);
         channel.write(loop.hello());
         unsent.forEach(channel::write);
         unsent.clear();
@@ -108,7 +116,7 @@
             PeerExchange call = touch(body.callId());
             if (call != null) {
                 if (body.last()) {
-                    calls.remove(body.callId());
+                    remove(body.callId());
                 }
                 call.observer.body(body.bytes(), body.last());
             }
@@ -118,10 +126,46 @@
                 call.observer.credit(credit.bytes());
             }
         } else if (frame instanceof Frame.CallFailure failure) {
-            PeerExchange call = calls.remove(failure.callId());
-            if (call != null) {
-                call.observer.failed(failure);
-            }
+            failed(failure);
+        }
+    }
+
+    private void failed(Frame.CallFailure failure) {
+        if (failure.callId() == Failures.WHOLE_CONNECTION) {
+            retiring = true;
+            loop.forget(address, this);
+            closeWhenRetired();
+            return;
+        }
+        PeerExchange call = remove(failure.callId());
+        if (call != null) {
+            call.observer.failed(failure);
+            call.observer.flush();
+        }
+    }
+
+    private PeerExchange remove(long callId) {
+        PeerExchange call = calls.remove(callId);
+        if (calls.isEmpty()) {
+            idleSinceMs = TrafficLoop.nowMs();
+            closeWhenRetired();
+        }
+        return call;
+    }
+
+    private void closeWhenRetired() {
+        if (retiring && calls.isEmpty()) {
+            channel.close();
+        }
+    }
+
+    private void closeWhenIdle() {
+        boolean idle = calls.isEmpty() && TrafficLoop.nowMs() - idleSinceMs >= IDLE_MS;
+        if (idle) {
+            loop.forget(address, this);
+            channel.close();
+        } else if (!closed) {
+            channel.eventLoop().schedule(this::closeWhenIdle, IDLE_MS, TimeUnit.MILLISECONDS);
         }
     }
 
@@ -152,10 +196,13 @@
 
     private void fail(boolean notRun, String message) {
         closed = true;
+        unsent.clear();
+        loop.forget(address, this);
         List<PeerExchange> open = List.copyOf(calls.values());
         calls.clear();
         for (PeerExchange call : open) {
             call.observer.failed(new Frame.CallFailure(call.callId, ErrorCode.CONNECTION_LOST.code(), notRun, message));
+            call.observer.flush();
         }
     }
 
@@ -186,9 +233,10 @@
 
         @Override
         public void cancel() {
-            if (calls.remove(callId) != null) {
+            if (calls.containsKey(callId)) {
                 write(new Frame.Cancel(callId));
                 PeerConnection.this.flush();
+                remove(callId);
             }
         }
 
--- /dev/null
+++ b/daemon/src/main/java/org/mimosahinge/daemon/traffic/PoisonGuard.java
@@ -0,0 +1,65 @@
+package org.mimosahinge.daemon.traffic;
+
+import java.time.Duration;
+import java.util.Optional;
+import org.mimosahinge.core.poison.CrashRegistry;
+import org.mimosahinge.core.poison.Fingerprint;
+
+/** Keeps a request that crashes backend servers away from them; bodies above one window are not covered. */
+final class PoisonGuard {
+
+    private final TrafficContext context;
+    private final String route;
+    private final CallRequest request;
+    private final RequestBody body;
+
+    PoisonGuard(TrafficContext context, String route, CallRequest request, RequestBody body) {
+        this.context = context;
+        this.route = route;
+        this.request = request;
+        this.body = body;
+    }
+
+    /** Tells whether the body decides if the request is refused. */
+    boolean needsBody() {
+        CrashRegistry registry = context.crashes().get();
+        return request.hasBody()
+                && !registry.records().isEmpty()
+                && registry.suspects(route, request.method(), request.uri(), TrafficLoop.nowMs());
+    }
+
+    boolean refused() {
+        CrashRegistry registry = context.crashes().get();
+        return !registry.records().isEmpty()
+                && fingerprint()
+                        .filter(known -> registry.refused(known, TrafficLoop.nowMs()))
+                        .isPresent();
+    }
+
+    /** Notes a crash and tells whether the request is refused from now on. */
+    boolean crashed() {
+        Optional<Fingerprint> fingerprint = fingerprint();
+        if (fingerprint.isEmpty()) {
+            return false;
+        }
+        long now = TrafficLoop.nowMs();
+        CrashRegistry after = context.crashes().updateAndGet(registry -> registry.crashed(fingerprint.get(), now));
+        boolean refused = after.refused(fingerprint.get(), now);
+        if (refused) {
+            context.listener()
+                    .on(new TrafficEvent.RequestQuarantined(
+                            fingerprint.get(), Duration.ofMillis(CrashRegistry.REFUSAL_MS)));
+        }
+        return refused;
+    }
+
+    void succeeded() {
+        if (!context.crashes().get().records().isEmpty()) {
+            fingerprint().ifPresent(known -> context.crashes().updateAndGet(registry -> registry.succeeded(known)));
+        }
+    }
+
+    private Optional<Fingerprint> fingerprint() {
+        return body.hash(request.hasBody()).map(hash -> new Fingerprint(route, request.method(), request.uri(), hash));
+    }
+}
--- a/daemon/src/main/java/org/mimosahinge/daemon/traffic/RequestBody.java
+++ b/daemon/src/main/java/org/mimosahinge/daemon/traffic/RequestBody.java
@@ -1,7 +1,10 @@
 package org.mimosahinge.daemon.traffic;
 
+import java.io.ByteArrayOutputStream;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
+import org.mimosahinge.api.platform.ObjectHash;
 
 /** The part of a request's body that has arrived, kept for another attempt as far as it fits one window. */
 final class RequestBody {
@@ -27,12 +30,25 @@
     }
 
     /** Sends the kept parts. */
-    void replay(Exchange exchange) {
+    void replay(Attempt attempt) {
         for (int i = 0; i < parts.size(); i++) {
-            exchange.body(parts.get(i), complete && i == parts.size() - 1);
+            attempt.requestBody(parts.get(i), complete && i == parts.size() - 1);
         }
     }
 
+    /** Returns the body's hash, empty while the body is not known as a whole. */
+    Optional<String> hash(boolean expected) {
+        if (!expected) {
+            return Optional.of("");
+        }
+        if (!complete || !replayable()) {
+            return Optional.empty();
+        }
+        ByteArrayOutputStream whole = new ByteArrayOutputStream();
+        parts.forEach(whole::writeBytes);
+        return Optional.of(ObjectHash.of(whole.toByteArray()).hex());
+    }
+
     /** Limits grants to what the caller has sent, since a replay is granted a second time. */
     int granted(int bytes) {
         int grant = (int) Math.min(bytes, received - granted);
--- /dev/null
+++ b/daemon/src/main/java/org/mimosahinge/daemon/traffic/ResponseProgress.java
@@ -0,0 +1,58 @@
+package org.mimosahinge.daemon.traffic;
+
+import java.util.Arrays;
+import java.util.Map;
+import java.util.Optional;
+import org.mimosahinge.core.retry.Download;
+import org.mimosahinge.net.frame.Frame;
+
+/** How much of a call's response has gone to the caller, over all attempts. */
+final class ResponseProgress {
+
+    private final CallRequest request;
+    private Download download;
+    private long skip;
+
+    ResponseProgress(CallRequest request) {
+        this.request = request;
+    }
+
+    boolean begun() {
+        return download != null;
+    }
+
+    void begin(Frame.ResponseStart start) {
+        boolean bodyless = request.method().equals("HEAD") || start.status() == 204 || start.status() == 304;
+        download = new Download(
+                request.method(),
+                request.headers().containsKey("range"),
+                start.status(),
+                start.headers().getOrDefault("etag", ""),
+                bodyless ? -1 : start.contentLength(),
+                0);
+    }
+
+    /** Tells whether another attempt's response continues this one. */
+    boolean resumes(Frame.ResponseStart start) {
+        Optional<Long> leading = download.skip(start.status(), start.headers());
+        skip = leading.orElse(0L);
+        return leading.isPresent();
+    }
+
+    Optional<Map<String, String>> resumeHeaders() {
+        return download.resumeHeaders();
+    }
+
+    /** Returns the part of received bytes that the caller does not have yet. */
+    byte[] take(byte[] bytes) {
+        int known = (int) Math.min(skip, bytes.length);
+        skip -= known;
+        byte[] wanted = known == 0 ? bytes : Arrays.copyOfRange(bytes, known, bytes.length);
+        download = download.plus(wanted.length);
+        return wanted;
+    }
+
+    boolean complete() {
+        return download.complete();
+    }
+}
--- a/daemon/src/main/java/org/mimosahinge/daemon/traffic/ServedConnection.java
+++ b/daemon/src/main/java/org/mimosahinge/daemon/traffic/ServedConnection.java
@@ -6,10 +6,15 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.TimeUnit;
+import org.mimosahinge.api.error.ErrorCode;
 import org.mimosahinge.net.frame.Frame;
 
 /** Serves calls that another node sends for the backend servers beside this one. */
-final class ServedConnection extends SimpleChannelInboundHandler<Frame> {
+final class ServedConnection extends SimpleChannelInboundHandler<Frame> implements Drainable {
+
+    /** Time for the other end to learn of the drain; calls that it sent before are still served. */
+    private static final long DRAIN_NOTICE_MS = 500;
 
     private final TrafficPlane plane;
     private final Map<Long, ServedCall> calls = new HashMap<>();
@@ -24,7 +29,26 @@
     public void handlerAdded(ChannelHandlerContext context) {
         channel = context.channel();
         loop = plane.loop(channel.eventLoop());
+        Heartbeats.install(channel);
         channel.writeAndFlush(loop.hello());
+        loop.connections().add(this);
+        if (plane.draining()) {
+            drain();
+        }
+    }
+
+    @Override
+    public void drain() {
+        channel.writeAndFlush(Failures.notRun(Failures.WHOLE_CONNECTION, ErrorCode.NOT_READY, "The node is stopping"));
+        channel.eventLoop().schedule(this::closeWhenIdle, DRAIN_NOTICE_MS, TimeUnit.MILLISECONDS);
+    }
+
+    private void closeWhenIdle() {
+        if (calls.isEmpty()) {
+            channel.close();
+        } else {
+            channel.eventLoop().schedule(this::closeWhenIdle, DRAIN_NOTICE_MS, TimeUnit.MILLISECONDS);
+        }
     }
 
     @Override
@@ -47,6 +71,9 @@
             if (call != null) {
                 call.exchange.cancel();
             }
+        } else if (!(frame instanceof Frame.Heartbeat || frame instanceof Frame.Hello)) {
+            // Frames of the control connection have no place here.
+            context.close();
         }
     }
 
@@ -54,6 +81,7 @@
     public void channelInactive(ChannelHandlerContext context) {
         List<ServedCall> open = List.copyOf(calls.values());
         calls.clear();
+        loop.connections().remove(this);
         open.forEach(call -> call.exchange.cancel());
     }
 
@@ -66,14 +94,18 @@
 
         private final Frame.CallStart start;
         private final FlowWindow requestWindow = new FlowWindow();
-        private Exchange exchange;
+        private Exchange exchange = EndedExchange.INSTANCE;
 
         ServedCall(Frame.CallStart start) {
             this.start = start;
         }
 
         void begin() {
-            calls.put(start.callId(), this);
+            if (calls.putIfAbsent(start.callId(), this) != null) {
+                // Two calls under one id would mix their responses.
+                channel.close();
+                return;
+            }
             exchange = loop.beside(start).start(start, this);
         }
 
--- a/daemon/src/main/java/org/mimosahinge/daemon/traffic/TrafficContext.java
+++ b/daemon/src/main/java/org/mimosahinge/daemon/traffic/TrafficContext.java
@@ -1,10 +1,10 @@
 package org.mimosahinge.daemon.traffic;
 
+import java.util.concurrent.atomic.AtomicReference;
 import java.util.function.Supplier;
 import org.mimosahinge.api.config.Snapshot;
 import org.mimosahinge.api.platform.TableService;
-import org.mimosahinge.core.routing.EndpointChooser;
-import org.mimosahinge.core.routing.RandomSource;
+import org.mimosahinge.core.poison.CrashRegistry;
 
 /**
  * What all traffic threads of a node share.
@@ -14,19 +14,12 @@
  * @param table holds the claims of at-most-once calls
  * @param listener takes reports
  * @param policies decisions that vary
+ * @param crashes requests that crashed backend servers; changes only at crashes
  */
 record TrafficContext(
         TrafficConfig config,
         Supplier<Snapshot> snapshots,
         TableService table,
         TrafficListener listener,
-        TrafficPolicies policies) {
-
-    EndpointChooser chooser() {
-        return policies.chooser();
-    }
-
-    RandomSource random() {
-        return policies.random();
-    }
-}
+        TrafficPolicies policies,
+        AtomicReference<CrashRegistry> crashes) {}
--- a/daemon/src/main/java/org/mimosahinge/daemon/traffic/TrafficLoop.java
+++ b/daemon/src/main/java/org/mimosahinge/daemon/traffic/TrafficLoop.java
@@ -2,18 +2,22 @@
 
 import io.netty.channel.EventLoop;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import org.mimosahinge.api.config.Snapshot;
+import org.mimosahinge.api.contract.Limits;
 import org.mimosahinge.api.contract.Route;
+import org.mimosahinge.api.contract.Service;
 import org.mimosahinge.api.error.ErrorCode;
 import org.mimosahinge.api.world.Endpoint;
 import org.mimosahinge.api.world.EndpointState;
 import org.mimosahinge.api.world.HostPort;
 import org.mimosahinge.core.move.Evidence;
 import org.mimosahinge.core.move.EvidenceRecorder;
+import org.mimosahinge.core.retry.ResponsePace;
 import org.mimosahinge.core.routing.Choice;
 import org.mimosahinge.core.routing.EndpointLoad;
 import org.mimosahinge.net.frame.Frame;
@@ -27,30 +31,49 @@
     /** Short against the 2 s within which a bad version must lose its calls. */
     private static final long REPORT_INTERVAL_MS = 100;
 
-    private final TrafficContext context;
+    /** Short against the silence that is looked for, and rare enough to cost nothing. */
+    private static final long WATCH_INTERVAL_MS = 250;
+
+    /** Trackers of endpoints that are gone are dropped when this many have collected. */
+    private static final int MAX_TRACKERS = 1_000;
+
+    private final TrafficPlane plane;
     private final EventLoop eventLoop;
     private final Map<HostPort, PeerConnection> peers = new HashMap<>();
     private final Map<String, BackendGate> gates = new HashMap<>();
     private final Map<String, EndpointTracker> trackers = new HashMap<>();
     private final Map<String, EvidenceRecorder> recorders = new HashMap<>();
+    private final Map<String, ResponsePace> paces = new HashMap<>();
+    private final Set<Attempt> watched = new HashSet<>();
+    private final Set<Drainable> connections = new HashSet<>();
+    private final Budgets budgets = new Budgets();
     private long lastCallId;
     private long choices;
 
-    TrafficLoop(TrafficContext context, EventLoop eventLoop) {
-        this.context = context;
+    TrafficLoop(TrafficPlane plane, EventLoop eventLoop) {
+        this.plane = plane;
         this.eventLoop = eventLoop;
     }
 
     TrafficContext context() {
-        return context;
+        return plane.context();
     }
 
     EventLoop eventLoop() {
         return eventLoop;
     }
 
+    Budgets budgets() {
+        return budgets;
+    }
+
+    /** Connections whose end a drain waits for. */
+    Set<Drainable> connections() {
+        return connections;
+    }
+
     Snapshot snapshot() {
-        return context.snapshots().get();
+        return context().snapshots().get();
     }
 
     long nextCallId() {
@@ -64,12 +87,12 @@
     Frame.Hello hello() {
         Snapshot snapshot = snapshot();
         return new Frame.Hello(
-                Frame.Purpose.CALLS, context.config().self(), snapshot.version(), snapshot.provenCurrent(), Set.of());
+                Frame.Purpose.CALLS, context().config().self(), snapshot.version(), snapshot.provenCurrent(), Set.of());
     }
 
     /** Finds where calls for an endpoint are sent. */
     CallTarget target(Endpoint endpoint) {
-        return endpoint.node().id().equals(context.config().self().id()) ? gate(endpoint) : peer(endpoint);
+        return isBeside(endpoint) ? owned(endpoint) : peer(endpoint.node().address());
     }
 
     /** Finds the backend server beside this node for a call from another node. */
@@ -77,28 +100,43 @@
         for (Endpoint endpoint : snapshot().endpoints().getOrDefault(start.service(), List.of())) {
             if (endpoint.id().equals(start.endpointId())
                     && endpoint.state() == EndpointState.READY
-                    && endpoint.node().id().equals(context.config().self().id())) {
-                return gate(endpoint);
+                    && isBeside(endpoint)) {
+                return owned(endpoint);
             }
         }
-        return refusing(ErrorCode.NO_ENDPOINT, "Endpoint " + start.endpointId() + " takes no calls here");
-    }
-
-    static CallTarget refusing(ErrorCode code, String message) {
-        return (start, observer) -> {
-            observer.failed(Failures.notRun(start.callId(), code, message));
+        return (refused, observer) -> {
+            observer.failed(Failures.notRun(
+                    refused.callId(),
+                    ErrorCode.NO_ENDPOINT,
+                    "Endpoint " + refused.endpointId() + " takes no calls here"));
             observer.flush();
             return EndedExchange.INSTANCE;
         };
     }
 
+    private boolean isBeside(Endpoint endpoint) {
+        return endpoint.node().id().equals(context().config().self().id());
+    }
+
+    /** One event loop owns the slots of an endpoint, so that they need no lock. */
+    private CallTarget owned(Endpoint endpoint) {
+        TrafficLoop owner = plane.owner(endpoint.id());
+        if (owner == this) {
+            return gate(endpoint);
+        }
+        return new LoopHop(eventLoop, owner.eventLoop, (start, observer) -> owner.gate(endpoint)
+                .start(start, observer));
+    }
+
     private BackendGate gate(Endpoint endpoint) {
-        return gates.computeIfAbsent(endpoint.id(), id -> new BackendGate(eventLoop, context.listener(), endpoint))
-                .announced(endpoint);
+        Service service = snapshot().services().get(endpoint.server().service());
+        return gates.computeIfAbsent(
+                        endpoint.id(),
+                        id -> new BackendGate(eventLoop, context().listener(), endpoint))
+                .announced(endpoint, service == null ? Limits.DEFAULT : service.limits());
     }
 
-    private PeerConnection peer(Endpoint endpoint) {
-        HostPort address = endpoint.node().address();
+    private PeerConnection peer(HostPort address) {
         PeerConnection known = peers.get(address);
         if (known == null || !known.usable()) {
             known = PeerConnection.open(this, address);
@@ -107,6 +145,11 @@
         return known;
     }
 
+    /** Forgets a connection that is closed or takes no more calls. */
+    void forget(HostPort address, PeerConnection connection) {
+        peers.remove(address, connection);
+    }
+
     /** Returns the recorder of a service; reports are collected because each one wakes the control thread. */
     EvidenceRecorder evidence(String service) {
         if (recorders.isEmpty()) {
@@ -119,12 +162,40 @@
         Map<String, Evidence> evidence = new HashMap<>();
         recorders.forEach((service, recorder) -> evidence.put(service, recorder.drain()));
         recorders.clear();
-        context.listener().on(new TrafficEvent.CallEvidence(evidence));
+        context().listener().on(new TrafficEvent.CallEvidence(evidence));
+    }
+
+    /** Looks for silence of an attempt until it ends. */
+    void watch(Attempt attempt) {
+        if (watched.isEmpty()) {
+            eventLoop.schedule(this::checkSilence, WATCH_INTERVAL_MS, TimeUnit.MILLISECONDS);
+        }
+        watched.add(attempt);
+    }
+
+    void unwatch(Attempt attempt) {
+        watched.remove(attempt);
+    }
+
+    private void checkSilence() {
+        long now = System.nanoTime();
+        List.copyOf(watched).forEach(attempt -> attempt.checkSilence(now));
+        if (!watched.isEmpty()) {
+            eventLoop.schedule(this::checkSilence, WATCH_INTERVAL_MS, TimeUnit.MILLISECONDS);
+        }
+    }
+
+    ResponsePace pace(String route) {
+        return paces.getOrDefault(route, ResponsePace.UNKNOWN);
+    }
+
+    void observePace(String route, double startMs) {
+        paces.put(route, pace(route).observed(startMs));
     }
 
     /** Logs one in {@link TrafficConfig#logEvery()} routing decisions. */
     void logChoice(Route route, Choice choice) {
-        int every = context.config().logEvery();
+        int every = context().config().logEvery();
         if (every > 0 && choices++ % every == 0) {
             LOG.info(
                     "route",
@@ -144,6 +215,11 @@
     }
 
     EndpointTracker tracker(String endpointId) {
+        if (trackers.size() >= MAX_TRACKERS && !trackers.containsKey(endpointId)) {
+            Set<String> known = new HashSet<>();
+            snapshot().endpoints().values().forEach(list -> list.forEach(endpoint -> known.add(endpoint.id())));
+            trackers.entrySet().removeIf(entry -> entry.getValue().idle() && !known.contains(entry.getKey()));
+        }
         return trackers.computeIfAbsent(endpointId, id -> new EndpointTracker(nowMs()));
     }
 
--- a/daemon/src/main/java/org/mimosahinge/daemon/traffic/TrafficPlane.java
+++ b/daemon/src/main/java/org/mimosahinge/daemon/traffic/TrafficPlane.java
@@ -7,36 +7,44 @@
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
 import io.netty.channel.EventLoopGroup;
-import io.netty.channel.group.ChannelGroup;
-import io.netty.channel.group.DefaultChannelGroup;
 import io.netty.channel.nio.NioEventLoopGroup;
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.handler.codec.http.HttpServerCodec;
 import io.netty.util.concurrent.DefaultThreadFactory;
-import io.netty.util.concurrent.GlobalEventExecutor;
 import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicReference;
 import java.util.function.Supplier;
 import org.mimosahinge.api.config.Snapshot;
 import org.mimosahinge.api.platform.TableService;
 import org.mimosahinge.api.world.HostPort;
+import org.mimosahinge.core.poison.CrashRegistry;
+import org.mimosahinge.core.poison.Fingerprint;
 
 /** Carries a node's calls: from callers, to and from other nodes, and to the backend servers beside it. */
 public final class TrafficPlane implements AutoCloseable {
 
+    private static final long DRAIN_CHECK_MS = 20;
+
     private final TrafficContext context;
     private final EventLoopGroup group;
     private final Map<EventLoop, TrafficLoop> loops = new ConcurrentHashMap<>();
-    private final ChannelGroup callers = new DefaultChannelGroup(GlobalEventExecutor.INSTANCE);
+    private final List<TrafficLoop> ordered = new ArrayList<>();
     private Channel server;
     private volatile boolean draining;
 
     private TrafficPlane(TrafficContext context) {
         this.context = context;
         group = new NioEventLoopGroup(context.config().eventLoops(), new DefaultThreadFactory("traffic", true));
+        group.forEach(executor -> ordered.add(loop((EventLoop) executor)));
     }
 
     /**
@@ -69,7 +77,8 @@
             TableService table,
             TrafficListener listener,
             TrafficPolicies policies) {
-        TrafficPlane plane = new TrafficPlane(new TrafficContext(config, snapshots, table, listener, policies));
+        TrafficPlane plane = new TrafficPlane(new TrafficContext(
+                config, snapshots, table, listener, policies, new AtomicReference<>(CrashRegistry.EMPTY)));
         plane.bind();
         return plane;
     }
@@ -123,12 +132,56 @@
         return new ServedConnection(this);
     }
 
+    /**
+     * Refuses a request that another node found to crash backend servers.
+     *
+     * @param fingerprint the request
+     * @param time how long it is refused
+     */
+    public void quarantine(Fingerprint fingerprint, Duration time) {
+        long now = TrafficLoop.nowMs();
+        context.crashes().updateAndGet(registry -> registry.refuse(fingerprint, now, now + time.toMillis()));
+    }
+
+    /**
+     * Stops gracefully: takes no new connections, finishes the calls in flight and closes.
+     *
+     * @return completes when no caller and no node has a connection left
+     */
+    public CompletionStage<Void> drain() {
+        draining = true;
+        server.close();
+        List<CompletableFuture<Void>> drained = new ArrayList<>();
+        for (TrafficLoop loop : loops.values()) {
+            CompletableFuture<Void> done = new CompletableFuture<>();
+            drained.add(done);
+            loop.eventLoop().execute(() -> {
+                List.copyOf(loop.connections()).forEach(Drainable::drain);
+                awaitDrained(loop, done);
+            });
+        }
+        return CompletableFuture.allOf(drained.toArray(CompletableFuture[]::new));
+    }
+
+    private static void awaitDrained(TrafficLoop loop, CompletableFuture<Void> done) {
+        if (loop.connections().isEmpty()) {
+            done.complete(null);
+        } else {
+            loop.eventLoop().schedule(() -> awaitDrained(loop, done), DRAIN_CHECK_MS, TimeUnit.MILLISECONDS);
+        }
+    }
+
+    TrafficContext context() {
+        return context;
+    }
+
     TrafficLoop loop(EventLoop eventLoop) {
-        return loops.computeIfAbsent(eventLoop, key -> new TrafficLoop(context, key));
+        return loops.computeIfAbsent(eventLoop, key -> new TrafficLoop(this, key));
     }
 
-    void callerConnected(Channel caller) {
-        callers.add(caller);
+    /** Returns the event loop that owns the slots of an endpoint beside this node. */
+    TrafficLoop owner(String endpointId) {
+        return ordered.get(Math.floorMod(endpointId.hashCode(), ordered.size()));
     }
 
     boolean draining() {
--- /dev/null
+++ b/daemon/src/test/java/org/mimosahinge/daemon/traffic/ConnectionTest.java
@@ -0,0 +1,172 @@
+package org.mimosahinge.daemon.traffic;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.InputStream;
+import java.io.OutputStream;
+import java.net.ConnectException;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.net.http.HttpResponse;
+import java.nio.charset.StandardCharsets;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.regex.Pattern;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
+import org.mimosahinge.api.world.HostPort;
+
+/** Guards against connections that hold up, mix or lose the calls of others. */
+class ConnectionTest {
+
+    @ParameterizedTest(name = "endpoint beside node {0}")
+    @ValueSource(ints = {0, 1})
+    void oneSlowReaderHoldsUpNobody(int node) throws Exception {
+        int size = 64 << 20;
+        AtomicLong sent = new AtomicLong();
+        try (ScriptedBackend backend = ScriptedBackend.start((request, out) -> {
+                    if (!request.uri().equals("/x/big")) {
+                        ScriptedBackend.respond(out, "200 OK", "small");
+                        return;
+                    }
+                    ScriptedBackend.write(out, "HTTP/1.1 200 OK\r\ncontent-length: " + size + "\r\n\r\n");
+                    byte[] chunk = new byte[1 << 16];
+                    for (int i = 0; i < size / chunk.length; i++) {
+                        out.write(chunk);
+                        sent.addAndGet(chunk.length);
+                    }
+                });
+                TestMesh mesh = new TestMesh(2, null)
+                        .route(TestMesh.route("/x", true, false))
+                        .endpoint(node, "svc", backend.address(), 10);
+                Socket slow =
+                        new Socket("127.0.0.1", mesh.planes.get(0).callers().port())) {
+            slow.getOutputStream().write("GET /x/big HTTP/1.1\r\nhost: a\r\n\r\n".getBytes(StandardCharsets.US_ASCII));
+            long before = -1;
+            while (sent.get() == 0 || sent.get() != before) {
+                before = sent.get();
+                Thread.sleep(200);
+            }
+            // The rest is in socket buffers, which the kernel bounds; the daemon holds one window for each hop.
+            assertTrue(sent.get() < size / 2, sent + " bytes were taken from the backend server");
+            assertEquals("small", mesh.get("/x").body());
+            InputStream in = slow.getInputStream();
+            assertEquals(size, in.readNBytes(size).length);
+        }
+    }
+
+    @Test
+    void replacesAConnectionToANodeThatIsSilent() throws Exception {
+        try (ServerSocket silent = new ServerSocket(0);
+                ScriptedBackend backend = ScriptedBackend.echo("other");
+                TestMesh mesh = new TestMesh(2, null).route(TestMesh.route("/x", true, false))) {
+            mesh.silentEndpoint("svc", new HostPort("127.0.0.1", silent.getLocalPort()), 1000);
+            mesh.endpoint(1, "svc", backend.address(), 1);
+            assertEquals("other /x ", mesh.get("/x").body());
+            try (Socket accepted = silent.accept()) {
+                // The end of the stream tells that the caller's node has given the connection up.
+                accepted.getInputStream().transferTo(OutputStream.nullOutputStream());
+            }
+        }
+    }
+
+    @ParameterizedTest(name = "endpoints beside node {0}")
+    @ValueSource(ints = {0, 1})
+    void aPoisonRequestStopsAfterItsSecondCrash(int node) throws Exception {
+        ScriptedBackend[] backends = new ScriptedBackend[3];
+        try (TestMesh mesh = new TestMesh(2, null).route(TestMesh.route("/x", false, false))) {
+            for (int i = 0; i < backends.length; i++) {
+                int index = i;
+                backends[i] = ScriptedBackend.start((request, out) -> {
+                    if (request.body().equals("poison")) {
+                        backends[index].close();
+                    } else {
+                        ScriptedBackend.respond(out, "200 OK", "ok");
+                    }
+                });
+                mesh.endpoint(node, "svc", backends[i].address(), 10);
+            }
+            assertEquals("502 unknown", TestMesh.outcome(mesh.post("/x", "poison")));
+            assertEquals("503 unknown", TestMesh.outcome(mesh.post("/x", "poison")));
+            assertEquals("503 not-run", TestMesh.outcome(mesh.post("/x", "poison")));
+            assertEquals("200 -", TestMesh.outcome(mesh.post("/x", "harmless")));
+            assertTrue(mesh.events.stream().anyMatch(TrafficEvent.RequestQuarantined.class::isInstance));
+            assertEquals(
+                    2,
+                    mesh.events.stream()
+                            .filter(TrafficEvent.EndpointDied.class::isInstance)
+                            .count());
+        }
+    }
+
+    @ParameterizedTest(name = "node {0} stops, the endpoint is beside node 1")
+    @ValueSource(ints = {0, 1})
+    void aPlannedStopCutsNoCall(int stopping) throws Exception {
+        CountDownLatch started = new CountDownLatch(1);
+        CountDownLatch release = new CountDownLatch(1);
+        try (ScriptedBackend backend = ScriptedBackend.start((request, out) -> {
+                    started.countDown();
+                    release.await();
+                    ScriptedBackend.respond(out, "200 OK", "done");
+                });
+                TestMesh mesh = new TestMesh(2, null)
+                        .route(TestMesh.route("/x", false, false))
+                        .endpoint(1, "svc", backend.address(), 10)) {
+            CompletableFuture<HttpResponse<String>> call = mesh.send(mesh.request(0, "/x"));
+            started.await();
+            CompletableFuture<Void> drained = mesh.planes.get(stopping).drain().toCompletableFuture();
+            // A call that arrives after the notice of the stop is still served.
+            CompletableFuture<HttpResponse<String>> late = stopping == 1 ? mesh.send(mesh.request(0, "/x")) : call;
+            assertFalse(drained.isDone());
+            release.countDown();
+            assertEquals("done", call.get().body());
+            assertEquals("done", late.get().body());
+            drained.get();
+            HostPort callers = mesh.planes.get(stopping).callers();
+            assertThrows(ConnectException.class, () -> new Socket(callers.host(), callers.port()).close());
+        }
+    }
+
+    @ParameterizedTest(name = "{0}: {1}")
+    @CsvSource({
+        "two pipelined requests, 200 200",
+        "headers of 20000 bytes, 431",
+        "garbage, 400",
+        "garbage on the frame port, ''",
+        "a frame of 2 GB, ''"
+    })
+    void malformedInputMeetsATypedErrorAndDisturbsNobody(String input, String statuses) throws Exception {
+        try (ScriptedBackend backend = ScriptedBackend.echo("b");
+                TestMesh mesh = new TestMesh(2, null)
+                        .route(TestMesh.route("/x", true, false))
+                        .endpoint(1, "svc", backend.address(), 10)) {
+            String get = "GET /x/%d HTTP/1.1\r\nhost: a\r\n%s\r\n";
+            String text =
+                    switch (input) {
+                        case "two pipelined requests" -> String.format(get, 1, "")
+                                + String.format(get, 2, "connection: close\r\n");
+                        case "headers of 20000 bytes" -> String.format(get, 1, "a: " + "x".repeat(20_000) + "\r\n");
+                        case "a frame of 2 GB" -> "\u007f\u00ff\u00ff\u00ff" + "x".repeat(100);
+                        default -> "\u0001\u0002\u0003 \u00ff\u00ff\r\n\r\n";
+                    };
+            boolean frames = input.contains("frame");
+            String answer = TestMesh.raw(
+                    frames ? mesh.node(1).address() : mesh.planes.get(0).callers(), text);
+            if (!frames) {
+                StringBuilder found = new StringBuilder();
+                Pattern.compile("HTTP/1.1 (\\d+)").matcher(answer).results().forEach(status -> found.append(
+                                status.group(1))
+                        .append(' '));
+                assertEquals(statuses, found.toString().strip(), answer);
+                assertTrue(answer.indexOf("/x/1") <= answer.indexOf("/x/2"), answer);
+            }
+            assertEquals("b /x ", mesh.get("/x").body());
+        }
+    }
+}
--- /dev/null
+++ b/daemon/src/test/java/org/mimosahinge/daemon/traffic/MemoryTable.java
@@ -0,0 +1,61 @@
+package org.mimosahinge.daemon.traffic;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
+import org.mimosahinge.api.error.PlatformException;
+import org.mimosahinge.api.platform.ReadRequest;
+import org.mimosahinge.api.platform.ReadResult;
+import org.mimosahinge.api.platform.Row;
+import org.mimosahinge.api.platform.TableService;
+import org.mimosahinge.api.platform.Transaction;
+import org.mimosahinge.api.platform.TransactionResult;
+
+/** A table service in memory with the platform's faults. */
+final class MemoryTable implements TableService {
+
+    private final Map<String, Row> rows = new TreeMap<>();
+    private long revision;
+    volatile boolean away;
+    volatile boolean readsAway;
+    volatile int loseAnswers;
+
+    @Override
+    public synchronized CompletionStage<TransactionResult> commit(Transaction transaction) {
+        if (away) {
+            return CompletableFuture.failedFuture(PlatformException.unavailable("commit", null));
+        }
+        List<Row> conflicts = new ArrayList<>();
+        boolean holds = transaction.conditions().stream().allMatch(condition -> {
+            Row row = rows.get(condition.key());
+            if (row != null) {
+                conflicts.add(row);
+            }
+            return (row == null ? 0 : row.revision()) == condition.revision();
+        });
+        if (!holds) {
+            return CompletableFuture.completedFuture(new TransactionResult.Conflict(conflicts));
+        }
+        revision++;
+        transaction.puts().forEach(put -> rows.put(put.key(), new Row(put.key(), revision, put.value())));
+        transaction.deletes().forEach(rows::remove);
+        if (loseAnswers > 0) {
+            loseAnswers--;
+            return CompletableFuture.failedFuture(PlatformException.answerLost("commit", null));
+        }
+        return CompletableFuture.completedFuture(new TransactionResult.Committed(revision));
+    }
+
+    @Override
+    public synchronized CompletionStage<ReadResult> read(ReadRequest request) {
+        if (away || readsAway) {
+            return CompletableFuture.failedFuture(PlatformException.unavailable("read", null));
+        }
+        List<Row> found =
+                request.keys().stream().filter(rows::containsKey).map(rows::get).toList();
+        return CompletableFuture.completedFuture(new ReadResult(revision, found));
+    }
+}
--- a/daemon/src/test/java/org/mimosahinge/daemon/traffic/TestMesh.java
+++ b/daemon/src/test/java/org/mimosahinge/daemon/traffic/TestMesh.java
@@ -5,19 +5,31 @@
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.UncheckedIOException;
 import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.net.SocketException;
 import java.net.URI;
 import java.net.http.HttpClient;
 import java.net.http.HttpRequest;
 import java.net.http.HttpResponse;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
 import java.util.TreeMap;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.function.UnaryOperator;
 import org.mimosahinge.api.config.Snapshot;
+import org.mimosahinge.api.contract.CallClass;
 import org.mimosahinge.api.contract.Limits;
 import org.mimosahinge.api.contract.Route;
 import org.mimosahinge.api.contract.Service;
@@ -53,11 +65,15 @@
 
     /** Starts nodes; the first one serves the callers of most tests. */
     TestMesh(int count, TableService table) {
+        this(count, table, 1);
+    }
+
+    TestMesh(int count, TableService table, int eventLoops) {
         for (int i = 0; i < count; i++) {
             HostPort frames = new HostPort("127.0.0.1", FreePorts.next());
             Node node = new Node(new NodeId("n" + i), 1, ZONE, frames);
             TrafficPlane plane =
-                    TrafficPlane.start(new TrafficConfig(node, ANY, 1, 0), () -> snapshot, table, events::add);
+                    TrafficPlane.start(new TrafficConfig(node, ANY, eventLoops, 0), () -> snapshot, table, events::add);
             frameServers.add(new ServerBootstrap()
                     .group(plane.eventLoops())
                     .channel(NioServerSocketChannel.class)
@@ -78,18 +94,25 @@
     TestMesh route(Route route) {
         routes.add(route);
         services.putIfAbsent(
-                route.service(),
-                new Service(route.service(), List.of("v1"), "v1", java.util.Optional.empty(), Limits.DEFAULT));
+                route.service(), new Service(route.service(), List.of("v1"), "v1", Optional.empty(), Limits.DEFAULT));
         return publish(current -> current);
     }
 
     TestMesh endpoint(int node, String service, HostPort address, int slots) {
-        Node beside = nodes.get(node);
+        return endpoint(nodes.get(node), service, address, slots);
+    }
+
+    /** Adds an endpoint beside a node that the test plays itself. */
+    TestMesh silentEndpoint(String service, HostPort frames, int slots) {
+        return endpoint(new Node(new NodeId("silent"), 1, ZONE, frames), service, ANY, slots);
+    }
+
+    private TestMesh endpoint(Node beside, String service, HostPort address, int slots) {
         endpoints
                 .computeIfAbsent(service, key -> new ArrayList<>())
                 .add(new Endpoint(
                         beside.id() + "/" + address,
-                        new BackendServer(service, "v1", address, slots, 130, java.util.Set.of()),
+                        new BackendServer(service, "v1", address, slots, 130, Set.of()),
                         beside,
                         EndpointState.READY,
                         new Stamp(1, 1)));
@@ -100,11 +123,16 @@
     TestMesh publish(UnaryOperator<Snapshot> change) {
         Map<String, Long> revisions = new HashMap<>();
         services.keySet().forEach(service -> revisions.put(service, 1L));
-        snapshot = change.apply(new Snapshot(
-                1, new TreeMap<>(), services, revisions, routes, Map.of(), endpoints, java.util.Set.of(), true));
+        snapshot = change.apply(
+                new Snapshot(1, new TreeMap<>(), services, revisions, routes, Map.of(), endpoints, Set.of(), true));
         return this;
     }
 
+    /** Stops a node's port for other nodes. */
+    void stopFrames(int node) {
+        frameServers.get(node).close().syncUninterruptibly();
+    }
+
     Node node(int index) {
         return nodes.get(index);
     }
@@ -117,6 +145,49 @@
         return http.send(request(0, path).build(), HttpResponse.BodyHandlers.ofString());
     }
 
+    CompletableFuture<HttpResponse<String>> send(HttpRequest.Builder request) {
+        return http.sendAsync(request.build(), HttpResponse.BodyHandlers.ofString());
+    }
+
+    HttpResponse<String> post(String path, String body, String... headers) throws Exception {
+        HttpRequest.Builder request = request(0, path).POST(HttpRequest.BodyPublishers.ofString(body));
+        if (headers.length > 0) {
+            request.headers(headers);
+        }
+        return http.send(request.build(), HttpResponse.BodyHandlers.ofString());
+    }
+
+    /** Sends bytes to a port and returns everything that comes back until the connection ends. */
+    static String raw(HostPort address, String text) throws IOException {
+        try (Socket socket = new Socket(address.host(), address.port())) {
+            socket.getOutputStream().write(text.getBytes(StandardCharsets.ISO_8859_1));
+            ByteArrayOutputStream received = new ByteArrayOutputStream();
+            try {
+                socket.getInputStream().transferTo(received);
+            } catch (SocketException e) {
+                // A reset ends the connection as well.
+            }
+            return received.toString(StandardCharsets.ISO_8859_1);
+        }
+    }
+
+    static String outcome(HttpResponse<?> response) {
+        return response.statusCode() + " "
+                + response.headers().firstValue("x-mimosahinge-outcome").orElse("-");
+    }
+
+    static Route route(String path, boolean idempotent, boolean atMostOnce) {
+        return new Route(
+                path,
+                path,
+                "svc",
+                path.contains("check") ? CallClass.INTERNAL_CHECK : CallClass.INTERACTIVE,
+                Duration.ofSeconds(30),
+                idempotent,
+                atMostOnce,
+                Set.of());
+    }
+
     @Override
     public void close() {
         frameServers.forEach(server -> server.close().syncUninterruptibly());
@@ -129,11 +200,11 @@
         private FreePorts() {}
 
         static int next() {
-            try (java.net.ServerSocket probe = new java.net.ServerSocket()) {
+            try (ServerSocket probe = new ServerSocket()) {
                 probe.bind(new InetSocketAddress("127.0.0.1", 0));
                 return probe.getLocalPort();
-            } catch (java.io.IOException e) {
-                throw new java.io.UncheckedIOException(e);
+            } catch (IOException e) {
+                throw new UncheckedIOException(e);
             }
         }
     }
