Report a call as not run only when no attempt may have run

A refusal by the last endpoint concluded the call as not run even when an earlier attempt had reached a backend server. The test with one endpoint that closes and one that sheds got "not-run" for a request that had run.

--- a/daemon/src/main/java/org/mimosahinge/daemon/traffic/EntryCall.java
+++ b/daemon/src/main/java/org/mimosahinge/daemon/traffic/EntryCall.java
@@ -29,6 +29,7 @@
     private ScheduledFuture<?> timer;
     private Attempt attempt;
     private boolean held;
+    private boolean mayHaveRun;
     private boolean ended;
 
     EntryCall(TrafficLoop loop, CallRequest request, CallerSink sink) {
@@ -209,6 +210,8 @@
         if (from != attempt || ended) {
             return;
         }
+        // A refusal by the last endpoint says nothing about attempts at others before it.
+        mayHaveRun |= !failure.notRun();
         if (Failures.crash(failure) && poison.crashed()) {
             conclude(CallException.mayHaveRun(
                     ErrorCode.REQUEST_QUARANTINED, "The request crashed several backend servers"));
@@ -218,12 +221,12 @@
                 ? progress.resumeHeaders().map(this::withRequestHeaders)
                 : Optional.of(request.headers());
         if (headers.isEmpty() || !plan.mayRetry(failure.notRun() && !progress.begun())) {
-            conclude(Failures.exception(failure));
+            conclude(Failures.exception(failure, mayHaveRun));
             return;
         }
         Optional<Choice> choice = plan.choose();
         if (choice.isEmpty()) {
-            conclude(Failures.exception(failure));
+            conclude(Failures.exception(failure, mayHaveRun));
             return;
         }
         loop.budgets().retried(plan.service());
--- a/daemon/src/main/java/org/mimosahinge/daemon/traffic/Failures.java
+++ b/daemon/src/main/java/org/mimosahinge/daemon/traffic/Failures.java
@@ -59,9 +59,9 @@
         return ErrorCode.INTERNAL;
     }
 
-    static CallException exception(Frame.CallFailure failure) {
-        return failure.notRun()
-                ? CallException.notRun(code(failure), failure.message())
-                : CallException.mayHaveRun(code(failure), failure.message());
+    static CallException exception(Frame.CallFailure failure, boolean mayHaveRun) {
+        return mayHaveRun
+                ? CallException.mayHaveRun(code(failure), failure.message())
+                : CallException.notRun(code(failure), failure.message());
     }
 }
--- a/daemon/src/main/java/org/mimosahinge/daemon/traffic/TrafficPlane.java
+++ b/daemon/src/main/java/org/mimosahinge/daemon/traffic/TrafficPlane.java
@@ -22,12 +22,15 @@
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicReference;
+import java.util.function.Consumer;
 import java.util.function.Supplier;
 import org.mimosahinge.api.config.Snapshot;
 import org.mimosahinge.api.platform.TableService;
 import org.mimosahinge.api.world.HostPort;
 import org.mimosahinge.core.poison.CrashRegistry;
 import org.mimosahinge.core.poison.Fingerprint;
+import org.mimosahinge.net.frame.FrameDecoder;
+import org.mimosahinge.net.frame.FrameEncoder;
 
 /** Carries a node's calls: from callers, to and from other nodes, and to the backend servers beside it. */
 public final class TrafficPlane implements AutoCloseable {
@@ -84,24 +87,8 @@
     }
 
     private void bind() {
-        server = new ServerBootstrap()
-                .group(group)
-                .channel(NioServerSocketChannel.class)
-                .childOption(ChannelOption.TCP_NODELAY, true)
-                .childHandler(new ChannelInitializer<SocketChannel>() {
-                    @Override
-                    protected void initChannel(SocketChannel caller) {
-                        caller.pipeline()
-                                .addLast(
-                                        new HttpServerCodec(),
-                                        new CallerConnection(TrafficPlane.this, loop(caller.eventLoop())));
-                    }
-                })
-                .bind(
-                        context.config().callers().host(),
-                        context.config().callers().port())
-                .syncUninterruptibly()
-                .channel();
+        server = listen(context.config().callers(), caller -> caller.pipeline()
+                .addLast(new HttpServerCodec(), new CallerConnection(this, loop(caller.eventLoop()))));
     }
 
     /**
@@ -123,6 +110,32 @@
         return group;
     }
 
+    /**
+     * Accepts calls of other nodes on a port of its own; a daemon shares that port with its control connections.
+     *
+     * @param address the address to listen on
+     */
+    public void acceptNodes(HostPort address) {
+        listen(address, channel -> channel.pipeline()
+                .addLast(new FrameDecoder(), new FrameEncoder(), callConnection()));
+    }
+
+    private Channel listen(HostPort address, Consumer<SocketChannel> initializer) {
+        return new ServerBootstrap()
+                .group(group)
+                .channel(NioServerSocketChannel.class)
+                .childOption(ChannelOption.TCP_NODELAY, true)
+                .childHandler(new ChannelInitializer<SocketChannel>() {
+                    @Override
+                    protected void initChannel(SocketChannel channel) {
+                        initializer.accept(channel);
+                    }
+                })
+                .bind(address.host(), address.port())
+                .syncUninterruptibly()
+                .channel();
+    }
+
     /**
      * Creates the handler of an inbound connection for calls; it goes behind the frame codec.
      *
--- a/daemon/src/test/java/org/mimosahinge/daemon/traffic/ConnectionTest.java
+++ b/daemon/src/test/java/org/mimosahinge/daemon/traffic/ConnectionTest.java
@@ -66,7 +66,7 @@
         try (ServerSocket silent = new ServerSocket(0);
                 ScriptedBackend backend = ScriptedBackend.echo("other");
                 TestMesh mesh = new TestMesh(2, null).route(TestMesh.route("/x", true, false))) {
-            mesh.silentEndpoint("svc", new HostPort("127.0.0.1", silent.getLocalPort()), 1000);
+            mesh.foreignEndpoint("svc", new HostPort("127.0.0.1", silent.getLocalPort()), 1000);
             mesh.endpoint(1, "svc", backend.address(), 1);
             assertEquals("other /x ", mesh.get("/x").body());
             try (Socket accepted = silent.accept()) {
--- a/daemon/src/test/java/org/mimosahinge/daemon/traffic/RetryPathTest.java
+++ b/daemon/src/test/java/org/mimosahinge/daemon/traffic/RetryPathTest.java
@@ -35,16 +35,17 @@
         "1, sheds, false, 200 -, true",
         "0, refuses, false, 200 -, true",
         "1, refuses, false, 200 -, true",
-        "2, unreachable, false, 200 -, true"
+        "0, unreachable, false, 200 -, true"
     })
     void triesElsewhereOnlyWhenThatIsSafe(
             int node, String fault, boolean idempotent, String expected, boolean otherAnswers) throws Exception {
         try (ScriptedBackend faulty = ScriptedBackend.start(script(fault));
                 ScriptedBackend other = ScriptedBackend.echo("other");
-                TestMesh mesh = new TestMesh(3, null).route(TestMesh.route("/x", idempotent, false))) {
-            mesh.endpoint(node, "svc", fault.equals("refuses") ? unused() : faulty.address(), 1000);
+                TestMesh mesh = new TestMesh(2, null).route(TestMesh.route("/x", idempotent, false))) {
             if (fault.equals("unreachable")) {
-                mesh.stopFrames(node);
+                mesh.foreignEndpoint("svc", unused(), 1000);
+            } else {
+                mesh.endpoint(node, "svc", fault.equals("refuses") ? unused() : faulty.address(), 1000);
             }
             // With far more slots the faulty endpoint scores best and is chosen first.
             mesh.endpoint(1, "svc", other.address(), 1);
@@ -72,6 +73,20 @@
         }
     }
 
+    @ParameterizedTest(name = "endpoint beside node {0}")
+    @ValueSource(ints = {0, 1})
+    void aLastRefusalDoesNotHideAnEarlierRun(int node) throws Exception {
+        try (ScriptedBackend first = ScriptedBackend.start(script("closes"));
+                ScriptedBackend second = ScriptedBackend.start(script("sheds"));
+                TestMesh mesh = new TestMesh(2, null)
+                        .route(TestMesh.route("/x", true, false))
+                        .endpoint(node, "svc", first.address(), 1000)
+                        .endpoint(node, "svc", second.address(), 1)) {
+            assertEquals("503 unknown", TestMesh.outcome(mesh.post("/x", "body")));
+            assertEquals(1, second.received.size());
+        }
+    }
+
     @ParameterizedTest(name = "endpoint beside node {0}")
     @ValueSource(ints = {0, 1})
     void resumesADownloadOfTheSameEntity(int node) throws Exception {
--- a/daemon/src/test/java/org/mimosahinge/daemon/traffic/TestMesh.java
+++ b/daemon/src/test/java/org/mimosahinge/daemon/traffic/TestMesh.java
@@ -1,10 +1,5 @@
 package org.mimosahinge.daemon.traffic;
 
-import io.netty.bootstrap.ServerBootstrap;
-import io.netty.channel.Channel;
-import io.netty.channel.ChannelInitializer;
-import io.netty.channel.socket.SocketChannel;
-import io.netty.channel.socket.nio.NioServerSocketChannel;
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.io.UncheckedIOException;
@@ -43,8 +38,6 @@
 import org.mimosahinge.api.world.NodeId;
 import org.mimosahinge.api.world.Region;
 import org.mimosahinge.api.world.Stamp;
-import org.mimosahinge.net.frame.FrameDecoder;
-import org.mimosahinge.net.frame.FrameEncoder;
 
 /** Nodes of one zone with traffic planes in one process, joined by real sockets. */
 final class TestMesh implements AutoCloseable {
@@ -56,7 +49,6 @@
     final List<TrafficEvent> events = new CopyOnWriteArrayList<>();
     final HttpClient http =
             HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).build();
-    private final List<Channel> frameServers = new ArrayList<>();
     private final List<Node> nodes = new ArrayList<>();
     private final Map<String, List<Endpoint>> endpoints = new HashMap<>();
     private final Map<String, Service> services = new HashMap<>();
@@ -74,18 +66,7 @@
             Node node = new Node(new NodeId("n" + i), 1, ZONE, frames);
             TrafficPlane plane =
                     TrafficPlane.start(new TrafficConfig(node, ANY, eventLoops, 0), () -> snapshot, table, events::add);
-            frameServers.add(new ServerBootstrap()
-                    .group(plane.eventLoops())
-                    .channel(NioServerSocketChannel.class)
-                    .childHandler(new ChannelInitializer<SocketChannel>() {
-                        @Override
-                        protected void initChannel(SocketChannel channel) {
-                            channel.pipeline().addLast(new FrameDecoder(), new FrameEncoder(), plane.callConnection());
-                        }
-                    })
-                    .bind(frames.host(), frames.port())
-                    .syncUninterruptibly()
-                    .channel());
+            plane.acceptNodes(frames);
             nodes.add(node);
             planes.add(plane);
         }
@@ -103,7 +84,7 @@
     }
 
     /** Adds an endpoint beside a node that the test plays itself. */
-    TestMesh silentEndpoint(String service, HostPort frames, int slots) {
+    TestMesh foreignEndpoint(String service, HostPort frames, int slots) {
         return endpoint(new Node(new NodeId("silent"), 1, ZONE, frames), service, ANY, slots);
     }
 
@@ -128,11 +109,6 @@
         return this;
     }
 
-    /** Stops a node's port for other nodes. */
-    void stopFrames(int node) {
-        frameServers.get(node).close().syncUninterruptibly();
-    }
-
     Node node(int index) {
         return nodes.get(index);
     }
@@ -190,7 +166,6 @@
 
     @Override
     public void close() {
-        frameServers.forEach(server -> server.close().syncUninterruptibly());
         planes.forEach(TrafficPlane::close);
     }
 
