--- /dev/null
+++ b/bench/src/main/java/org/mimosahinge/bench/calls/CallKind.java
@@ -0,0 +1,50 @@
+package org.mimosahinge.bench.calls;
+
+import java.util.function.IntUnaryOperator;
+
+/** Calls of the generated load. */
+enum CallKind {
+    /** A page. */
+    BROWSE("GET", "/browse?item=", 70),
+    /** An internal check. */
+    CHECK("GET", "/check?item=", 18),
+    /** A payment. */
+    PAY("POST", "/pay?order=", 10),
+    /** A download of 1 MiB. */
+    DOWNLOAD("GET", "/files/download?mb=1&file=", 2);
+
+    static final int DOWNLOAD_BYTES = 1 << 20;
+
+    private final String method;
+    private final String uri;
+    private final int percent;
+
+    CallKind(String method, String uri, int percent) {
+        this.method = method;
+        this.uri = uri;
+        this.percent = percent;
+    }
+
+    String method() {
+        return method;
+    }
+
+    String uri(String key) {
+        return uri + key;
+    }
+
+    boolean mayRunTwice() {
+        return this != PAY;
+    }
+
+    static CallKind draw(IntUnaryOperator random) {
+        int drawn = random.applyAsInt(100);
+        for (CallKind kind : values()) {
+            drawn -= kind.percent;
+            if (drawn < 0) {
+                return kind;
+            }
+        }
+        return BROWSE;
+    }
+}
--- /dev/null
+++ b/bench/src/main/java/org/mimosahinge/bench/calls/CallMesh.java
@@ -0,0 +1,224 @@
+package org.mimosahinge.bench.calls;
+
+import io.netty.channel.nio.NioEventLoopGroup;
+import io.netty.util.concurrent.DefaultThreadFactory;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import org.mimosahinge.api.config.Snapshot;
+import org.mimosahinge.api.contract.CallClass;
+import org.mimosahinge.api.contract.Limits;
+import org.mimosahinge.api.contract.Route;
+import org.mimosahinge.api.contract.Service;
+import org.mimosahinge.api.world.AvailabilityZone;
+import org.mimosahinge.api.world.BackendServer;
+import org.mimosahinge.api.world.Endpoint;
+import org.mimosahinge.api.world.EndpointState;
+import org.mimosahinge.api.world.HostPort;
+import org.mimosahinge.api.world.Node;
+import org.mimosahinge.api.world.NodeId;
+import org.mimosahinge.api.world.Region;
+import org.mimosahinge.api.world.Stamp;
+import org.mimosahinge.daemon.traffic.TrafficConfig;
+import org.mimosahinge.daemon.traffic.TrafficEvent;
+import org.mimosahinge.daemon.traffic.TrafficPlane;
+import org.mimosahinge.daemon.traffic.TrafficPolicies;
+import org.mimosahinge.net.http.HttpMessageClient;
+import org.mimosahinge.net.platform.PlatformClient;
+import org.mimosahinge.standin.backend.BackendSettings;
+import org.mimosahinge.standin.backend.BackendStandin;
+import org.mimosahinge.standin.backend.Behaviour;
+import org.mimosahinge.standin.platform.Fault;
+import org.mimosahinge.standin.platform.PlatformStandin;
+
+/** Four nodes with traffic planes and a backend server each, in one process, joined by freezable links. */
+final class CallMesh implements AutoCloseable {
+
+    static final String POISON = "poison";
+
+    /** Slots and time of a call give each endpoint 200 calls/s, of which 150 are open to all classes. */
+    static final int SLOTS = 4;
+
+    private static final int CALL_MS = 20;
+    private static final int NODES = 4;
+    private static final Duration PLATFORM_TIMEOUT = Duration.ofSeconds(1);
+
+    /** A replacement appears after this time, as a supervisor restarts a process. */
+    private static final long RESTART_MS = 500;
+
+    private static final String SERVICE = "shop";
+    private static final List<Route> ROUTES = List.of(
+            route("/browse", CallClass.INTERACTIVE, 2, false),
+            route("/check", CallClass.INTERNAL_CHECK, 2, false),
+            route("/files", CallClass.DOWNLOAD, 10, false),
+            route("/pay", CallClass.CONFIRMATION, 2, true));
+
+    private final NioEventLoopGroup io = new NioEventLoopGroup(1, new DefaultThreadFactory("bench-platform", true));
+    private final HttpMessageClient http = HttpMessageClient.create(io, PLATFORM_TIMEOUT);
+    private final PlatformStandin platform = PlatformStandin.start();
+    private final ScheduledExecutorService membership =
+            Executors.newSingleThreadScheduledExecutor(new DefaultThreadFactory("bench-membership", true));
+    private final List<TrafficPlane> planes = new ArrayList<>();
+    private final List<Node> nodes = new ArrayList<>();
+    private final List<FreezableLink> links = new ArrayList<>();
+    private final Map<String, Endpoint> endpoints = new LinkedHashMap<>();
+    private final Map<String, BackendStandin> backends = new LinkedHashMap<>();
+    private final Map<String, Integer> refusals = new HashMap<>();
+    private final Map<String, Integer> runs = new HashMap<>();
+    private volatile Snapshot snapshot = Snapshot.EMPTY;
+
+    private CallMesh(TrafficPolicies policies) {
+        PlatformClient table = PlatformClient.create(http, platform.address());
+        for (int i = 0; i < NODES; i++) {
+            HostPort frames = freePort();
+            FreezableLink link = FreezableLink.to(frames);
+            Node node = new Node(new NodeId("n" + i), 1, new AvailabilityZone("a", new Region("west")), link.address());
+            TrafficPlane plane = TrafficPlane.start(
+                    new TrafficConfig(node, new HostPort("127.0.0.1", 0), 1, 0),
+                    () -> snapshot,
+                    table,
+                    event -> membership.execute(() -> observe(event)),
+                    policies);
+            plane.acceptNodes(frames);
+            links.add(link);
+            nodes.add(node);
+            planes.add(plane);
+            startBackend(node);
+        }
+    }
+
+    static CallMesh start(TrafficPolicies policies) {
+        return new CallMesh(policies);
+    }
+
+    private static Route route(String path, CallClass callClass, int seconds, boolean atMostOnce) {
+        return new Route(
+                path, path, SERVICE, callClass, Duration.ofSeconds(seconds), !atMostOnce, atMostOnce, Set.of());
+    }
+
+    private static HostPort freePort() {
+        try (ServerSocket probe = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+            return new HostPort("127.0.0.1", probe.getLocalPort());
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+
+    private synchronized void startBackend(Node node) {
+        BackendStandin backend = BackendStandin.start(
+                BackendSettings.of(SERVICE, "v1").slots(SLOTS).build(),
+                Behaviour.HEALTHY.withLatencyMs(CALL_MS).withCrashMarker(POISON),
+                () -> {});
+        String id = node.id() + "/" + backend.address();
+        BackendServer server = new BackendServer(SERVICE, "v1", backend.address(), SLOTS, 130, Set.of());
+        backends.put(id, backend);
+        endpoints.put(id, new Endpoint(id, server, node, EndpointState.READY, new Stamp(1, 1)));
+        publish();
+    }
+
+    private void publish() {
+        Service service = new Service(SERVICE, List.of("v1"), "v1", Optional.empty(), Limits.DEFAULT);
+        snapshot = new Snapshot(
+                1,
+                new TreeMap<>(),
+                Map.of(SERVICE, service),
+                Map.of(SERVICE, 1L),
+                ROUTES,
+                Map.of(),
+                Map.of(SERVICE, List.copyOf(endpoints.values())),
+                Set.of(),
+                true);
+    }
+
+    /** Removes an endpoint after two refused connections, as the control thread does. */
+    private synchronized void observe(TrafficEvent event) {
+        if (event instanceof TrafficEvent.ConnectionRefused refused
+                && refusals.merge(refused.endpointId(), 1, Integer::sum) == 2) {
+            replace(refused.endpointId());
+        } else if (event instanceof TrafficEvent.EndpointDied died) {
+            replace(died.endpointId());
+        }
+    }
+
+    private void replace(String endpointId) {
+        Endpoint gone = endpoints.remove(endpointId);
+        if (gone != null) {
+            publish();
+            collect(backends.remove(endpointId));
+            membership.schedule(() -> startBackend(gone.node()), RESTART_MS, TimeUnit.MILLISECONDS);
+        }
+    }
+
+    private void collect(BackendStandin backend) {
+        backend.stats().runs().forEach((key, count) -> runs.merge(key, count, Integer::sum));
+        backend.close();
+    }
+
+    /** Kills the endpoint that has run longest. */
+    synchronized void killOne() {
+        if (backends.isEmpty()) {
+            return;
+        }
+        String oldest = backends.keySet().iterator().next();
+        BackendStandin backend = backends.remove(oldest);
+        collect(backend);
+        Endpoint gone = endpoints.get(oldest);
+        // Without calls nobody notices the death; announcements stay away after 3 s.
+        membership.schedule(
+                () -> {
+                    synchronized (this) {
+                        if (endpoints.remove(oldest) != null) {
+                            publish();
+                        }
+                        startBackend(gone.node());
+                    }
+                },
+                RESTART_MS,
+                TimeUnit.MILLISECONDS);
+    }
+
+    /** Makes every open connection between nodes silent. */
+    void freezeLinks() {
+        links.forEach(FreezableLink::freeze);
+    }
+
+    /** Takes the table service away for the rest of the run. */
+    void takeTableAway() {
+        platform.fault(Fault.outage(TimeUnit.MINUTES.toMillis(1)));
+    }
+
+    HostPort callers(int index) {
+        return planes.get(index).callers();
+    }
+
+    /** Ends all and returns how often each key ran. */
+    synchronized Map<String, Integer> stop() {
+        backends.values().forEach(this::collect);
+        backends.clear();
+        return runs;
+    }
+
+    @Override
+    public void close() {
+        membership.shutdownNow();
+        stop();
+        planes.forEach(TrafficPlane::close);
+        links.forEach(FreezableLink::close);
+        platform.close();
+        http.close();
+        io.shutdownGracefully(0, 1, TimeUnit.SECONDS).syncUninterruptibly();
+    }
+}
--- /dev/null
+++ b/bench/src/main/java/org/mimosahinge/bench/calls/package-info.java
@@ -0,0 +1,2 @@
+/** Measures calls under faults. */
+package org.mimosahinge.bench.calls;
