Choose ports of child processes below the kernel's own range

Cause: a backend server of DeploymentTest ended with status 1 because its port, found free a moment before, had been taken. The kernel takes ports of outgoing connections from 32768 to 60999, where the ports were chosen. Ruled out: a second server of the run on the same port; ports are handed out once.

The processor time of a whole process now comes from stat, which keeps the time of ended threads. Summing the threads alone had printed footprint.idle.processor=-1.901, because compiler threads end when idle. The bytes exchanged with the platform are reported beside the bytes between nodes. The demo prints its reason in one line, and the client's output of each submission apart.

--- a/bench/src/main/java/org/mimosahinge/bench/Demo.java
+++ b/bench/src/main/java/org/mimosahinge/bench/Demo.java
@@ -64,12 +64,16 @@
             out.println("demo outcome=ok " + summary);
             return 0;
         } catch (RuntimeException e) {
-            out.println("demo outcome=failed reason=\""
-                    + String.valueOf(e.getMessage()).replace('"', '\'') + '"');
+            out.println("demo outcome=failed reason=\"" + oneLine(String.valueOf(e.getMessage())) + '"');
             return 1;
         }
     }
 
+    /** The outcome is the last line of the output, whatever the reason contains. */
+    static String oneLine(String reason) {
+        return reason.replace('"', '\'').replaceAll("\\s*\\R\\s*", " | ");
+    }
+
     private String steps() {
         try {
             return path();
--- a/bench/src/main/java/org/mimosahinge/bench/Deployment.java
+++ b/bench/src/main/java/org/mimosahinge/bench/Deployment.java
@@ -12,10 +12,12 @@
 import java.util.Map;
 import java.util.function.Predicate;
 import java.util.stream.Stream;
+import org.mimosahinge.api.operator.OperatorJson;
 import org.mimosahinge.api.operator.Status;
 import org.mimosahinge.api.world.HostPort;
 import org.mimosahinge.api.world.Region;
 import org.mimosahinge.standin.backend.BackendMain;
+import org.mimosahinge.standin.platform.Counters;
 import org.mimosahinge.standin.platform.PlatformStandin;
 
 /** A running platform with VMs, daemons and backend servers, each a process of its own. */
@@ -37,7 +39,7 @@
         this.storeRegion = storeRegion;
         this.processes = Processes.in(folder);
         this.http = Http.create(Duration.ofSeconds(20));
-        this.platform = Machine.freePorts(1).get(0);
+        this.platform = Ports.free(1).get(0);
     }
 
     /**
@@ -116,7 +118,7 @@
      * @return its address
      */
     public HostPort startBackend(Machine machine, String service, String version, String... options) {
-        HostPort address = Machine.freePorts(1).get(0);
+        HostPort address = Ports.free(1).get(0);
         String name = service + "-" + version + "-" + machine.id();
         List<String> arguments = new ArrayList<>(List.of(
                 "--service=" + service,
@@ -148,7 +150,7 @@
     public String submit(Machine machine, String section, long base) {
         Path file = write("section-" + base + ".json", section);
         return processes.run(
-                "mimosahinge",
+                "client-" + base,
                 List.of(
                         program("mimosahinge"),
                         "submit",
@@ -186,6 +188,16 @@
         return http;
     }
 
+    /**
+     * Reads what the platform has been asked.
+     *
+     * @return the counts since its start
+     */
+    public Counters platformCounters() {
+        return OperatorJson.read(
+                Counters.class, http.body(platform, "/v1/counters").orElseThrow());
+    }
+
     /**
      * Returns the process of a daemon.
      *
--- a/bench/src/main/java/org/mimosahinge/bench/Machine.java
+++ b/bench/src/main/java/org/mimosahinge/bench/Machine.java
@@ -1,10 +1,5 @@
 package org.mimosahinge.bench;
 
-import java.io.IOException;
-import java.io.UncheckedIOException;
-import java.net.InetAddress;
-import java.net.ServerSocket;
-import java.util.ArrayList;
 import java.util.List;
 import org.mimosahinge.api.world.AvailabilityZone;
 import org.mimosahinge.api.world.HostPort;
@@ -29,40 +24,10 @@
      * @return the VM
      */
     public static Machine in(AvailabilityZone zone, String id) {
-        List<HostPort> ports = freePorts(3);
+        List<HostPort> ports = Ports.free(3);
         return new Machine(id, zone, ports.get(0), ports.get(1), ports.get(2));
     }
 
-    /**
-     * Finds free ports; they are taken at the same time, so that they differ.
-     *
-     * @param count how many
-     * @return addresses on the loopback interface
-     */
-    public static List<HostPort> freePorts(int count) {
-        List<ServerSocket> sockets = new ArrayList<>();
-        try {
-            for (int i = 0; i < count; i++) {
-                sockets.add(new ServerSocket(0, 1, InetAddress.getLoopbackAddress()));
-            }
-            return sockets.stream()
-                    .map(socket -> new HostPort("127.0.0.1", socket.getLocalPort()))
-                    .toList();
-        } catch (IOException e) {
-            throw new UncheckedIOException(e);
-        } finally {
-            sockets.forEach(Machine::close);
-        }
-    }
-
-    private static void close(ServerSocket socket) {
-        try {
-            socket.close();
-        } catch (IOException e) {
-            throw new UncheckedIOException(e);
-        }
-    }
-
     /**
      * Writes the daemon's settings.
      *
--- a/bench/src/main/java/org/mimosahinge/bench/Processes.java
+++ b/bench/src/main/java/org/mimosahinge/bench/Processes.java
@@ -178,7 +178,8 @@
 
     private static String lastLines(Path log) {
         try (Stream<String> lines = Files.lines(log)) {
-            List<String> all = lines.toList();
+            // The frames of a stack trace would hide its message.
+            List<String> all = lines.filter(line -> !line.startsWith("\tat ")).toList();
             return String.join("\n", all.subList(Math.max(0, all.size() - LOG_LINES), all.size()));
         } catch (IOException e) {
             throw new UncheckedIOException(e);
--- a/bench/src/main/java/org/mimosahinge/bench/footprint/Footprint.java
+++ b/bench/src/main/java/org/mimosahinge/bench/footprint/Footprint.java
@@ -12,6 +12,7 @@
 import org.mimosahinge.bench.TwoNodeMesh;
 import org.mimosahinge.bench.latency.LoadPlan;
 import org.mimosahinge.bench.latency.OpenLoop;
+import org.mimosahinge.standin.platform.Counters;
 
 /**
  * Measures what a daemon uses: first without calls, then as the node that callers use at 1,000 calls a second.
@@ -34,6 +35,7 @@
     private static final Duration SETTLE = Duration.ofSeconds(3);
     private static final Duration WINDOW = Duration.ofSeconds(12);
     private static final int FULL_FACTOR = 5;
+    private static final int NODES = 2;
     private static final int CALLS_PER_SECOND = 1_000;
 
     private Footprint() {}
@@ -62,10 +64,12 @@
     private static void observe(TwoNodeMesh mesh, String state, Figures figures, Runnable work) {
         long pid = mesh.deployment().daemon(mesh.entry()).pid();
         double bytesBefore = controlBytes(mesh, mesh.entry());
+        double platformBefore = platformBytes(mesh);
         ProcessSample before = ProcessSample.of(pid);
         work.run();
         ProcessSample after = ProcessSample.of(pid);
         double bytes = controlBytes(mesh, mesh.entry()) - bytesBefore;
+        double platformBytes = platformBytes(mesh) - platformBefore;
         double seconds = (after.takenNanos() - before.takenNanos()) / (double) TimeUnit.SECONDS.toNanos(1);
         print(figures, state + ".memory", after.residentBytes() / MEBIBYTE, "MiB", TARGET_MEBIBYTES);
         print(
@@ -74,19 +78,26 @@
                 after.corePercentSince(before, CONTROL_THREADS),
                 "percent_of_core",
                 TARGET_CORE_PERCENT);
+        print(figures, state + ".processor", after.corePercentSince(before), "percent_of_core", TARGET_CORE_PERCENT);
+        print(figures, state + ".control_bytes", bytes / seconds, "bytes_per_second", TARGET_BYTES_PER_SECOND);
         print(
                 figures,
-                state + ".processor",
-                after.corePercentSince(before, thread -> true),
-                "percent_of_core",
-                TARGET_CORE_PERCENT);
-        print(figures, state + ".control_bytes", bytes / seconds, "bytes_per_second", TARGET_BYTES_PER_SECOND);
+                state + ".platform_bytes",
+                platformBytes / seconds / NODES,
+                "bytes_per_second",
+                TARGET_BYTES_PER_SECOND);
     }
 
     private static void print(Figures figures, String name, double value, String unit, double target) {
         figures.print(new Figure("footprint." + name, value, unit), "target", target);
     }
 
+    /** Bodies of requests to the platform and of its responses; both nodes share them. */
+    private static double platformBytes(TwoNodeMesh mesh) {
+        Counters counters = mesh.deployment().platformCounters();
+        return counters.bytesIn() + counters.bytesOut();
+    }
+
     private static double controlBytes(TwoNodeMesh mesh, Machine machine) {
         String text = mesh.deployment()
                 .http()
--- a/bench/src/main/java/org/mimosahinge/bench/footprint/ProcessSample.java
+++ b/bench/src/main/java/org/mimosahinge/bench/footprint/ProcessSample.java
@@ -15,11 +15,14 @@
  *
  * @param takenNanos when the sample was taken
  * @param residentBytes resident memory
+ * @param processorNanos processor time of the whole process, threads that have ended included
  * @param threadNanos processor time of its threads by thread name; threads of one name are summed
  */
-public record ProcessSample(long takenNanos, long residentBytes, Map<String, Long> threadNanos) {
+public record ProcessSample(long takenNanos, long residentBytes, long processorNanos, Map<String, Long> threadNanos) {
 
     private static final long KIBIBYTE = 1024;
+    /** Linux reports times to user space in ticks of 10 ms on all common architectures. */
+    private static final long NANOS_PER_TICK = 10_000_000;
 
     /** Sorts the threads. */
     public ProcessSample {
@@ -47,7 +50,11 @@
         Map<String, Long> times = new TreeMap<>();
         try (Stream<Path> threads = Files.list(process.resolve("task"))) {
             threads.forEach(thread -> addThread(times, thread));
-            return new ProcessSample(now, residentBytes(Files.readString(process.resolve("status"))), times);
+            return new ProcessSample(
+                    now,
+                    residentBytes(Files.readString(process.resolve("status"))),
+                    processorNanos(Files.readString(process.resolve("stat"))),
+                    times);
         } catch (IOException e) {
             throw new UncheckedIOException(e);
         }
@@ -77,6 +84,22 @@
                 * KIBIBYTE;
     }
 
+    /** Adds user and system time, the 14th and 15th field; the name in parentheses may contain spaces. */
+    static long processorNanos(String stat) {
+        String[] fields = stat.substring(stat.lastIndexOf(')') + 2).split(" ");
+        return (Long.parseLong(fields[11]) + Long.parseLong(fields[12])) * NANOS_PER_TICK;
+    }
+
+    /**
+     * Computes the share of one core that the process used since an earlier sample.
+     *
+     * @param earlier the earlier sample
+     * @return the share in percent
+     */
+    public double corePercentSince(ProcessSample earlier) {
+        return 100.0 * (processorNanos - earlier.processorNanos) / (takenNanos - earlier.takenNanos);
+    }
+
     /**
      * Computes the share of one core that threads used since an earlier sample.
      *
--- a/bench/src/test/java/org/mimosahinge/bench/DeploymentTest.java
+++ b/bench/src/test/java/org/mimosahinge/bench/DeploymentTest.java
@@ -1,9 +1,14 @@
 package org.mimosahinge.bench;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.nio.charset.StandardCharsets;
+import java.util.List;
 import java.util.Map;
+import java.util.Set;
+import java.util.stream.Collectors;
+import java.util.stream.IntStream;
 import org.junit.jupiter.api.Test;
 import org.mimosahinge.api.document.SettingsParser;
 import org.mimosahinge.api.settings.NodeSettings;
@@ -28,6 +33,18 @@
         assertEquals(platform, settings.platformAddress());
     }
 
+    /** Guards against ports that an outgoing connection or another process of the run takes before they are bound. */
+    @Test
+    void handsOutPortsThatStayFree() {
+        Set<Integer> ports = IntStream.range(0, 10)
+                .mapToObj(i -> Ports.free(3))
+                .flatMap(List::stream)
+                .map(HostPort::port)
+                .collect(Collectors.toSet());
+        assertEquals(30, ports.size());
+        assertTrue(ports.stream().allMatch(port -> port < 32_768));
+    }
+
     /** Guards against stand-ins that do not start as processes. */
     @Test
     void startsThePlatformAndBackendServers() {
--- a/bench/src/test/java/org/mimosahinge/bench/footprint/FootprintTest.java
+++ b/bench/src/test/java/org/mimosahinge/bench/footprint/FootprintTest.java
@@ -18,18 +18,23 @@
     @TempDir
     Path proc;
 
-    /** Guards against figures in wrong units and against threads that are left out or counted twice. */
+    /** Guards against wrong units, threads that are left out and the loss of the time of threads that have ended. */
     @Test
     void readsAProcess() throws IOException {
         Files.writeString(proc.resolve("status"), "Name:\tjava\nVmHWM:\t  70000 kB\nVmRSS:\t   50000 kB\n");
+        String stat = "7 (java (x) 1) S 1 7 7 0 -1 4194560 9 0 0 0 150 50 0 0 20 0 21 0 9 9 9";
+        Files.writeString(proc.resolve("stat"), stat);
         thread("1", "control", "5000000 77 3");
         thread("2", "traffic-1", "7 0 1");
         thread("3", "traffic-1", "8 0 1");
         ProcessSample sample = ProcessSample.read(proc, 1_000);
-        assertEquals(new ProcessSample(1_000, 50_000L * 1024, Map.of("control", 5_000_000L, "traffic-1", 15L)), sample);
-        ProcessSample earlier = new ProcessSample(0, 0, Map.of("control", 4_999_900L));
+        assertEquals(
+                new ProcessSample(
+                        1_000, 50_000L * 1024, 2_000_000_000L, Map.of("control", 5_000_000L, "traffic-1", 15L)),
+                sample);
+        ProcessSample earlier = new ProcessSample(0, 0, 1_999_999_500L, Map.of("control", 4_999_900L));
         assertEquals(10.0, sample.corePercentSince(earlier, name -> name.startsWith("control")), 1e-9);
-        assertEquals(11.5, sample.corePercentSince(earlier, name -> true), 1e-9);
+        assertEquals(50.0, sample.corePercentSince(earlier), 1e-9);
     }
 
     private void thread(String id, String name, String schedstat) throws IOException {
