--- a/daemon/src/main/java/org/mimosahinge/daemon/control/LeaseKeeper.java
+++ b/daemon/src/main/java/org/mimosahinge/daemon/control/LeaseKeeper.java
@@ -13,8 +13,8 @@
 import org.mimosahinge.core.lease.HeldLease;
 import org.mimosahinge.core.lease.LeaseAction;
 import org.mimosahinge.core.lease.LeaseDecision;
-import org.mimosahinge.core.lease.LeaseObservation;
 import org.mimosahinge.core.lease.LeaseRow;
+import org.mimosahinge.core.lease.LeaseState;
 import org.mimosahinge.core.lease.LeaseTiming;
 import org.mimosahinge.core.lease.LeaseView;
 import org.mimosahinge.core.lease.Stored;
@@ -29,13 +29,10 @@
     private final NodeContext context;
     private final LeaseTiming timing;
 
-    private Optional<LeaseObservation> observed = Optional.empty();
+    private Optional<LeaseState> state = Optional.empty();
     private Optional<Node> holder = Optional.empty();
-    private Optional<HeldLease> held = Optional.empty();
     private boolean leaving;
-    private boolean writing;
-    /** When the earliest write without a known outcome was sent; 0 when there is none. */
-    private long unansweredSinceNanos;
+    private boolean busy;
 
     LeaseKeeper(String key, NodeContext context, LeaseTiming timing) {
         this.key = key;
@@ -56,7 +53,7 @@
 
     /** Returns the lease while this node may act in the role. */
     Optional<HeldLease> held() {
-        return held.filter(lease -> lease.validAt(context.now()));
+        return state.flatMap(LeaseState::held).filter(lease -> lease.validAt(context.now()));
     }
 
     /** Returns the node that held the lease when its row was last read. */
@@ -71,10 +68,15 @@
 
     private void observe(Stored<Rows.LeaseEntry> read) {
         Stored<LeaseRow> row = new Stored<>(read.rowRevision(), read.value().lease());
-        long now = context.now();
-        holder = read.value().holder();
-        observed = Optional.of(
-                observed.map(earlier -> earlier.then(row, now)).orElseGet(() -> LeaseObservation.first(row, now)));
+        boolean hadLease = held().isPresent();
+        boolean overtaken = state.map(known -> known.observed().row().rowRevision() > row.rowRevision())
+                .orElse(false);
+        holder = overtaken ? holder : read.value().holder();
+        state = Optional.of(state.map(known -> LeaseDecision.received(view(known), row))
+                .orElseGet(() -> LeaseState.first(row, context.now())));
+        if (!hadLease && held().isPresent()) {
+            LOG.info("lease_acquired", "lease", key, "epoch", row.value().epoch());
+        }
     }
 
     /**
@@ -83,19 +85,18 @@
      * @return when the next decision is possible without a new read; the current time when that is not known
      */
     long advance() {
-        if (writing) {
+        if (busy) {
             return context.now();
         }
-        if (observed.isEmpty()) {
+        if (state.isEmpty()) {
             read();
             return context.now();
         }
-        LeaseView view = view();
-        LeaseAction action = LeaseDecision.decide(view);
+        LeaseAction action = LeaseDecision.decide(view(state.get()));
         if (action instanceof LeaseAction.Acquire acquire) {
-            write(view, acquire.row(), "acquire");
+            write(acquire.row(), "acquire");
         } else if (action instanceof LeaseAction.Renew renew) {
-            write(view, renew.row(), "renew");
+            write(renew.row(), "renew");
         } else if (action instanceof LeaseAction.Release release) {
             LOG.info(
                     "lease_released",
@@ -103,11 +104,11 @@
                     key,
                     "epoch",
                     release.row().value().epoch());
-            held = Optional.empty();
-            write(view, release.row(), "release");
+            state = state.map(LeaseState::gaveUp);
+            write(release.row(), "release");
         } else if (action instanceof LeaseAction.GiveUp) {
             LOG.warn("lease_lost", "lease", key, "holder", holder.map(Node::id).orElse(null));
-            held = Optional.empty();
+            state = state.map(LeaseState::gaveUp);
             read();
         } else if (action instanceof LeaseAction.Await await) {
             return await.untilNanos();
@@ -120,16 +121,13 @@
         leaving = true;
     }
 
-    private LeaseView view() {
-        return new LeaseView(context.self(), key, timing, observed.get(), held, leaving, true, context.now());
+    private LeaseView view(LeaseState known) {
+        return new LeaseView(context.self(), key, timing, known, busy, leaving, true, context.now());
     }
 
-    private void write(LeaseView view, Stored<LeaseRow> row, String action) {
-        writing = true;
-        long sent = context.now();
-        if (unansweredSinceNanos == 0) {
-            unansweredSinceNanos = sent;
-        }
+    private void write(Stored<LeaseRow> row, String action) {
+        busy = true;
+        state = state.map(known -> known.sent(row, context.now()));
         Transaction transaction = new Transaction(
                 List.of(new Condition(key, row.rowRevision())),
                 List.of(new Put(key, Rows.encode(row.value(), context.self()))),
@@ -137,50 +135,34 @@
         context.table()
                 .commit(transaction)
                 .whenCompleteAsync(
-                        (result, failure) -> written(view, row.value(), result, failure, action), context.control());
+                        (result, failure) -> written(row.value(), result, failure, action), context.control());
     }
 
-    private void written(LeaseView view, LeaseRow row, TransactionResult result, Throwable failure, String action) {
+    private void written(LeaseRow row, TransactionResult result, Throwable failure, String action) {
+        if (result instanceof TransactionResult.Committed committed) {
+            busy = false;
+            Optional<Node> written = row.holder().map(id -> context.self());
+            observe(new Stored<>(committed.revision(), new Rows.LeaseEntry(row, written)));
+            return;
+        }
         if (failure != null) {
-            // The write may have taken effect, so the row is read back before anything else is decided.
             LOG.warn("lease_write_failed", "lease", key, "action", action, "error", Failures.code(failure));
-            read();
-        } else if (result instanceof TransactionResult.Committed committed) {
-            settle(
-                    view,
-                    new Stored<>(
-                            committed.revision(),
-                            new Rows.LeaseEntry(row, row.holder().map(id -> context.self()))));
-        } else {
-            read();
         }
+        // The write may have taken effect, so the row is read back before anything else is decided.
+        read();
     }
 
     private void read() {
-        writing = true;
-        Optional<LeaseView> view = observed.map(row -> view());
+        busy = true;
         context.table()
                 .read(new ReadRequest(List.of(key), List.of()))
                 .whenCompleteAsync(
                         (read, failure) -> {
+                            busy = false;
                             if (failure == null) {
-                                view.ifPresentOrElse(
-                                        known -> settle(known, Rows.lease(read, key)), () -> observe(read));
+                                observe(read);
                             }
-                            writing = false;
                         },
                         context.control());
     }
-
-    private void settle(LeaseView view, Stored<Rows.LeaseEntry> row) {
-        boolean hadLease = held.isPresent();
-        observe(row);
-        Stored<LeaseRow> lease = new Stored<>(row.rowRevision(), row.value().lease());
-        held = unansweredSinceNanos == 0 ? held : LeaseDecision.confirm(view, lease, unansweredSinceNanos);
-        unansweredSinceNanos = 0;
-        writing = false;
-        if (!hadLease && held.isPresent()) {
-            LOG.info("lease_acquired", "lease", key, "epoch", lease.value().epoch());
-        }
-    }
 }
