Compare at a lower share when the old version has no calls left

Ruled out: a higher threshold (the evidence reached twice the threshold) and judging all zones (bursts of server errors show in all of them).

The policy now lowers the share to 500 permille, later 800 and 900, and judges by contrast with the old version. A sixth of the time is kept in reserve. The share is lowered for want of capacity at usual latency only; lowering it at the new version's own latency hid slow_under_load.

--- a/bench/src/main/java/org/mimosahinge/bench/move/MoveRun.java
+++ b/bench/src/main/java/org/mimosahinge/bench/move/MoveRun.java
@@ -1,6 +1,5 @@
 package org.mimosahinge.bench.move;
 
-import java.time.Duration;
 import java.time.Instant;
 import java.util.Optional;
 import java.util.SplittableRandom;
@@ -37,7 +36,7 @@
      * @param badShare calls of the new version as a share of the calls that the service gets during the move
      * @param stopSeconds time from the fault being detectable to the last call of the new version; 0 when it stopped
      *     before
-     * @param reason the last decision that changed the state
+     * @param reason state and last decision
      */
     record Result(
             MovePhase end, boolean doneInTime, long faultyCalls, double badShare, double stopSeconds, String reason) {
@@ -70,6 +69,7 @@
         int detectableAt = -1;
         int lastNewCallAt = -1;
         long newCalls = 0;
+        String last = "";
         int warmSeconds = (int) StandardMovePolicy.KEPT_WARM.toSeconds();
         int end = seconds + warmSeconds;
         for (int second = 1; second <= end; second++) {
@@ -92,6 +92,7 @@
             MoveConditions conditions = new MoveConditions(platform, false, traffic.readySlots(second));
             MoveDecision decision =
                     contestant.policy().decide(new MoveView(time, state, Optional.of(move), observation, conditions));
+            last = decision.reason();
             MoveState next = MoveStates.apply(state, decision, time);
             if (!next.equals(state)) {
                 observation = observation.nextStep(state, next);
@@ -110,7 +111,7 @@
                 traffic.faultyCalls(),
                 newCalls / moveCalls,
                 stop,
-                Duration.ofSeconds(lastNewCallAt) + " " + state.reason());
+                state.sharePermille() + " permille, " + state.reason() + ", " + last);
     }
 
     private static Observation add(Contestant contestant, Observation before, Instant time, Evidence evidence) {
--- a/core/src/main/java/org/mimosahinge/core/move/Capacity.java
+++ b/core/src/main/java/org/mimosahinge/core/move/Capacity.java
@@ -8,7 +8,7 @@
     private Capacity() {}
 
     /**
-     * Estimates the largest share that the new version's ready slots carry.
+     * Estimates the largest share that the new version's ready slots carry at the latency that is usual.
      *
      * <p>The calls in progress follow from rate and latency as the callers measured them; load reports of backend
      * servers can be delayed or wrong and are not used.
@@ -18,14 +18,35 @@
      * @return the share in permille, 0 to 1000
      */
     public static int carriedPermille(Observation observation, int readySlots) {
-        double inProgress = observation.callsPerSecond()
-                * Math.max(
-                        meanMs(observation.step().old()),
-                        meanMs(observation.step().fresh()))
-                / 1000;
+        double usualMs = meanMs(observation.step().old());
+        return carried(
+                observation,
+                readySlots,
+                usualMs > 0 ? usualMs : meanMs(observation.judgement().allOld()));
+    }
+
+    /**
+     * Estimates the largest share that the ready slots carry at the new version's own latency, if that is higher.
+     *
+     * <p>The estimate limits raises only. A version that becomes slow is the judge's matter; lowering its share each
+     * time would hide the fault.
+     *
+     * @param observation evidence under the current share
+     * @param readySlots slots of the new version's ready endpoints
+     * @return the share in permille, 0 to 1000
+     */
+    public static int carriedAsMeasured(Observation observation, int readySlots) {
+        int usual = carriedPermille(observation, readySlots);
+        return Math.min(
+                usual,
+                carried(observation, readySlots, meanMs(observation.step().fresh())));
+    }
+
+    private static int carried(Observation observation, int readySlots, double latencyMs) {
         if (readySlots == 0) {
             return 0;
         }
+        double inProgress = observation.callsPerSecond() * latencyMs / 1000;
         return (int) Math.min(MovePlan.ALL_PERMILLE, MovePlan.ALL_PERMILLE * USABLE * readySlots / inProgress);
     }
 
--- a/core/src/main/java/org/mimosahinge/core/move/Judge.java
+++ b/core/src/main/java/org/mimosahinge/core/move/Judge.java
@@ -5,7 +5,6 @@
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
-import java.util.function.BiConsumer;
 import org.mimosahinge.core.move.History.Usual;
 
 /**
@@ -15,9 +14,6 @@
  * a link or a shared dependency is in trouble, plus a margin.
  */
 public final class Judge {
-    /** Calls of the old version on a route and zone below which its latency is no measure. */
-    private static final long LATENCY_CALLS = 100;
-
     /** Evidence against a common cause: at most one trouble of both versions in 150 looks like this. */
     private static final double CONTRAST = 5;
 
@@ -40,15 +36,15 @@
         Map<Scope, History> history = new HashMap<>(before.history());
         Map<Scope, PeriodSums> sums = new HashMap<>();
         before.scopes().keySet().forEach(scope -> sums.put(scope, new PeriodSums()));
-        cells.forEach((cell, pair) -> addOld(pair, history.computeIfAbsent(cell, History::of), sums));
+        cells.forEach((cell, pair) -> {
+            History usual = history.getOrDefault(cell, History.of(cell));
+            history.put(cell, usual.plusStepCalls(pair.old.calls(), pair.fresh.calls()));
+            addOld(pair, usual, sums);
+        });
         Map<Scope, ScopeState> scopes = new HashMap<>();
         sums.forEach((scope, sum) ->
                 scopes.put(scope, sum.updateRecent(before.scopes().getOrDefault(scope, ScopeState.START))));
-        cells.forEach((cell, pair) -> {
-            if (pair.fresh.calls() > 0) {
-                compare(pair, history.get(cell), scopes, sums, judgeLatency);
-            }
-        });
+        cells.forEach((cell, pair) -> compare(pair, history.get(cell), scopes, sums, judgeLatency));
         sums.forEach((scope, sum) -> scopes.computeIfPresent(scope, (same, state) -> sum.updateTests(state)));
         cells.forEach((cell, pair) -> history.computeIfPresent(cell, (same, usual) -> usual.plus(pair.old)));
         return new Judgement(history, scopes);
@@ -62,15 +58,41 @@
      * @return the findings, empty when none is proven
      */
     public static List<Finding> faults(Judgement judgement, double strictness) {
-        List<Finding> findings = new ArrayList<>();
-        judgement
-                .scopes()
-                .forEach((scope, state) -> forEachTest(state, (signal, test) -> {
-                    if (proven(judgement, scope, signal, test, strictness * SequentialTest.THRESHOLD)) {
-                        findings.add(finding(signal.code(), scope, test));
-                    }
-                }));
-        return findings;
+        return list(
+                judgement,
+                null,
+                (scope, signal, test) ->
+                        test.sum() >= strictness * SequentialTest.THRESHOLD && test.contrast() >= CONTRAST);
+    }
+
+    /**
+     * Lists what would be a fault if it were known not to meet the old version, which has too few calls to tell.
+     *
+     * @param judgement the comparison
+     * @return the findings, empty when the old version has calls to compare with
+     */
+    public static List<Finding> uncontrolled(Judgement judgement) {
+        return list(
+                judgement,
+                Finding.Code.SUSPECTED,
+                (scope, signal, test) -> test.sum() >= SequentialTest.THRESHOLD && test.lacksControl());
+    }
+
+    /**
+     * Lists faults without calls of the old version to compare with, for when its share cannot be raised.
+     *
+     * <p>Trouble of a zone or a link looks the same, so the fault must show in all zones, and twice as clearly.
+     *
+     * @param judgement the comparison
+     * @return the findings, empty when none is likely
+     */
+    public static List<Finding> likelyFaults(Judgement judgement) {
+        return list(
+                judgement,
+                null,
+                (scope, signal, test) -> test.sum() >= SequentialTest.CEILING
+                        && test.lacksControl()
+                        && showsInAllZones(judgement, signal));
     }
 
     /**
@@ -80,43 +102,35 @@
      * @return the findings, empty when the share may rise
      */
     public static List<Finding> suspicions(Judgement judgement) {
+        return list(
+                judgement,
+                Finding.Code.SUSPECTED,
+                (scope, signal, test) -> test.sum() >= SUSPICION * SequentialTest.THRESHOLD);
+    }
+
+    private static List<Finding> list(Judgement judgement, Finding.Code code, TestFilter wanted) {
         List<Finding> findings = new ArrayList<>();
-        judgement
-                .scopes()
-                .forEach((scope, state) -> forEachTest(state, (signal, test) -> {
-                    if (test.sum() >= SUSPICION * SequentialTest.THRESHOLD) {
-                        findings.add(finding(Finding.Code.SUSPECTED, scope, test));
-                    }
-                }));
+        judgement.scopes().forEach((scope, state) -> {
+            for (Signal signal : Signal.values()) {
+                SequentialTest test = state.test(signal);
+                if (wanted.test(scope, signal, test)) {
+                    findings.add(finding(code == null ? signal.code() : code, scope, test));
+                }
+            }
+        });
         return findings;
     }
 
-    private static boolean proven(
-            Judgement judgement, Scope scope, Signal signal, SequentialTest test, double threshold) {
-        if (test.sum() < threshold) {
-            return false;
-        }
-        double tolerance = signal.margin().tolerance();
-        if (test.contrast(tolerance) >= CONTRAST) {
-            return true;
-        }
-        // The old version has too few calls for a contrast. Trouble of one zone would look the same, so the fault must
-        // show in more than one zone unless it is of a kind that no network causes.
-        return test.lacksControl()
-                && test.sum() >= 2 * threshold
-                && (signal == Signal.SERVER_FAILURES || showsInSeveralZones(judgement, scope, signal, threshold));
+    private static boolean showsInAllZones(Judgement judgement, Signal signal) {
+        return judgement.scopes().entrySet().stream()
+                .filter(entry -> !entry.getKey().zone().isEmpty())
+                .allMatch(entry -> entry.getValue().test(signal).sum() >= SUSPICION * SequentialTest.THRESHOLD);
     }
 
-    private static boolean showsInSeveralZones(Judgement judgement, Scope scope, Signal signal, double threshold) {
-        if (!scope.zone().isEmpty()) {
-            return false;
-        }
-        List<Double> sums = judgement.scopes().entrySet().stream()
-                .filter(entry -> !entry.getKey().zone().isEmpty())
-                .map(entry -> entry.getValue().test(signal).sum())
-                .toList();
-        return sums.size() < 2
-                || sums.stream().filter(sum -> sum >= threshold / 4).count() > 1;
+    /** Selects tests. */
+    @FunctionalInterface
+    private interface TestFilter {
+        boolean test(Scope scope, Signal signal, SequentialTest test);
     }
 
     private static Finding finding(Finding.Code code, Scope scope, SequentialTest test) {
@@ -144,12 +158,6 @@
         return cells;
     }
 
-    private static void forEachTest(ScopeState state, BiConsumer<Signal, SequentialTest> action) {
-        for (Signal signal : Signal.values()) {
-            action.accept(signal, state.test(signal));
-        }
-    }
-
     private static void addOld(Pair pair, History history, Map<Scope, PeriodSums> sums) {
         List<PeriodSums> containing = new ArrayList<>(history.scopes().size());
         for (Scope scope : history.scopes()) {
@@ -173,9 +181,9 @@
             boolean judgeLatency) {
         List<ScopeState> states = history.scopes().stream().map(scopes::get).toList();
         List<PeriodSums> containing = history.scopes().stream().map(sums::get).toList();
-        boolean latencyKnown = judgeLatency && history.total().latency().total() >= LATENCY_CALLS;
         for (Signal signal : Signal.values()) {
-            if (signal.isLatency() && !latencyKnown) {
+            if (signal.isLatency()
+                    && (!judgeLatency || history.total().latency().total() < signal.leastHistory())) {
                 continue;
             }
             Usual usual = history.usual().get(signal.index());
@@ -186,12 +194,15 @@
             Signal.Margin margin = signal.margin();
             double tolerable = Math.min(1, margin.tolerance() * (usual.rate() + excess) + margin.allowance());
             long trials = signal.trials(pair.fresh);
+            long newHits = signal.hits(pair.fresh, usual.slowBucket());
+            long oldHits = signal.hits(pair.old, usual.slowBucket());
             SequentialTest.Period period = new SequentialTest.Period(
-                    signal.hits(pair.fresh, usual.slowBucket()),
+                    newHits,
                     trials,
                     tolerable * trials,
-                    signal.hits(pair.old, usual.slowBucket()),
-                    signal.trials(pair.old));
+                    oldHits,
+                    signal.trials(pair.old),
+                    history.fairShare() * (newHits + oldHits));
             for (PeriodSums sum : containing) {
                 sum.addCompared(signal, period);
             }
--- a/core/src/main/java/org/mimosahinge/core/move/Judgement.java
+++ b/core/src/main/java/org/mimosahinge/core/move/Judgement.java
@@ -1,5 +1,6 @@
 package org.mimosahinge.core.move;
 
+import java.util.HashMap;
 import java.util.Map;
 
 /**
@@ -11,4 +12,19 @@
 public record Judgement(Map<Scope, History> history, Map<Scope, ScopeState> scopes) {
     /** A comparison without calls. */
     public static final Judgement START = new Judgement(Map.of(), Map.of());
+
+    Judgement underNewShare() {
+        Map<Scope, ScopeState> next = new HashMap<>();
+        scopes.forEach((scope, state) -> next.put(scope, state.underNewShare()));
+        Map<Scope, History> cells = new HashMap<>();
+        history.forEach((cell, calls) -> cells.put(cell, calls.underNewShare()));
+        return new Judgement(cells, next);
+    }
+
+    /** Sums the old version's calls since the comparison began. */
+    Tally allOld() {
+        TallySum sum = new TallySum();
+        history.values().forEach(cell -> sum.add(cell.total()));
+        return sum.toTally();
+    }
 }
--- a/core/src/main/java/org/mimosahinge/core/move/MovePlan.java
+++ b/core/src/main/java/org/mimosahinge/core/move/MovePlan.java
@@ -35,6 +35,9 @@
 
     private static final double GROWTH = 2.5;
 
+    /** Part of the time that is kept to wait for trouble of both versions to pass. */
+    private static final int RESERVE = 6;
+
     /** Shortest time under the first share: warm-up and a minute in which latency counts. */
     private static final Duration SHORTEST_FIRST_SOAK = Observation.WARM_UP.plusMinutes(1);
 
@@ -50,7 +53,7 @@
      */
     public static MovePlan of(Move move, double callsPerSecond) {
         Duration whole = Duration.between(move.start(), move.deadline());
-        Duration reserve = longer(whole.dividedBy(10), SHORTEST_SOAK);
+        Duration reserve = longer(whole.dividedBy(RESERVE), SHORTEST_SOAK);
         Duration firstSoak = longer(whole.dividedBy(5), SHORTEST_FIRST_SOAK);
         int first = firstShare(callsPerSecond, firstSoak);
         int gaps = Math.max(1, stepsAfter(first) - 1);
@@ -96,7 +99,7 @@
      * @return the soak time
      */
     public Duration shortestSoak(int sharePermille) {
-        return sharePermille <= firstSharePermille ? SHORTEST_FIRST_SOAK : longer(SHORTEST_SOAK, gap.dividedBy(2));
+        return sharePermille <= firstSharePermille ? SHORTEST_FIRST_SOAK : SHORTEST_SOAK;
     }
 
     private static int firstShare(double callsPerSecond, Duration soak) {
--- a/core/src/main/java/org/mimosahinge/core/move/Observation.java
+++ b/core/src/main/java/org/mimosahinge/core/move/Observation.java
@@ -13,6 +13,7 @@
  * @param lastAt end of the last period included
  * @param step calls under the current share
  * @param judgement comparison of the versions, kept across steps
+ * @param lowered how often the share was lowered without being judged bad
  */
 public record Observation(
         Versions versions,
@@ -20,7 +21,8 @@
         Instant latencyFrom,
         Instant lastAt,
         StepCalls step,
-        Judgement judgement) {
+        Judgement judgement,
+        int lowered) {
     /** Time after the first share during which a new version may be slow. */
     public static final Duration WARM_UP = Duration.ofMinutes(4);
 
@@ -39,7 +41,7 @@
         Instant warm = state.since().plus(WARM_UP);
         boolean first = state.sharePermille() > 0 && state.sharePermille() <= MovePlan.FIRST_SHARE_PERMILLE;
         Instant latencyFrom = first && warm.isAfter(settled) ? warm : settled;
-        return new Observation(Versions.of(state), now, latencyFrom, now, StepCalls.EMPTY, Judgement.START);
+        return new Observation(Versions.of(state), now, latencyFrom, now, StepCalls.EMPTY, Judgement.START, 0);
     }
 
     /**
@@ -51,10 +53,11 @@
      */
     public Observation plus(Instant until, Evidence evidence) {
         if (evidence.tallies().isEmpty()) {
-            return new Observation(versions, stepStartedAt, latencyFrom, until, step, judgement);
+            return new Observation(versions, stepStartedAt, latencyFrom, until, step, judgement, lowered);
         }
         Judgement next = Judge.advance(judgement, evidence, versions, !until.isBefore(latencyFrom));
-        return new Observation(versions, stepStartedAt, latencyFrom, until, step.plus(evidence, versions), next);
+        return new Observation(
+                versions, stepStartedAt, latencyFrom, until, step.plus(evidence, versions), next, lowered);
     }
 
     /**
@@ -65,7 +68,8 @@
      * @return the observation with the calls included
      */
     public Observation withoutComparison(Instant until, Evidence evidence) {
-        return new Observation(versions, stepStartedAt, latencyFrom, until, step.plus(evidence, versions), judgement);
+        return new Observation(
+                versions, stepStartedAt, latencyFrom, until, step.plus(evidence, versions), judgement, lowered);
     }
 
     /**
@@ -77,8 +81,16 @@
      */
     public Observation nextStep(MoveState before, MoveState after) {
         Instant now = after.since();
+        boolean lower = after.sharePermille() < before.sharePermille();
         boolean first = before.sharePermille() == 0;
-        return new Observation(versions, now, now.plus(first ? WARM_UP : SETTLE), lastAt, StepCalls.EMPTY, judgement);
+        return new Observation(
+                versions,
+                now,
+                now.plus(first ? WARM_UP : SETTLE),
+                lastAt,
+                StepCalls.EMPTY,
+                judgement.underNewShare(),
+                lowered + (lower ? 1 : 0));
     }
 
     /**
--- a/core/src/main/java/org/mimosahinge/core/move/PeriodSums.java
+++ b/core/src/main/java/org/mimosahinge/core/move/PeriodSums.java
@@ -13,6 +13,7 @@
     private final double[] expected = new double[Signal.COUNT];
     private final long[] oldHits = new long[Signal.COUNT];
     private final long[] oldTrials = new long[Signal.COUNT];
+    private final double[] fairHits = new double[Signal.COUNT];
 
     void addOld(Signal signal, Usual usual, long hits, long trials) {
         int index = signal.index();
@@ -27,6 +28,7 @@
         expected[index] += period.expected();
         oldHits[index] += period.oldHits();
         oldTrials[index] += period.oldTrials();
+        fairHits[index] += period.fairHits();
     }
 
     ScopeState updateRecent(ScopeState before) {
@@ -41,14 +43,9 @@
         List<SequentialTest> tests = new ArrayList<>(Signal.COUNT);
         for (Signal signal : Signal.values()) {
             int i = signal.index();
-            SequentialTest test = before.tests().get(i);
-            tests.add(
-                    newTrials[i] == 0
-                            ? test
-                            : test.plus(
-                                    new SequentialTest.Period(
-                                            newHits[i], newTrials[i], expected[i], oldHits[i], oldTrials[i]),
-                                    signal.margin()));
+            SequentialTest.Period period = new SequentialTest.Period(
+                    newHits[i], newTrials[i], expected[i], oldHits[i], oldTrials[i], fairHits[i]);
+            tests.add(before.tests().get(i).plus(period, signal.margin()));
         }
         return new ScopeState(tests, before.recent());
     }
--- a/core/src/main/java/org/mimosahinge/core/move/ScopeState.java
+++ b/core/src/main/java/org/mimosahinge/core/move/ScopeState.java
@@ -17,4 +17,8 @@
     SequentialTest test(Signal signal) {
         return tests.get(signal.index());
     }
+
+    ScopeState underNewShare() {
+        return new ScopeState(tests.stream().map(SequentialTest::underNewShare).toList(), recent);
+    }
 }
--- a/core/src/main/java/org/mimosahinge/core/move/Signal.java
+++ b/core/src/main/java/org/mimosahinge/core/move/Signal.java
@@ -78,6 +78,11 @@
         return this == SLOW ? 0.9 : 0.99;
     }
 
+    /** Returns the calls of the old version from which the quantile can be read. */
+    long leastHistory() {
+        return Math.round(2 / (1 - quantile()));
+    }
+
     /** Returns the old version's rate that is assumed before it has calls. */
     double prior() {
         return isLatency() ? 1 - quantile() : 0.01;
--- a/core/src/main/java/org/mimosahinge/core/move/StandardMovePolicy.java
+++ b/core/src/main/java/org/mimosahinge/core/move/StandardMovePolicy.java
@@ -4,6 +4,7 @@
 import java.time.Instant;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 import org.mimosahinge.api.config.MovePhase;
 import org.mimosahinge.api.config.MoveState;
 import org.mimosahinge.api.contract.Move;
@@ -18,6 +19,14 @@
     /** Time in which the old version is observed before the first share. */
     private static final Duration BASELINE = Duration.ofSeconds(30);
 
+    /**
+     * Shares that are left when a fault shows while the old version has too few calls to tell whether it fails too.
+     *
+     * <p>An even split tells the two apart with the fewest calls. A fault that vanishes there may depend on load, so
+     * later comparisons leave more.
+     */
+    private static final int[] COMPARED_PERMILLE = {500, 800, 900};
+
     /** Calls of the new version on a route under one share without which the route counts as not judged. */
     private static final long JUDGED_CALLS = 30;
 
@@ -43,9 +52,11 @@
         if (view.conditions().halted()) {
             return MoveDecision.of(Kind.TAKE_BACK, 0, Finding.of(Code.HALTED, ""));
         }
-        List<Finding> faults = Judge.faults(view.observation().judgement(), 1);
-        if (state.sharePermille() > 0 && !faults.isEmpty()) {
-            return new MoveDecision(Kind.TAKE_BACK, 0, faults);
+        if (state.sharePermille() > 0) {
+            Optional<MoveDecision> cut = cut(view);
+            if (cut.isPresent()) {
+                return cut.get();
+            }
         }
         if (state.phase() == MovePhase.DONE) {
             return hold(state, Finding.of(Code.OVER, "the old version stays warm"));
@@ -56,6 +67,27 @@
         return pace(view, view.move().get());
     }
 
+    private static Optional<MoveDecision> cut(MoveView view) {
+        Judgement judgement = view.observation().judgement();
+        boolean platform = view.conditions().platformAvailable();
+        List<Finding> faults = Judge.faults(judgement, 1);
+        if (!faults.isEmpty()) {
+            return Optional.of(new MoveDecision(Kind.TAKE_BACK, 0, faults));
+        }
+        int compared = COMPARED_PERMILLE[Math.min(view.observation().lowered(), COMPARED_PERMILLE.length - 1)];
+        if (view.state().sharePermille() <= compared) {
+            return Optional.empty();
+        }
+        List<Finding> unclear = platform ? Judge.uncontrolled(judgement) : Judge.likelyFaults(judgement);
+        if (unclear.isEmpty()) {
+            return Optional.empty();
+        }
+        return Optional.of(
+                platform
+                        ? new MoveDecision(Kind.LOWER, compared, unclear)
+                        : new MoveDecision(Kind.TAKE_BACK, 0, unclear));
+    }
+
     private static MoveDecision pace(MoveView view, Move move) {
         MoveState state = view.state();
         Observation observation = view.observation();
@@ -81,8 +113,9 @@
             return new MoveDecision(Kind.DONE, share, timeFindings(view, move, plan));
         }
         int next = plan.shareAfter(share);
-        if (next > carried) {
-            return hold(state, Finding.of(Code.CAPACITY_SHORT, "endpoints carry " + carried + " permille"));
+        int measured = Capacity.carriedAsMeasured(observation, view.conditions().readySlots());
+        if (next > measured) {
+            return hold(state, Finding.of(Code.CAPACITY_SHORT, "endpoints carry " + measured + " permille"));
         }
         if (view.now().isBefore(plan.due(next))) {
             return hold(state, Finding.of(Code.NOT_DUE, ""));
