--- a/bench/src/main/java/org/mimosahinge/bench/control/ControlFleet.java
+++ b/bench/src/main/java/org/mimosahinge/bench/control/ControlFleet.java
@@ -90,10 +90,10 @@
     }
 
     /** Submits a changed section and returns the accepted version. */
-    long submit(ControlNode at, Section section) {
+    long submit(ControlNode at) {
         long version = at.plane()
                 .submissions()
-                .submit(section, revision)
+                .submit(section((int) revision), revision)
                 .toCompletableFuture()
                 .join()
                 .version();
