Test the judge on faults and on trouble of both versions

Two crashes, as one poison request causes, stay below the threshold and five crashes are found; shedding, caller errors, timeouts and slowness of both versions are no faults.

--- a/core/src/test/java/org/mimosahinge/core/move/BrakeTest.java
+++ b/core/src/test/java/org/mimosahinge/core/move/BrakeTest.java
@@ -4,7 +4,6 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.util.Optional;
-import java.util.Random;
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
 import net.jqwik.api.constraints.IntRange;
@@ -26,13 +25,7 @@
                 Scenario.of(Outcome.ofNew((second, key, share, random) -> random.nextInt(100) < failingPercent
                         ? Outcome.failure(FailureKind.SERVER_ERROR)
                         : Outcome.usual(random)));
-        Observation observation = Observation.startingAt(STATE, VirtualMove.START);
-        Random random = new Random(seed);
-        for (int second = 1; second <= seconds; second++) {
-            Evidence evidence = VirtualMove.traffic(scenario, second, STATE.sharePermille(), random);
-            observation = observation.plus(VirtualMove.START.plusSeconds(second), evidence);
-        }
-        return observation;
+        return JudgeTest.observe(scenario, STATE.sharePermille(), seconds, seed);
     }
 
     /** Guards against a node that keeps sending calls to a failing version until the controller reacts. */
--- /dev/null
+++ b/core/src/test/java/org/mimosahinge/core/move/JudgeTest.java
@@ -0,0 +1,110 @@
+package org.mimosahinge.core.move;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.mimosahinge.core.move.VirtualMove.Outcome.failure;
+import static org.mimosahinge.core.move.VirtualMove.Outcome.ofNew;
+import static org.mimosahinge.core.move.VirtualMove.Outcome.usual;
+
+import java.util.EnumSet;
+import java.util.Random;
+import java.util.Set;
+import java.util.stream.Collectors;
+import java.util.stream.Stream;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.IntRange;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.Arguments;
+import org.junit.jupiter.params.provider.MethodSource;
+import org.mimosahinge.api.config.MovePhase;
+import org.mimosahinge.api.config.MoveState;
+import org.mimosahinge.core.move.Finding.Code;
+import org.mimosahinge.core.move.VirtualMove.Outcome;
+import org.mimosahinge.core.move.VirtualMove.Scenario;
+
+class JudgeTest {
+    private static final EvidenceKey KEY = new EvidenceKey("v2", "browse", "west-1");
+
+    private static Outcome sometimes(int percent, FailureKind kind) {
+        return (second, key, share, random) -> random.nextInt(100) < percent ? failure(kind) : usual(random);
+    }
+
+    private static Outcome slower(double factor) {
+        return (second, key, share, random) -> {
+            double outcome = usual(random);
+            return outcome < 0 ? outcome : factor * outcome;
+        };
+    }
+
+    static Stream<Arguments> comparisons() {
+        return Stream.of(
+                Arguments.of("server errors", ofNew(sometimes(10, FailureKind.SERVER_ERROR)), Code.MORE_ERRORS),
+                Arguments.of("timeouts", ofNew(sometimes(10, FailureKind.TIMEOUT)), Code.MORE_ERRORS),
+                Arguments.of("crash loop", ofNew(sometimes(3, FailureKind.CRASH)), Code.MORE_ERRORS),
+                Arguments.of("sheds alone", ofNew(sometimes(30, FailureKind.SHED)), Code.MORE_SHED),
+                Arguments.of("rejects alone", ofNew(sometimes(30, FailureKind.CALLER_ERROR)), Code.MORE_CALLER_ERRORS),
+                Arguments.of("slow", ofNew(slower(3)), Code.SLOWER),
+                Arguments.of("both shed", sometimes(30, FailureKind.SHED), null),
+                Arguments.of("callers err on both", sometimes(30, FailureKind.CALLER_ERROR), null),
+                Arguments.of("both fail", sometimes(30, FailureKind.TIMEOUT), null),
+                Arguments.of("both slow", slower(3), null),
+                Arguments.of(
+                        "old version fails more",
+                        (Outcome) (second, key, share, random) -> key.version().equals("v1")
+                                ? sometimes(10, FailureKind.SERVER_ERROR).of(second, key, share, random)
+                                : usual(random),
+                        null));
+    }
+
+    /** Guards against faults that are missed and against trouble of both versions taken for a fault. */
+    @ParameterizedTest(name = "{0}")
+    @MethodSource("comparisons")
+    void findsOnlyWhatTheNewVersionDoesWorse(String name, Outcome outcome, Code expected) {
+        Observation observation = observe(Scenario.of(outcome), 50, 120, 5);
+        Set<Code> codes = Judge.faults(observation.judgement(), 1).stream()
+                .map(Finding::code)
+                .collect(Collectors.toCollection(() -> EnumSet.noneOf(Code.class)));
+        assertEquals(expected == null ? Set.of() : Set.of(expected), codes, name);
+    }
+
+    /** Guards against false alarms from looking every second for half an hour. */
+    @Property(seed = "14", tries = 8)
+    void goodVersionIsNotFoundFaulty(@ForAll long seed, @ForAll @IntRange(min = 20, max = 900) int share) {
+        Scenario good = Scenario.of((second, key, permille, random) -> usual(random));
+        assertEquals(
+                0, Judge.faults(observe(good, share, 1800, seed).judgement(), 1).size());
+    }
+
+    static Stream<Arguments> crashes() {
+        return Stream.of(Arguments.of(1, false), Arguments.of(2, false), Arguments.of(5, true));
+    }
+
+    /** Guards against one poison request, which crashes two backend servers, condemning a good version. */
+    @ParameterizedTest
+    @MethodSource("crashes")
+    void twoCrashesAreNoFault(int crashes, boolean fault) {
+        Scenario good = Scenario.of((second, key, share, random) -> usual(random));
+        Observation observation = observe(good, 20, 300, 6);
+        EvidenceRecorder recorder = new EvidenceRecorder();
+        for (int crash = 0; crash < crashes; crash++) {
+            recorder.failed(KEY, FailureKind.CRASH);
+            for (int call = 0; call < 19; call++) {
+                recorder.failed(KEY, FailureKind.CRASH_COLLATERAL);
+            }
+            observation = observation.plus(observation.lastAt().plusSeconds(1), recorder.drain());
+        }
+        assertEquals(fault, !Judge.faults(observation.judgement(), 1).isEmpty());
+    }
+
+    static Observation observe(Scenario scenario, int share, int seconds, long seed) {
+        MoveState state = new MoveState(
+                "listings", "v1", "v2", 3, share, MovePhase.RUNNING, "", VirtualMove.START.minusSeconds(600));
+        Observation observation = Observation.startingAt(state, VirtualMove.START);
+        Random random = new Random(seed);
+        for (int second = 1; second <= seconds; second++) {
+            Evidence evidence = VirtualMove.traffic(scenario, second, share, random);
+            observation = observation.plus(VirtualMove.START.plusSeconds(second), evidence);
+        }
+        return observation;
+    }
+}
--- a/core/src/test/java/org/mimosahinge/core/move/MoveInvariantsTest.java
+++ b/core/src/test/java/org/mimosahinge/core/move/MoveInvariantsTest.java
@@ -242,7 +242,7 @@
         boolean caught = false;
         for (long seed : SEEDS) {
             assertTrue(invariant.test(VirtualMove.run(STANDARD, scenario, seed, RUN)), name + " seed " + seed);
-            caught |= !invariant.test(VirtualMove.run(mutant, scenario, seed, RUN));
+            caught = caught || !invariant.test(VirtualMove.run(mutant, scenario, seed, RUN));
         }
         assertTrue(caught, "the mutant must violate: " + name);
     }
