--- a/core/src/main/java/org/mimosahinge/core/move/Judgement.java
+++ b/core/src/main/java/org/mimosahinge/core/move/Judgement.java
@@ -1,5 +1,6 @@
 package org.mimosahinge.core.move;
 
+import java.util.HashMap;
 import java.util.Map;
 
 /**
@@ -8,11 +9,20 @@
  * @param history the old version's calls by route and zone since the comparison began
  * @param scopes tests by scope
  */
-public record Judgement(Map<Scope, Tally> history, Map<Scope, ScopeState> scopes) {
+public record Judgement(Map<Scope, History> history, Map<Scope, ScopeState> scopes) {
     /** A comparison without calls. */
     public static final Judgement START = new Judgement(Map.of(), Map.of());
 
-    ScopeState scope(Scope scope) {
-        return scopes.getOrDefault(scope, ScopeState.START);
+    Judgement underNewShare() {
+        Map<Scope, ScopeState> next = new HashMap<>();
+        scopes.forEach((scope, state) -> next.put(scope, state.underNewShare()));
+        return new Judgement(history, next);
+    }
+
+    /** Sums the old version's calls since the comparison began. */
+    Tally allOld() {
+        TallySum sum = new TallySum();
+        history.values().forEach(cell -> sum.add(cell.total()));
+        return sum.toTally();
     }
 }
