--- a/core/src/main/java/org/mimosahinge/core/move/Judge.java
+++ b/core/src/main/java/org/mimosahinge/core/move/Judge.java
@@ -14,9 +14,6 @@
  * a link or a shared dependency is in trouble, plus a margin.
  */
 public final class Judge {
-    /** Calls of the old version on a route and zone below which its latency is no measure. */
-    private static final long LATENCY_CALLS = 100;
-
     /** Evidence against a common cause: at most one trouble of both versions in 150 looks like this. */
     private static final double CONTRAST = 5;
 
@@ -39,7 +36,11 @@
         Map<Scope, History> history = new HashMap<>(before.history());
         Map<Scope, PeriodSums> sums = new HashMap<>();
         before.scopes().keySet().forEach(scope -> sums.put(scope, new PeriodSums()));
-        cells.forEach((cell, pair) -> addOld(pair, history.computeIfAbsent(cell, History::of), sums));
+        cells.forEach((cell, pair) -> {
+            History usual = history.getOrDefault(cell, History.of(cell));
+            history.put(cell, usual.plusStepCalls(pair.old.calls(), pair.fresh.calls()));
+            addOld(pair, usual, sums);
+        });
         Map<Scope, ScopeState> scopes = new HashMap<>();
         sums.forEach((scope, sum) ->
                 scopes.put(scope, sum.updateRecent(before.scopes().getOrDefault(scope, ScopeState.START))));
@@ -61,7 +62,7 @@
                 judgement,
                 null,
                 (scope, signal, test) ->
-                        test.sum() >= strictness * SequentialTest.THRESHOLD && hasContrast(signal, test));
+                        test.sum() >= strictness * SequentialTest.THRESHOLD && test.contrast() >= CONTRAST);
     }
 
     /**
@@ -120,10 +121,6 @@
         return findings;
     }
 
-    private static boolean hasContrast(Signal signal, SequentialTest test) {
-        return test.contrast(signal.margin().tolerance()) >= CONTRAST;
-    }
-
     private static boolean showsInAllZones(Judgement judgement, Signal signal) {
         return judgement.scopes().entrySet().stream()
                 .filter(entry -> !entry.getKey().zone().isEmpty())
@@ -184,9 +181,9 @@
             boolean judgeLatency) {
         List<ScopeState> states = history.scopes().stream().map(scopes::get).toList();
         List<PeriodSums> containing = history.scopes().stream().map(sums::get).toList();
-        boolean latencyKnown = judgeLatency && history.total().latency().total() >= LATENCY_CALLS;
         for (Signal signal : Signal.values()) {
-            if (signal.isLatency() && !latencyKnown) {
+            if (signal.isLatency()
+                    && (!judgeLatency || history.total().latency().total() < signal.leastHistory())) {
                 continue;
             }
             Usual usual = history.usual().get(signal.index());
@@ -197,12 +194,15 @@
             Signal.Margin margin = signal.margin();
             double tolerable = Math.min(1, margin.tolerance() * (usual.rate() + excess) + margin.allowance());
             long trials = signal.trials(pair.fresh);
+            long newHits = signal.hits(pair.fresh, usual.slowBucket());
+            long oldHits = signal.hits(pair.old, usual.slowBucket());
             SequentialTest.Period period = new SequentialTest.Period(
-                    signal.hits(pair.fresh, usual.slowBucket()),
+                    newHits,
                     trials,
                     tolerable * trials,
-                    signal.hits(pair.old, usual.slowBucket()),
-                    signal.trials(pair.old));
+                    oldHits,
+                    signal.trials(pair.old),
+                    history.fairShare() * (newHits + oldHits));
             for (PeriodSums sum : containing) {
                 sum.addCompared(signal, period);
             }
--- a/core/src/main/java/org/mimosahinge/core/move/Judgement.java
+++ b/core/src/main/java/org/mimosahinge/core/move/Judgement.java
@@ -16,7 +16,9 @@
     Judgement underNewShare() {
         Map<Scope, ScopeState> next = new HashMap<>();
         scopes.forEach((scope, state) -> next.put(scope, state.underNewShare()));
-        return new Judgement(history, next);
+        Map<Scope, History> cells = new HashMap<>();
+        history.forEach((cell, calls) -> cells.put(cell, calls.underNewShare()));
+        return new Judgement(cells, next);
     }
 
     /** Sums the old version's calls since the comparison began. */
--- a/core/src/test/java/org/mimosahinge/core/move/MoveInvariantsTest.java
+++ b/core/src/test/java/org/mimosahinge/core/move/MoveInvariantsTest.java
@@ -20,6 +20,7 @@
 class MoveInvariantsTest {
     private static final MovePolicy STANDARD = new StandardMovePolicy();
     private static final long[] SEEDS = {1, 2, 3};
+    private static final int LATE_FAULT_SECOND = 1000;
     private static final Duration RUN = VirtualMove.LENGTH.plusMinutes(8);
 
     /** Raises with time alone. */
@@ -120,7 +121,7 @@
         int detectable = -1;
         long failures = 0;
         for (Tick tick : ticks) {
-            failures += tick.newFailures();
+            failures += tick.second() >= LATE_FAULT_SECOND ? tick.newFailures() : 0;
             detectable = detectable < 0 && failures >= 30 ? tick.second() : detectable;
             if (detectable >= 0
                     && tick.second() > detectable + 2
@@ -149,7 +150,7 @@
     static Stream<Arguments> invariants() {
         Scenario good = Scenario.of((second, key, share, random) -> Outcome.usual(random));
         Scenario badAtOnce = Scenario.of(failingFrom(0, 30));
-        Scenario badLater = Scenario.of(failingFrom(1000, 30));
+        Scenario badLater = Scenario.of(failingFrom(LATE_FAULT_SECOND, 30));
         return Stream.of(
                 invariant("a bad version's share stays under its bound", badAtOnce, UNJUDGED, ticks -> ticks.stream()
                         .allMatch(tick -> tick.after().sharePermille() <= 20)),
@@ -241,7 +242,7 @@
         boolean caught = false;
         for (long seed : SEEDS) {
             assertTrue(invariant.test(VirtualMove.run(STANDARD, scenario, seed, RUN)), name + " seed " + seed);
-            caught |= !invariant.test(VirtualMove.run(mutant, scenario, seed, RUN));
+            caught = caught || !invariant.test(VirtualMove.run(mutant, scenario, seed, RUN));
         }
         assertTrue(caught, "the mutant must violate: " + name);
     }
