Keep new calls off silent connections and measure rolling restarts

A connection between nodes with an overdue heartbeat takes no new calls, and a pause of the own process is not mistaken for silence of the other end.

Two tests passed without the code they guard: the one for silent connections also without heartbeats, the one for planned stops also when idle connections are closed under a call. The first now sends a call that may not be retried, the second holds its calls beyond the notice.

--- a/bench/src/main/java/org/mimosahinge/bench/calls/CallLoad.java
+++ b/bench/src/main/java/org/mimosahinge/bench/calls/CallLoad.java
@@ -16,7 +16,6 @@
 final class CallLoad {
 
     private static final long SEED = 42;
-    private static final int ENTRY_NODES = 2;
     private static final Duration PATIENCE = Duration.ofSeconds(12);
 
     private final CallMesh mesh;
@@ -47,7 +46,7 @@
             }
             everyCall.run();
             CallKind kind = CallKind.draw(random::nextInt);
-            calls.add(call(kind, prefix + "-" + i, mesh.callers(i % ENTRY_NODES)));
+            calls.add(call(kind, prefix + "-" + i, mesh.callers(i)));
         }
         return calls.stream().map(CompletableFuture::join).toList();
     }
--- a/bench/src/main/java/org/mimosahinge/bench/calls/CallMesh.java
+++ b/bench/src/main/java/org/mimosahinge/bench/calls/CallMesh.java
@@ -2,10 +2,6 @@
 
 import io.netty.channel.nio.NioEventLoopGroup;
 import io.netty.util.concurrent.DefaultThreadFactory;
-import java.io.IOException;
-import java.io.UncheckedIOException;
-import java.net.InetAddress;
-import java.net.ServerSocket;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -29,10 +25,8 @@
 import org.mimosahinge.api.world.EndpointState;
 import org.mimosahinge.api.world.HostPort;
 import org.mimosahinge.api.world.Node;
-import org.mimosahinge.api.world.NodeId;
 import org.mimosahinge.api.world.Region;
 import org.mimosahinge.api.world.Stamp;
-import org.mimosahinge.daemon.traffic.TrafficConfig;
 import org.mimosahinge.daemon.traffic.TrafficEvent;
 import org.mimosahinge.daemon.traffic.TrafficPlane;
 import org.mimosahinge.daemon.traffic.TrafficPolicies;
@@ -54,6 +48,12 @@
 
     private static final int CALL_MS = 20;
     private static final int NODES = 4;
+    private static final int ENTRY_NODES = 2;
+    private static final AvailabilityZone FIRST_ZONE = new AvailabilityZone("a", new Region("west"));
+
+    /** Time in which a change of endpoints reaches all nodes. */
+    private static final long SPREAD_MS = 200;
+
     private static final Duration PLATFORM_TIMEOUT = Duration.ofSeconds(1);
 
     /** A replacement appears after this time, as a supervisor restarts a process. */
@@ -71,37 +71,37 @@
     private final PlatformStandin platform = PlatformStandin.start();
     private final ScheduledExecutorService membership =
             Executors.newSingleThreadScheduledExecutor(new DefaultThreadFactory("bench-membership", true));
-    private final List<TrafficPlane> planes = new ArrayList<>();
-    private final List<Node> nodes = new ArrayList<>();
-    private final List<FreezableLink> links = new ArrayList<>();
+    private final ScheduledExecutorService operations =
+            Executors.newSingleThreadScheduledExecutor(new DefaultThreadFactory("bench-operations", true));
+    private final List<CallNode> nodes = new ArrayList<>();
     private final Map<String, Endpoint> endpoints = new LinkedHashMap<>();
     private final Map<String, BackendStandin> backends = new LinkedHashMap<>();
     private final Map<String, Integer> refusals = new HashMap<>();
     private final Map<String, Integer> runs = new HashMap<>();
+    private int restarts;
     private volatile Snapshot snapshot = Snapshot.EMPTY;
 
-    private CallMesh(TrafficPolicies policies) {
+    private CallMesh(TrafficPolicies policies, AvailabilityZone otherZone) {
         PlatformClient table = PlatformClient.create(http, platform.address());
         for (int i = 0; i < NODES; i++) {
-            HostPort frames = freePort();
-            FreezableLink link = FreezableLink.to(frames);
-            Node node = new Node(new NodeId("n" + i), 1, new AvailabilityZone("a", new Region("west")), link.address());
-            TrafficPlane plane = TrafficPlane.start(
-                    new TrafficConfig(node, new HostPort("127.0.0.1", 0), 1, 0),
-                    () -> snapshot,
-                    table,
-                    event -> membership.execute(() -> observe(event)),
-                    policies);
-            plane.acceptNodes(frames);
-            links.add(link);
+            AvailabilityZone zone = i < ENTRY_NODES ? FIRST_ZONE : otherZone;
+            CallNode node = CallNode.start(
+                    "n" + i,
+                    zone,
+                    config -> TrafficPlane.start(
+                            config,
+                            () -> snapshot,
+                            table,
+                            event -> membership.execute(() -> observe(event)),
+                            policies));
             nodes.add(node);
-            planes.add(plane);
-            startBackend(node);
+            startBackend(node.node());
         }
     }
 
-    static CallMesh start(TrafficPolicies policies) {
-        return new CallMesh(policies);
+    /** Starts two nodes for callers in the first zone and two more nodes in another one. */
+    static CallMesh start(TrafficPolicies policies, AvailabilityZone otherZone) {
+        return new CallMesh(policies, otherZone);
     }
 
     private static Route route(String path, CallClass callClass, int seconds, boolean atMostOnce) {
@@ -109,14 +109,6 @@
                 path, path, SERVICE, callClass, Duration.ofSeconds(seconds), !atMostOnce, atMostOnce, Set.of());
     }
 
-    private static HostPort freePort() {
-        try (ServerSocket probe = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
-            return new HostPort("127.0.0.1", probe.getLocalPort());
-        } catch (IOException e) {
-            throw new UncheckedIOException(e);
-        }
-    }
-
     private synchronized void startBackend(Node node) {
         BackendStandin backend = BackendStandin.start(
                 BackendSettings.of(SERVICE, "v1").slots(SLOTS).build(),
@@ -192,7 +184,7 @@
 
     /** Makes every open connection between nodes silent. */
     void freezeLinks() {
-        links.forEach(FreezableLink::freeze);
+        nodes.forEach(node -> node.link().freeze());
     }
 
     /** Takes the table service away for the rest of the run. */
@@ -200,8 +192,44 @@
         platform.fault(Fault.outage(TimeUnit.MINUTES.toMillis(1)));
     }
 
-    HostPort callers(int index) {
-        return planes.get(index).callers();
+    /** Cuts the nodes of the other zone off. */
+    void cutOtherZone() {
+        nodes.subList(ENTRY_NODES, NODES).forEach(node -> node.link().cut());
+    }
+
+    /** Kills the nodes of the other zone with their backend servers; membership removes them after 3 s. */
+    synchronized void killOtherZone() {
+        for (CallNode node : nodes.subList(ENTRY_NODES, NODES)) {
+            List<String> beside = endpoints.keySet().stream()
+                    .filter(id -> id.startsWith(node.node().id() + "/"))
+                    .toList();
+            beside.forEach(id -> collect(backends.remove(id)));
+            node.kill();
+        }
+    }
+
+    /** Restarts the next node: its endpoint drains and callers move away before it stops. */
+    synchronized void restartNext() {
+        CallNode node = nodes.get(restarts++ % NODES);
+        node.withdraw();
+        mark(node, EndpointState.DRAINING);
+        membership.schedule(
+                () -> node.restart(operations).thenRun(() -> mark(node, EndpointState.READY)),
+                SPREAD_MS,
+                TimeUnit.MILLISECONDS);
+    }
+
+    private synchronized void mark(CallNode node, EndpointState state) {
+        endpoints.replaceAll((id, old) ->
+                old.node().equals(node.node()) ? new Endpoint(id, old.server(), old.node(), state, old.stamp()) : old);
+        publish();
+    }
+
+    /** Returns the address for callers of one of the nodes that take them. */
+    HostPort callers(int turn) {
+        List<CallNode> open =
+                nodes.stream().limit(ENTRY_NODES).filter(CallNode::takesCallers).toList();
+        return open.get(turn % open.size()).callers();
     }
 
     /** Ends all and returns how often each key ran. */
@@ -215,8 +243,8 @@
     public void close() {
         membership.shutdownNow();
         stop();
-        planes.forEach(TrafficPlane::close);
-        links.forEach(FreezableLink::close);
+        operations.shutdown();
+        nodes.forEach(CallNode::close);
         platform.close();
         http.close();
         io.shutdownGracefully(0, 1, TimeUnit.SECONDS).syncUninterruptibly();
--- a/bench/src/main/java/org/mimosahinge/bench/calls/CallsMeasurement.java
+++ b/bench/src/main/java/org/mimosahinge/bench/calls/CallsMeasurement.java
@@ -1,13 +1,17 @@
 package org.mimosahinge.bench.calls;
 
 import java.time.Duration;
+import java.util.ArrayList;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Random;
+import java.util.function.BiConsumer;
 import java.util.function.Supplier;
 import java.util.function.ToDoubleFunction;
 import java.util.logging.Level;
+import org.mimosahinge.api.world.AvailabilityZone;
+import org.mimosahinge.api.world.Region;
 import org.mimosahinge.bench.Figures;
 import org.mimosahinge.bench.Http;
 import org.mimosahinge.core.retry.RetryPolicy;
@@ -24,9 +28,8 @@
  */
 public final class CallsMeasurement {
 
-    private static final Duration DEFAULT_TIME = Duration.ofMillis(2_000);
-    private static final Duration FULL_TIME = Duration.ofSeconds(20);
-    private static final Duration WARM_UP = Duration.ofMillis(2_000);
+    private static final Duration DEFAULT_TIME = Duration.ofMillis(1_500);
+    private static final int FULL_FACTOR = 10;
 
     /** Calls that open the connections of a new mesh and are not counted. */
     private static final Duration FIRST_CALLS = Duration.ofMillis(250);
@@ -36,20 +39,40 @@
     /** Four endpoints give 600 calls/s to all classes and another 200 to internal checks. */
     private static final int DOUBLE_RATE = 1_600;
 
-    private static final long NEVER = Long.MAX_VALUE;
+    private static final Duration ONCE = Duration.ofDays(1);
+    private static final Duration SECOND = Duration.ofSeconds(1);
+
+    private static final AvailabilityZone NEAR = new AvailabilityZone("a", new Region("west"));
+    private static final AvailabilityZone FAR = new AvailabilityZone("b", new Region("east"));
 
     private static final List<CallScenario> SCENARIOS = List.of(
-            new CallScenario("quiet", NORMAL_RATE, NEVER, (mesh, load) -> {}),
-            new CallScenario("kill", NORMAL_RATE, 1_000, (mesh, load) -> mesh.killOne()),
-            new CallScenario("table_away", NORMAL_RATE, NEVER, (mesh, load) -> mesh.takeTableAway()),
-            new CallScenario("overload", DOUBLE_RATE, NEVER, (mesh, load) -> {}),
-            new CallScenario("silent", NORMAL_RATE, 1_000, (mesh, load) -> mesh.freezeLinks()),
-            new CallScenario("poison", NORMAL_RATE, 250, (mesh, load) -> load.poison()));
+            scenario("quiet", NORMAL_RATE, ONCE, (mesh, load) -> {}),
+            scenario("kill", NORMAL_RATE, SECOND, (mesh, load) -> mesh.killOne()),
+            scenario("table_away", NORMAL_RATE, ONCE, (mesh, load) -> mesh.takeTableAway()),
+            scenario("overload", DOUBLE_RATE, ONCE, (mesh, load) -> {}),
+            scenario("silent", NORMAL_RATE, SECOND, (mesh, load) -> mesh.freezeLinks()),
+            scenario("poison", NORMAL_RATE, Duration.ofMillis(250), (mesh, load) -> load.poison()),
+            new CallScenario(
+                    "rolling_restart",
+                    NORMAL_RATE,
+                    Duration.ofMillis(4_400),
+                    Duration.ofMillis(1_100),
+                    NEAR,
+                    (mesh, load) -> mesh.restartNext()));
+
+    /** These end before membership removes what failed, so short runs show little of them. */
+    private static final List<CallScenario> FULL_ONLY = List.of(
+            scenario("half_zone", NORMAL_RATE, ONCE, (mesh, load) -> mesh.killOtherZone()),
+            new CallScenario("link_cut", NORMAL_RATE, DEFAULT_TIME, ONCE, FAR, (mesh, load) -> mesh.cutOtherZone()));
 
     private static final Map<String, Supplier<TrafficPolicies>> BASELINES = baselines();
 
     private CallsMeasurement() {}
 
+    private static CallScenario scenario(String name, int rate, Duration every, BiConsumer<CallMesh, CallLoad> fault) {
+        return new CallScenario(name, rate, DEFAULT_TIME, every, NEAR, fault);
+    }
+
     private static Map<String, Supplier<TrafficPolicies>> baselines() {
         Map<String, Supplier<TrafficPolicies>> baselines = new LinkedHashMap<>();
         baselines.put("round_robin", () -> policies(RetryPolicy.none()));
@@ -83,32 +106,35 @@
      * @param figures receives the results
      */
     public static void run(boolean full, Figures figures) {
-        Duration time = full ? FULL_TIME : DEFAULT_TIME;
+        List<CallScenario> scenarios = new ArrayList<>(SCENARIOS);
+        if (full) {
+            scenarios.addAll(FULL_ONLY);
+        }
+        int factor = full ? FULL_FACTOR : 1;
         Supplier<TrafficPolicies> standard =
                 () -> new TrafficPolicies(EndpointChoosers.standard(), RetryPolicy.standard(), seeded());
         try (Http http = CallLoad.client()) {
-            measure(SCENARIOS.get(0), standard.get(), WARM_UP, http);
-            for (CallScenario scenario : SCENARIOS) {
-                CallFigures own = measure(scenario, standard.get(), time, http);
+            measure(SCENARIOS.get(0), standard.get(), 1, http);
+            for (CallScenario scenario : scenarios) {
+                CallFigures own = measure(scenario, standard.get(), factor, http);
                 BASELINES.forEach((name, policies) ->
-                        print(figures, scenario.name(), own, name, measure(scenario, policies.get(), time, http)));
+                        print(figures, scenario.name(), own, name, measure(scenario, policies.get(), factor, http)));
             }
         }
     }
 
-    private static CallFigures measure(CallScenario scenario, TrafficPolicies policies, Duration time, Http http) {
-        try (CallMesh mesh = CallMesh.start(policies)) {
+    private static CallFigures measure(CallScenario scenario, TrafficPolicies policies, int factor, Http http) {
+        try (CallMesh mesh = CallMesh.start(policies, scenario.otherZone())) {
             CallLoad load = new CallLoad(mesh, http);
             load.run("warm-up", NORMAL_RATE, FIRST_CALLS, () -> {});
             long[] next = {System.nanoTime()};
-            List<CallResult> results = load.run("call", scenario.callsPerSecond(), time, () -> {
-                if (System.nanoTime() - next[0] >= 0) {
-                    scenario.fault().accept(mesh, load);
-                    next[0] = scenario.everyMs() == NEVER
-                            ? System.nanoTime() + Long.MAX_VALUE / 2
-                            : next[0] + Duration.ofMillis(scenario.everyMs()).toNanos();
-                }
-            });
+            List<CallResult> results =
+                    load.run("call", scenario.callsPerSecond(), scenario.time().multipliedBy(factor), () -> {
+                        if (System.nanoTime() - next[0] >= 0) {
+                            scenario.fault().accept(mesh, load);
+                            next[0] += scenario.every().toNanos();
+                        }
+                    });
             Map<String, Integer> runs = mesh.stop();
             return CallFigures.of(results, runs);
         }
--- a/bench/src/main/java/org/mimosahinge/bench/calls/FreezableLink.java
+++ b/bench/src/main/java/org/mimosahinge/bench/calls/FreezableLink.java
@@ -20,6 +20,7 @@
 
     private final ServerSocket server;
     private final HostPort target;
+    private volatile boolean cut;
     private final List<Pair> pairs = new CopyOnWriteArrayList<>();
 
     private FreezableLink(HostPort target) throws IOException {
@@ -45,6 +46,12 @@
         pairs.forEach(pair -> pair.frozen = true);
     }
 
+    /** Makes open and future connections silent. */
+    void cut() {
+        cut = true;
+        freeze();
+    }
+
     private void accept() throws IOException {
         while (true) {
             Socket near = server.accept();
@@ -52,6 +59,7 @@
             near.setTcpNoDelay(true);
             far.setTcpNoDelay(true);
             Pair pair = new Pair(near, far);
+            pair.frozen = cut;
             pairs.add(pair);
             spawn(() -> pair.copy(near, far));
             spawn(() -> pair.copy(far, near));
--- a/daemon/src/main/java/org/mimosahinge/daemon/traffic/Heartbeats.java
+++ b/daemon/src/main/java/org/mimosahinge/daemon/traffic/Heartbeats.java
@@ -13,13 +13,24 @@
     private static final long INTERVAL_MS = 500;
     private static final long SILENCE_NANOS = TimeUnit.MILLISECONDS.toNanos(1_500);
 
+    /** One heartbeat is overdue; new calls take another connection while this one may still come back. */
+    private static final long DOUBT_NANOS = TimeUnit.MILLISECONDS.toNanos(750);
+
     private ScheduledFuture<?> timer;
+    private long lastBeatNanos = System.nanoTime();
     private long lastReadNanos = System.nanoTime();
     private long sequence;
 
     /** Starts heartbeats on a connection; must see raw bytes, so it goes before the frame decoder. */
-    static void install(Channel channel) {
-        channel.pipeline().addFirst(new Heartbeats());
+    static Heartbeats install(Channel channel) {
+        Heartbeats heartbeats = new Heartbeats();
+        channel.pipeline().addFirst(heartbeats);
+        return heartbeats;
+    }
+
+    /** Tells whether a heartbeat from the other end is overdue. */
+    boolean overdue() {
+        return System.nanoTime() - lastReadNanos > DOUBT_NANOS;
     }
 
     @Override
@@ -29,7 +40,11 @@
     }
 
     private void beat(Channel channel) {
-        if (System.nanoTime() - lastReadNanos > SILENCE_NANOS) {
+        long now = System.nanoTime();
+        // After a pause of this process, bytes that came meanwhile are still unread.
+        boolean paused = now - lastBeatNanos > SILENCE_NANOS;
+        lastBeatNanos = now;
+        if (!paused && now - lastReadNanos > SILENCE_NANOS) {
             channel.close();
         } else {
             channel.writeAndFlush(new Frame.Heartbeat(++sequence));
--- a/daemon/src/main/java/org/mimosahinge/daemon/traffic/PeerConnection.java
+++ b/daemon/src/main/java/org/mimosahinge/daemon/traffic/PeerConnection.java
@@ -37,6 +37,7 @@
     private final List<Frame> unsent = new ArrayList<>();
     private final Set<ResponseObserver> touched = new LinkedHashSet<>();
     private Channel channel;
+    private Heartbeats heartbeats;
     private boolean closed;
     private boolean retiring;
     private long idleSinceMs = TrafficLoop.nowMs();
@@ -65,7 +66,7 @@
     }
 
     boolean usable() {
-        return !closed && !retiring;
+        return !closed && !retiring && (heartbeats == null || !heartbeats.overdue());
     }
 
     @Override
@@ -83,7 +84,7 @@
             return;
         }
         channel = future.channel();
-        Heartbeats.install(channel);
+        heartbeats = Heartbeats.install(channel);
         channel.eventLoop().schedule(this::closeWhenIdle, IDLE_MS, TimeUnit.MILLISECONDS);
         channel.write(loop.hello());
         unsent.forEach(channel::write);
--- a/daemon/src/test/java/org/mimosahinge/daemon/traffic/CallPathTest.java
+++ b/daemon/src/test/java/org/mimosahinge/daemon/traffic/CallPathTest.java
@@ -50,12 +50,27 @@
     }
 
     @Test
-    void refusesCallersWithoutProvenVersion() throws Exception {
-        try (TestMesh mesh = new TestMesh(1, null).route(BROWSE)) {
-            mesh.publish(current -> Snapshot.EMPTY);
-            HttpResponse<String> response = mesh.get("/listings");
-            assertEquals(503, response.statusCode());
-            assertTrue(response.body().contains("not_ready"), response.body());
+    void aNodeWithoutProofRefusesCallersButServesOtherNodes() throws Exception {
+        try (ScriptedBackend backend = ScriptedBackend.echo("b");
+                TestMesh mesh = new TestMesh(2, null).route(BROWSE).endpoint(1, "listings", backend.address(), 20)) {
+            Snapshot proven = mesh.snapshot();
+            mesh.overrides.put(
+                    mesh.node(1).id(),
+                    new Snapshot(
+                            proven.version(),
+                            proven.sections(),
+                            proven.services(),
+                            proven.serviceRevisions(),
+                            proven.routes(),
+                            proven.moves(),
+                            proven.endpoints(),
+                            proven.halts(),
+                            false));
+            HttpResponse<String> refused =
+                    mesh.send(mesh.request(1, "/listings")).get();
+            assertEquals("503 not-run", TestMesh.outcome(refused));
+            assertTrue(refused.body().contains("not_ready"), refused.body());
+            assertEquals("200 -", TestMesh.outcome(mesh.get("/listings")));
         }
     }
 }
--- a/daemon/src/test/java/org/mimosahinge/daemon/traffic/ConnectionTest.java
+++ b/daemon/src/test/java/org/mimosahinge/daemon/traffic/ConnectionTest.java
@@ -6,7 +6,6 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.io.InputStream;
-import java.io.OutputStream;
 import java.net.ConnectException;
 import java.net.ServerSocket;
 import java.net.Socket;
@@ -16,7 +15,6 @@
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.regex.Pattern;
-import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.ValueSource;
@@ -61,18 +59,16 @@
         }
     }
 
-    @Test
-    void replacesAConnectionToANodeThatIsSilent() throws Exception {
+    @ParameterizedTest(name = "idempotent {0}: {1}")
+    @CsvSource({"true, 200 -", "false, 502 unknown"})
+    void callsOverASilentConnectionAreResolvedBeforeTheirDeadline(boolean idempotent, String expected)
+            throws Exception {
         try (ServerSocket silent = new ServerSocket(0);
                 ScriptedBackend backend = ScriptedBackend.echo("other");
-                TestMesh mesh = new TestMesh(2, null).route(TestMesh.route("/x", true, false))) {
+                TestMesh mesh = new TestMesh(2, null).route(TestMesh.route("/x", idempotent, false))) {
             mesh.foreignEndpoint("svc", new HostPort("127.0.0.1", silent.getLocalPort()), 1000);
             mesh.endpoint(1, "svc", backend.address(), 1);
-            assertEquals("other /x ", mesh.get("/x").body());
-            try (Socket accepted = silent.accept()) {
-                // The end of the stream tells that the caller's node has given the connection up.
-                accepted.getInputStream().transferTo(OutputStream.nullOutputStream());
-            }
+            assertEquals(expected, TestMesh.outcome(mesh.post("/x", "body")));
         }
     }
 
@@ -123,6 +119,8 @@
             CompletableFuture<Void> drained = mesh.planes.get(stopping).drain().toCompletableFuture();
             // A call that arrives after the notice of the stop is still served.
             CompletableFuture<HttpResponse<String>> late = stopping == 1 ? mesh.send(mesh.request(0, "/x")) : call;
+            // Longer than the notice to other nodes, after which idle connections are closed.
+            Thread.sleep(1_200);
             assertFalse(drained.isDone());
             release.countDown();
             assertEquals("done", call.get().body());
@@ -138,6 +136,7 @@
         "two pipelined requests, 200 200",
         "headers of 20000 bytes, 431",
         "garbage, 400",
+        "a body shorter than announced, 504",
         "garbage on the frame port, ''",
         "a frame of 2 GB, ''"
     })
@@ -152,6 +151,9 @@
                         case "two pipelined requests" -> String.format(get, 1, "")
                                 + String.format(get, 2, "connection: close\r\n");
                         case "headers of 20000 bytes" -> String.format(get, 1, "a: " + "x".repeat(20_000) + "\r\n");
+                        case "a body shorter than announced" -> String.format(
+                                        get, 1, "connection: close\r\nx-deadline-ms: 300\r\ncontent-length: 9\r\n")
+                                + "short";
                         case "a frame of 2 GB" -> "\u007f\u00ff\u00ff\u00ff" + "x".repeat(100);
                         default -> "\u0001\u0002\u0003 \u00ff\u00ff\r\n\r\n";
                     };
--- a/daemon/src/test/java/org/mimosahinge/daemon/traffic/TestMesh.java
+++ b/daemon/src/test/java/org/mimosahinge/daemon/traffic/TestMesh.java
@@ -21,6 +21,7 @@
 import java.util.Set;
 import java.util.TreeMap;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.function.UnaryOperator;
 import org.mimosahinge.api.config.Snapshot;
@@ -53,6 +54,9 @@
     private final Map<String, List<Endpoint>> endpoints = new HashMap<>();
     private final Map<String, Service> services = new HashMap<>();
     private final List<Route> routes = new ArrayList<>();
+    /** Snapshots of nodes that differ from the others. */
+    final Map<NodeId, Snapshot> overrides = new ConcurrentHashMap<>();
+
     private volatile Snapshot snapshot = Snapshot.EMPTY;
 
     /** Starts nodes; the first one serves the callers of most tests. */
@@ -64,8 +68,11 @@
         for (int i = 0; i < count; i++) {
             HostPort frames = new HostPort("127.0.0.1", FreePorts.next());
             Node node = new Node(new NodeId("n" + i), 1, ZONE, frames);
-            TrafficPlane plane =
-                    TrafficPlane.start(new TrafficConfig(node, ANY, eventLoops, 0), () -> snapshot, table, events::add);
+            TrafficPlane plane = TrafficPlane.start(
+                    new TrafficConfig(node, ANY, eventLoops, 0),
+                    () -> overrides.getOrDefault(node.id(), snapshot),
+                    table,
+                    events::add);
             plane.acceptNodes(frames);
             nodes.add(node);
             planes.add(plane);
@@ -109,6 +116,10 @@
         return this;
     }
 
+    Snapshot snapshot() {
+        return snapshot;
+    }
+
     Node node(int index) {
         return nodes.get(index);
     }
