--- a/daemon/src/main/java/org/mimosahinge/daemon/traffic/BackendGate.java
+++ b/daemon/src/main/java/org/mimosahinge/daemon/traffic/BackendGate.java
@@ -128,6 +128,11 @@
         }
     }
 
+    /** Tells whether no call runs or waits and no connection is open for one. */
+    boolean idle() {
+        return running == 0 && waiting.isEmpty() && pool.idle();
+    }
+
     /** Own measure of occupation, sent with responses as a hint for other nodes. */
     int loadPermille() {
         return Math.min(1000, 1000 * (running + waiting.size()) / limits.slots());
--- a/daemon/src/main/java/org/mimosahinge/daemon/traffic/BackendPool.java
+++ b/daemon/src/main/java/org/mimosahinge/daemon/traffic/BackendPool.java
@@ -63,6 +63,12 @@
         }
     }
 
+    /** Tells whether no kept connection is open. */
+    boolean idle() {
+        idle.removeIf(connection -> !connection.usable());
+        return idle.isEmpty();
+    }
+
     /** Closes kept connections; they may share the fault of one that stopped delivering. */
     void closeIdle() {
         idle.forEach(BackendConnection::close);
--- a/daemon/src/main/java/org/mimosahinge/daemon/traffic/TrafficLoop.java
+++ b/daemon/src/main/java/org/mimosahinge/daemon/traffic/TrafficLoop.java
@@ -129,6 +129,11 @@
     }
 
     private BackendGate gate(Endpoint endpoint) {
+        if (!gates.containsKey(endpoint.id())) {
+            // A restarted backend server is a new endpoint, so gates of earlier ones would pile up.
+            Set<String> known = knownEndpoints();
+            gates.entrySet().removeIf(entry -> entry.getValue().idle() && !known.contains(entry.getKey()));
+        }
         Service service = snapshot().services().get(endpoint.server().service());
         return gates.computeIfAbsent(
                         endpoint.id(),
@@ -216,13 +221,18 @@
 
     EndpointTracker tracker(String endpointId) {
         if (trackers.size() >= MAX_TRACKERS && !trackers.containsKey(endpointId)) {
-            Set<String> known = new HashSet<>();
-            snapshot().endpoints().values().forEach(list -> list.forEach(endpoint -> known.add(endpoint.id())));
+            Set<String> known = knownEndpoints();
             trackers.entrySet().removeIf(entry -> entry.getValue().idle() && !known.contains(entry.getKey()));
         }
         return trackers.computeIfAbsent(endpointId, id -> new EndpointTracker(nowMs()));
     }
 
+    private Set<String> knownEndpoints() {
+        Set<String> known = new HashSet<>();
+        snapshot().endpoints().values().forEach(list -> list.forEach(endpoint -> known.add(endpoint.id())));
+        return known;
+    }
+
     EndpointLoad load(String endpointId) {
         return tracker(endpointId).load(nowMs());
     }
