--- a/daemon/src/main/java/org/mimosahinge/daemon/Daemon.java
+++ b/daemon/src/main/java/org/mimosahinge/daemon/Daemon.java
@@ -3,7 +3,9 @@
 import io.netty.channel.nio.NioEventLoopGroup;
 import io.netty.util.concurrent.DefaultThreadFactory;
 import java.time.Duration;
+import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
 import org.mimosahinge.api.settings.NodeSettings;
 import org.mimosahinge.api.world.HostPort;
 import org.mimosahinge.api.world.Node;
@@ -38,6 +40,9 @@
     /** Neighbours learn of drained endpoints within this time at a planned stop. */
     private static final Duration LEAVE_TIME = Duration.ofMillis(500);
 
+    /** The longest timeout that a route may have is an hour; supervisors do not wait that long for a stop. */
+    private static final Duration DRAIN_LIMIT = Duration.ofMinutes(2);
+
     private final NioEventLoopGroup controlIo = new NioEventLoopGroup(1, new DefaultThreadFactory("control-io", true));
     private final ControlLoop loop = ControlLoop.start();
     private final SnapshotReference snapshots = new SnapshotReference();
@@ -66,7 +71,7 @@
         peers = new PeerChannels(controlIo, counters);
         peers.serve(control, hello -> traffic.callConnection());
         peerAddress = peers.listen(settings.peerAddress(), traffic.eventLoops());
-        loop.execute(() -> control.use(peers));
+        loop.execute(() -> control.use(peers, traffic::quarantine));
         DaemonMetrics metrics = new DaemonMetrics(snapshots, counters, loop);
         operator = HttpMessageServer.start(
                 settings.operatorAddress(), controlIo, new OperatorHandler(self, control, snapshots, metrics::text));
@@ -101,6 +106,8 @@
             control.refused(refused.endpointId());
         } else if (event instanceof TrafficEvent.CallEvidence evidence) {
             control.callEvidence(evidence.evidence());
+        } else if (event instanceof TrafficEvent.RequestQuarantined request) {
+            control.quarantined(request.fingerprint(), request.refusedFor());
         }
     }
 
@@ -122,11 +129,21 @@
         return operator.address();
     }
 
+    /**
+     * Returns the configuration version in force.
+     *
+     * @return the version, 0 before the first
+     */
+    public long version() {
+        return snapshots.get().version();
+    }
+
     /** Stops without cutting calls: withdraws endpoints and roles, lets calls finish, then closes. */
     @Override
     public void close() {
         loop.execute(control::leave);
         pause(LEAVE_TIME);
+        awaitDrain();
         traffic.close();
         operator.close();
         peers.close();
@@ -136,8 +153,19 @@
         LOG.info("stopped");
     }
 
+    private void awaitDrain() {
+        try {
+            traffic.drain().toCompletableFuture().get(DRAIN_LIMIT.toMillis(), TimeUnit.MILLISECONDS);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        } catch (ExecutionException | TimeoutException e) {
+            LOG.warn("drain_incomplete", "limitMs", DRAIN_LIMIT.toMillis());
+        }
+    }
+
     /** Stops at once, as a crash would; tests of failures use it. */
     void kill() {
+        peers.abort();
         controlIo.shutdownGracefully(0, 0, TimeUnit.SECONDS).syncUninterruptibly();
         traffic.close();
         loop.close();
--- a/daemon/src/main/java/org/mimosahinge/daemon/control/ControlPlane.java
+++ b/daemon/src/main/java/org/mimosahinge/daemon/control/ControlPlane.java
@@ -7,6 +7,7 @@
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
+import java.util.function.BiConsumer;
 import java.util.function.Function;
 import org.mimosahinge.api.operator.NodeList;
 import org.mimosahinge.api.settings.NodeSettings;
@@ -18,6 +19,7 @@
 import org.mimosahinge.core.lease.LeaseTiming;
 import org.mimosahinge.core.membership.FailureDetector;
 import org.mimosahinge.core.move.Evidence;
+import org.mimosahinge.core.poison.Fingerprint;
 import org.mimosahinge.net.frame.Frame;
 import org.mimosahinge.net.log.EventLog;
 
@@ -52,6 +54,7 @@
     private final NodeRegistration registration;
 
     private PeerChannels channels;
+    private Quarantines quarantines;
     private FailureDetector detector;
     private AdmissionRate admissions;
     private long nextSecondNanos;
@@ -91,12 +94,14 @@
     }
 
     /**
-     * Sets how connections are opened; must be called before the first tick.
+     * Sets how connections are opened and requests refused; must be called before the first tick.
      *
      * @param peerChannels the channels of this daemon
+     * @param refuse refuses requests with a fingerprint for some time on this node
      */
-    public void use(PeerChannels peerChannels) {
+    public void use(PeerChannels peerChannels, BiConsumer<Fingerprint, Duration> refuse) {
         channels = peerChannels;
+        quarantines = new Quarantines(links, refuse, context.nanoTime());
     }
 
     /** Does what is due: heartbeats, leases, expiry, the search for a parent. */
@@ -253,6 +258,8 @@
             fleet.received(link, report);
         } else if (frame instanceof Frame.Evidence evidence) {
             moves.received(evidence);
+        } else if (frame instanceof Frame.Quarantine quarantine) {
+            quarantines.received(quarantine, link);
         } else if (frame instanceof Frame.Drain drain) {
             drain(drain.endpointId(), link);
         }
@@ -311,6 +318,16 @@
         moves.ownCalls(evidence);
     }
 
+    /**
+     * Spreads the fingerprint of a request that crashed backend servers.
+     *
+     * @param request the fingerprint, refused on this node already
+     * @param time how long it is refused
+     */
+    public void quarantined(Fingerprint request, Duration time) {
+        quarantines.found(request, time);
+    }
+
     /**
      * Returns how many nodes this node knows of.
      *
--- a/net/src/main/java/org/mimosahinge/net/frame/Frame.java
+++ b/net/src/main/java/org/mimosahinge/net/frame/Frame.java
@@ -110,6 +110,17 @@
      */
     record Tally(String version, String route, String zone, long calls, List<Long> failures, List<Long> latencies) {}
 
+    /**
+     * Refuses requests that have crashed backend servers; passed on along the tree.
+     *
+     * @param route the route
+     * @param method HTTP method
+     * @param uri path and query
+     * @param bodyHash SHA-256 of the body in hexadecimal, empty without a body
+     * @param refusedForMs how long such requests are refused, in milliseconds
+     */
+    record Quarantine(String route, String method, String uri, String bodyHash, long refusedForMs) implements Frame {}
+
     /**
      * Starts a call.
      *
--- a/net/src/main/java/org/mimosahinge/net/frame/FrameCodec.java
+++ b/net/src/main/java/org/mimosahinge/net/frame/FrameCodec.java
@@ -89,6 +89,9 @@
             out.text(drain.endpointId());
         } else if (frame instanceof Frame.Evidence evidence) {
             out.text(evidence.service()).list(evidence.tallies(), ConfigFields::packTally);
+        } else if (frame instanceof Frame.Quarantine request) {
+            out.text(request.route()).text(request.method()).text(request.uri()).text(request.bodyHash());
+            out.integer(request.refusedForMs());
         } else if (frame instanceof Frame.Report report) {
             out.list(report.versions().entrySet(), (packer, entry) -> packer.integer(entry.getKey())
                     .integer(entry.getValue()));
@@ -133,6 +136,7 @@
             case HALTS -> new Frame.Halts(Set.copyOf(in.list(ConfigFields::unpackHalt)));
             case DRAIN -> new Frame.Drain(in.text());
             case EVIDENCE -> new Frame.Evidence(in.text(), in.list(ConfigFields::unpackTally));
+            case QUARANTINE -> new Frame.Quarantine(in.text(), in.text(), in.text(), in.text(), in.integer());
             case REPORT -> new Frame.Report(unpackVersions(in));
         };
     }
--- a/net/src/main/java/org/mimosahinge/net/frame/FrameType.java
+++ b/net/src/main/java/org/mimosahinge/net/frame/FrameType.java
@@ -14,6 +14,7 @@
     REPORT(8, Frame.Report.class),
     DRAIN(9, Frame.Drain.class),
     EVIDENCE(10, Frame.Evidence.class),
+    QUARANTINE(11, Frame.Quarantine.class),
     CALL_START(16, Frame.CallStart.class),
     BODY(17, Frame.Body.class),
     CREDIT(18, Frame.Credit.class),
--- a/net/src/test/java/org/mimosahinge/net/frame/FrameCodecTest.java
+++ b/net/src/test/java/org/mimosahinge/net/frame/FrameCodecTest.java
@@ -86,6 +86,7 @@
                 new Frame.Halts(Set.of(new HaltMark("listings", "v2", 3))),
                 new Frame.Report(new TreeMap<>(Map.of(4L, 2, 5L, 9))),
                 new Frame.Drain("n1/a"),
+                new Frame.Quarantine("browse", "GET", "/listings/9", "", 600_000),
                 new Frame.Evidence(
                         "listings",
                         List.of(new Frame.Tally("v2", "browse", "ch-west-1", 9, List.of(0L, 2L), List.of(7L)))),
