Look for smaller excesses of caller errors

Ruled out: bursts of caller errors, which the recent rate of the old version covers.

The new test row fails before the change.

--- a/core/src/main/java/org/mimosahinge/core/move/Signal.java
+++ b/core/src/main/java/org/mimosahinge/core/move/Signal.java
@@ -18,9 +18,9 @@
     SLOW_TAIL(4, Code.SLOWER, null, new Margin(2, 0.01, 6, 0.2)),
     /** Calls shed; old backend servers under load shed too, so the margin is wide. */
     SHED(5, Code.MORE_SHED, tally -> tally.failed(FailureKind.SHED), new Margin(2, 0.02, 6, 0.2)),
-    /** Calls rejected with 4xx; one faulty caller can cause many, so the margin is wide. */
+    /** Calls rejected with 4xx; the ratio is low because callers err often on good versions too. */
     CALLER_ERRORS(
-            6, Code.MORE_CALLER_ERRORS, tally -> tally.failed(FailureKind.CALLER_ERROR), new Margin(2, 0.02, 5, 0.2));
+            6, Code.MORE_CALLER_ERRORS, tally -> tally.failed(FailureKind.CALLER_ERROR), new Margin(1.5, 0.01, 3, 0.2));
 
     /**
      * Weight of one crash in failed calls.
--- a/core/src/test/java/org/mimosahinge/core/move/JudgeTest.java
+++ b/core/src/test/java/org/mimosahinge/core/move/JudgeTest.java
@@ -43,6 +43,12 @@
                 Arguments.of("crash loop", ofNew(sometimes(3, FailureKind.CRASH)), Code.MORE_ERRORS),
                 Arguments.of("sheds alone", ofNew(sometimes(30, FailureKind.SHED)), Code.MORE_SHED),
                 Arguments.of("rejects alone", ofNew(sometimes(30, FailureKind.CALLER_ERROR)), Code.MORE_CALLER_ERRORS),
+                Arguments.of(
+                        "rejects more than callers err",
+                        (Outcome) (second, key, share, random) -> sometimes(
+                                        key.version().equals("v2") ? 15 : 2, FailureKind.CALLER_ERROR)
+                                .of(second, key, share, random),
+                        Code.MORE_CALLER_ERRORS),
                 Arguments.of("slow", ofNew(slower(3)), Code.SLOWER),
                 Arguments.of("both shed", sometimes(30, FailureKind.SHED), null),
                 Arguments.of("callers err on both", sometimes(30, FailureKind.CALLER_ERROR), null),
