--- a/core/src/main/java/org/mimosahinge/core/move/Signal.java
+++ b/core/src/main/java/org/mimosahinge/core/move/Signal.java
@@ -85,7 +85,7 @@
 
     /** Returns the old version's rate that is assumed before it has calls. */
     double prior() {
-        return isLatency() ? 1 - quantile() : 0.005;
+        return isLatency() ? 1 - quantile() : 0.01;
     }
 
     long hits(Tally tally, int slowBucket) {
