Queue at full endpoints rather than call ones that seem dead

When every endpoint was full, the choice fell back to all of the nearest ones and preferred the dead ones, which have no calls outstanding. A report of being full now also holds for 100 ms only, since an endpoint that is passed over sends no newer one. Closing a traffic plane twice is harmless.

--- a/core/src/main/java/org/mimosahinge/core/routing/EndpointChoosers.java
+++ b/core/src/main/java/org/mimosahinge/core/routing/EndpointChoosers.java
@@ -16,6 +16,9 @@
     /** After this time a load report no longer counts; backend servers report with every response. */
     static final long REPORT_LIFETIME_MS = 2_000;
 
+    /** A report of being full holds shortly: an endpoint that is passed over sends no newer one. */
+    private static final long FULL_REPORT_MS = 100;
+
     /** Time until a new endpoint counts with all of its slots, so that caches and pools can warm up. */
     static final long RAMP_MS = 10_000;
 
@@ -38,7 +41,6 @@
     public static EndpointChooser standard() {
         return (request, snapshot, loads, random) -> {
             List<Endpoint> eligible = eligible(request, snapshot);
-            List<Endpoint> nearest = List.of();
             for (Proximity proximity : NEAREST_FIRST) {
                 List<Endpoint> candidates = new ArrayList<>(eligible.size());
                 for (Endpoint endpoint : eligible) {
@@ -46,9 +48,6 @@
                         candidates.add(endpoint);
                     }
                 }
-                if (nearest.isEmpty()) {
-                    nearest = candidates;
-                }
                 List<Endpoint> withRoom = new ArrayList<>(candidates.size());
                 for (Endpoint endpoint : candidates) {
                     if (hasRoom(endpoint, loads.load(endpoint.id()))) {
@@ -59,10 +58,7 @@
                     return choice(request, twoChoices(withRoom, loads, random), withRoom.size());
                 }
             }
-            if (nearest.isEmpty()) {
-                return Optional.empty();
-            }
-            return choice(request, twoChoices(nearest, loads, random), nearest.size());
+            return withoutRoom(request, eligible, loads, random);
         };
     }
 
@@ -118,8 +114,23 @@
         return Proximity.between(request.zone(), endpoint.node().zone());
     }
 
+    /** Nobody has room: the nearest endpoints queue the call, and those that seem dead come last. */
+    private static Optional<Choice> withoutRoom(
+            ChoiceRequest request, List<Endpoint> eligible, LoadView loads, RandomSource random) {
+        Comparator<Endpoint> order = Comparator.<Endpoint, Boolean>comparing(
+                        endpoint -> loads.load(endpoint.id()).suspect())
+                .thenComparing(endpoint -> proximity(request, endpoint));
+        Optional<Endpoint> best = eligible.stream().min(order);
+        return best.flatMap(first -> {
+            List<Endpoint> alike = eligible.stream()
+                    .filter(endpoint -> order.compare(endpoint, first) == 0)
+                    .toList();
+            return choice(request, twoChoices(alike, loads, random), alike.size());
+        });
+    }
+
     private static boolean hasRoom(Endpoint endpoint, EndpointLoad load) {
-        boolean reportedFull = load.reportedPermille() >= FULL_PERMILLE && load.reportAgeMs() < REPORT_LIFETIME_MS;
+        boolean reportedFull = load.reportedPermille() >= FULL_PERMILLE && load.reportAgeMs() < FULL_REPORT_MS;
         return !load.suspect() && load.outstanding() < endpoint.server().slots() && !reportedFull;
     }
 
--- a/core/src/test/java/org/mimosahinge/core/routing/RoutingTest.java
+++ b/core/src/test/java/org/mimosahinge/core/routing/RoutingTest.java
@@ -175,6 +175,33 @@
         assertEquals(chosen, choice.endpoint().id().equals("a"));
     }
 
+    @ParameterizedTest(name = "near: {0} own calls, suspect {1}; over the link: {2} own calls, suspect {3}: {4}")
+    @CsvSource({
+        "10, false, 0, true, near",
+        "0, true, 10, false, link",
+        "0, true, 0, true, near",
+        "10, false, 10, false, near"
+    })
+    void queuesAtAFullEndpointRatherThanCallADeadOne(
+            int near, boolean nearSuspect, int link, boolean linkSuspect, String expected) {
+        Snapshot snapshot = snapshot(
+                Optional.empty(),
+                Set.of(),
+                endpoint("near", "v1", "near", EndpointState.READY),
+                endpoint("link", "v1", "link", EndpointState.READY));
+        LoadView loads = id -> id.equals("near")
+                ? new EndpointLoad(near, 0, Long.MAX_VALUE, 60_000, nearSuspect)
+                : new EndpointLoad(link, 0, Long.MAX_VALUE, 60_000, linkSuspect);
+        Choice choice = EndpointChoosers.standard()
+                .choose(
+                        new ChoiceRequest("shop", "v1", ZONES.get("near"), Set.of()),
+                        snapshot,
+                        loads,
+                        new Random(1)::nextInt)
+                .orElseThrow();
+        assertEquals(expected, choice.endpoint().id());
+    }
+
     @Property(tries = 200, seed = "11")
     void neverChoosesWhatIsNotReady(
             @ForAll @IntRange(min = 0, max = 3) int first, @ForAll @IntRange(min = 0, max = 3) int second) {
--- a/daemon/src/main/java/org/mimosahinge/daemon/traffic/TrafficPlane.java
+++ b/daemon/src/main/java/org/mimosahinge/daemon/traffic/TrafficPlane.java
@@ -203,6 +203,9 @@
 
     @Override
     public void close() {
+        if (group.isShuttingDown()) {
+            return;
+        }
         server.close().syncUninterruptibly();
         group.shutdownGracefully(0, 1, TimeUnit.SECONDS).syncUninterruptibly();
     }
