Send only the moves that changed

Every update carried the states of all moves. At the target's 130 services that is about 8 KB per change, 2 KB/s on each link at 0.25 changes/s and 16 KB/s at a parent with 8 children, against a budget of 3 KB/s.

--- a/api/src/main/java/org/mimosahinge/api/config/ConfigUpdate.java
+++ b/api/src/main/java/org/mimosahinge/api/config/ConfigUpdate.java
@@ -12,19 +12,22 @@
  * @param version version after the step
  * @param sections new or changed sections by team
  * @param removedTeams teams whose sections are gone
- * @param moves all moves of the new version by service
+ * @param moves new or changed moves by service
+ * @param removedMoves services whose moves are gone
  */
 public record ConfigUpdate(
         long baseVersion,
         long version,
         SortedMap<String, RevisedSection> sections,
         Set<String> removedTeams,
-        SortedMap<String, MoveState> moves) {
+        SortedMap<String, MoveState> moves,
+        Set<String> removedMoves) {
     /** Copies the collections. */
     public ConfigUpdate {
         sections = Collections.unmodifiableSortedMap(new TreeMap<>(sections));
         removedTeams = Set.copyOf(removedTeams);
         moves = Collections.unmodifiableSortedMap(new TreeMap<>(moves));
+        removedMoves = Set.copyOf(removedMoves);
     }
 
     /**
--- a/core/src/main/java/org/mimosahinge/core/config/SnapshotBuilder.java
+++ b/core/src/main/java/org/mimosahinge/core/config/SnapshotBuilder.java
@@ -174,7 +174,12 @@
 
     private static Snapshot assemble(
             Snapshot current, ConfigUpdate update, SortedMap<String, RevisedSection> sections) {
-        SortedMap<String, MoveState> moves = update.moves();
+        SortedMap<String, MoveState> moves = new TreeMap<>();
+        if (!update.full()) {
+            moves.putAll(current.moves());
+            moves.keySet().removeAll(update.removedMoves());
+        }
+        moves.putAll(update.moves());
         List<Section> contents =
                 sections.values().stream().map(RevisedSection::section).toList();
         List<String> unresolved = References.unresolved(contents, moves.values());
--- a/core/src/main/java/org/mimosahinge/core/config/UpdateBuilder.java
+++ b/core/src/main/java/org/mimosahinge/core/config/UpdateBuilder.java
@@ -48,7 +48,13 @@
         Set<String> removed = held.keySet().stream()
                 .filter(team -> !wanted.containsKey(team))
                 .collect(Collectors.toUnmodifiableSet());
-        return new ConfigUpdate(from.version(), to.version(), changed, removed, moves(to, wanted));
+        SortedMap<String, MoveState> heldMoves = moves(from, held);
+        SortedMap<String, MoveState> changedMoves = moves(to, wanted);
+        Set<String> removedMoves = heldMoves.keySet().stream()
+                .filter(service -> !changedMoves.containsKey(service))
+                .collect(Collectors.toUnmodifiableSet());
+        changedMoves.values().removeIf(state -> state.equals(heldMoves.get(state.service())));
+        return new ConfigUpdate(from.version(), to.version(), changed, removed, changedMoves, removedMoves);
     }
 
     /**
@@ -72,9 +78,9 @@
         return between(Snapshot.EMPTY, snapshot, interest);
     }
 
-    private static SortedMap<String, MoveState> moves(Snapshot to, SortedMap<String, RevisedSection> wanted) {
-        SortedMap<String, MoveState> moves = new TreeMap<>(to.moves());
-        Set<String> services = wanted.values().stream()
+    private static SortedMap<String, MoveState> moves(Snapshot snapshot, SortedMap<String, RevisedSection> selected) {
+        SortedMap<String, MoveState> moves = new TreeMap<>(snapshot.moves());
+        Set<String> services = selected.values().stream()
                 .flatMap(revised -> revised.section().services().stream())
                 .map(service -> service.name())
                 .collect(Collectors.toUnmodifiableSet());
--- a/core/src/test/java/org/mimosahinge/core/Samples.java
+++ b/core/src/test/java/org/mimosahinge/core/Samples.java
@@ -71,7 +71,7 @@
     }
 
     public static ConfigUpdate update(long base, long version, SortedMap<String, RevisedSection> sections) {
-        return new ConfigUpdate(base, version, sections, Set.of(), new TreeMap<>());
+        return new ConfigUpdate(base, version, sections, Set.of(), new TreeMap<>(), Set.of());
     }
 
     public static Snapshot snapshot(long version, Section... sections) {
--- a/core/src/test/java/org/mimosahinge/core/config/SnapshotBuilderTest.java
+++ b/core/src/test/java/org/mimosahinge/core/config/SnapshotBuilderTest.java
@@ -71,7 +71,7 @@
     void anActiveMoveNeedsItsVersions(MovePhase phase, boolean applies) {
         TreeMap<String, MoveState> moves = new TreeMap<>();
         moves.put("listings", new MoveState("listings", "v1", "v9", 5, 0, phase, "", Samples.NOON));
-        ConfigUpdate update = new ConfigUpdate(5, 6, new TreeMap<>(), Set.of(), moves);
+        ConfigUpdate update = new ConfigUpdate(5, 6, new TreeMap<>(), Set.of(), moves, Set.of());
         assertEquals(applies, applies(SnapshotBuilder::apply, update, 6));
     }
 
--- a/core/src/test/java/org/mimosahinge/core/config/UpdateOrderTest.java
+++ b/core/src/test/java/org/mimosahinge/core/config/UpdateOrderTest.java
@@ -56,12 +56,14 @@
                                 update.version(),
                                 update.sections(),
                                 update.removedTeams(),
-                                update.moves()));
+                                update.moves(),
+                                update.removedMoves()));
         Receiver latestArrival = (current, update) ->
                 update.full() ? SnapshotBuilder.apply(Snapshot.EMPTY, update) : NODE.receive(current, update);
         Receiver keepsRemoved = (current, update) -> NODE.receive(
                 current,
-                new ConfigUpdate(update.baseVersion(), update.version(), update.sections(), Set.of(), update.moves()));
+                new ConfigUpdate(
+                        update.baseVersion(), update.version(), update.sections(), Set.of(), update.moves(), Set.of()));
         return Stream.of(
                 Arguments.of("no base check", withoutBase),
                 Arguments.of("no version check on full state", latestArrival),
--- a/daemon/src/main/java/org/mimosahinge/daemon/control/HeadReader.java
+++ b/daemon/src/main/java/org/mimosahinge/daemon/control/HeadReader.java
@@ -73,7 +73,12 @@
         }
         return SectionFetch.missing(context.objects(), head, current)
                 .thenApply(sections -> new ConfigUpdate(
-                        current.version(), head.version(), sections, removed(head, current), head.moves()));
+                        current.version(),
+                        head.version(),
+                        sections,
+                        missing(current.sections().keySet(), head.sections().keySet()),
+                        head.moves(),
+                        missing(current.moves().keySet(), head.moves().keySet())));
     }
 
     /** A read that was sent before the lease was lost must not be used after it. */
@@ -85,9 +90,9 @@
                 .orElse(false);
     }
 
-    private static Set<String> removed(Head head, Snapshot current) {
-        Set<String> removed = new HashSet<>(current.sections().keySet());
-        removed.removeAll(head.sections().keySet());
-        return removed;
+    private static Set<String> missing(Set<String> before, Set<String> after) {
+        Set<String> missing = new HashSet<>(before);
+        missing.removeAll(after);
+        return missing;
     }
 }
--- a/daemon/src/test/java/org/mimosahinge/daemon/LocalFleet.java
+++ b/daemon/src/test/java/org/mimosahinge/daemon/LocalFleet.java
@@ -166,7 +166,7 @@
                 throw new AssertionError(e);
             }
         });
-        daemons.forEach(Daemon::close);
+        daemons.parallelStream().forEach(Daemon::close);
         platform.close();
         http.close();
         group.shutdownGracefully(0, 1, TimeUnit.SECONDS);
--- a/net/src/main/java/org/mimosahinge/net/frame/ConfigFields.java
+++ b/net/src/main/java/org/mimosahinge/net/frame/ConfigFields.java
@@ -21,6 +21,7 @@
         out.list(update.sections().values(), ConfigFields::packSection);
         out.list(update.removedTeams(), Packer::text);
         out.list(update.moves().values(), ConfigFields::packMove);
+        out.list(update.removedMoves(), Packer::text);
     }
 
     static ConfigUpdate unpackUpdate(Unpacker in) {
@@ -32,7 +33,7 @@
         Set<String> removed = Set.copyOf(in.list(Unpacker::text));
         SortedMap<String, MoveState> moves = new TreeMap<>();
         in.list(ConfigFields::unpackMove).forEach(move -> moves.put(move.service(), move));
-        return new ConfigUpdate(base, version, sections, removed, moves);
+        return new ConfigUpdate(base, version, sections, removed, moves, Set.copyOf(in.list(Unpacker::text)));
     }
 
     private static void packSection(Packer out, RevisedSection revised) {
--- a/net/src/test/java/org/mimosahinge/net/frame/FrameCodecTest.java
+++ b/net/src/test/java/org/mimosahinge/net/frame/FrameCodecTest.java
@@ -74,7 +74,8 @@
                 5,
                 new TreeMap<>(Map.of("listings", new RevisedSection(3, section))),
                 Set.of("archive"),
-                new TreeMap<>(Map.of("listings", move)));
+                new TreeMap<>(Map.of("listings", move)),
+                Set.of("ledger"));
         return Stream.of(
                 new Frame.Hello(Frame.Purpose.CALLS, NODE, 12, true, Set.of("ledger")),
                 new Frame.Heartbeat(99),
