--- a/bench/src/main/java/org/mimosahinge/bench/calls/CallsMeasurement.java
+++ b/bench/src/main/java/org/mimosahinge/bench/calls/CallsMeasurement.java
@@ -45,6 +45,8 @@
     private static final AvailabilityZone NEAR = new AvailabilityZone("a", new Region("west"));
     private static final AvailabilityZone FAR = new AvailabilityZone("b", new Region("east"));
 
+    private static final CallScenario WARM_UP = scenario("warm_up", DOUBLE_RATE, ONCE, (mesh, load) -> {});
+
     private static final List<CallScenario> SCENARIOS = List.of(
             scenario("quiet", NORMAL_RATE, ONCE, (mesh, load) -> {}),
             scenario("kill", NORMAL_RATE, SECOND, (mesh, load) -> mesh.killOne()),
@@ -114,7 +116,8 @@
         Supplier<TrafficPolicies> standard =
                 () -> new TrafficPolicies(EndpointChoosers.standard(), RetryPolicy.standard(), seeded());
         try (Http http = CallLoad.client()) {
-            measure(SCENARIOS.get(0), standard.get(), 1, http);
+            // The first run at a high rate would otherwise measure the compilation of the code.
+            measure(WARM_UP, standard.get(), 1, http);
             for (CallScenario scenario : scenarios) {
                 CallFigures own = measure(scenario, standard.get(), factor, http);
                 BASELINES.forEach((name, policies) ->
