--- a/bench/src/main/java/org/mimosahinge/bench/Measure.java
+++ b/bench/src/main/java/org/mimosahinge/bench/Measure.java
@@ -3,10 +3,12 @@
 import java.io.PrintStream;
 import java.util.Map;
 import java.util.TreeMap;
+import org.mimosahinge.bench.calls.CallsMeasurement;
 import org.mimosahinge.bench.control.Convergence;
 import org.mimosahinge.bench.control.LinkBytes;
 import org.mimosahinge.bench.footprint.Footprint;
 import org.mimosahinge.bench.latency.Latency;
+import org.mimosahinge.bench.move.MoveMeasurement;
 
 /** Dispatches {@code bin/measure NAME [--full]}. */
 public final class Measure {
@@ -15,7 +17,9 @@
             "latency", Latency::run,
             "footprint", Footprint::run,
             "convergence", Convergence::run,
-            "link", LinkBytes::run));
+            "link", LinkBytes::run,
+            "calls", CallsMeasurement::run,
+            "moves", (full, figures) -> MoveMeasurement.main(full ? new String[] {"--full"} : new String[0])));
 
     private Measure() {}
 
