--- a/bench/src/main/java/org/mimosahinge/bench/Measure.java
+++ b/bench/src/main/java/org/mimosahinge/bench/Measure.java
@@ -4,6 +4,7 @@
 import java.util.Map;
 import java.util.TreeMap;
 import org.mimosahinge.bench.calls.CallsMeasurement;
+import org.mimosahinge.bench.control.CapacitySlopes;
 import org.mimosahinge.bench.control.Convergence;
 import org.mimosahinge.bench.control.LinkBytes;
 import org.mimosahinge.bench.footprint.Footprint;
@@ -18,6 +19,7 @@
             "footprint", Footprint::run,
             "convergence", Convergence::run,
             "link", LinkBytes::run,
+            "capacity", CapacitySlopes::run,
             "calls", CallsMeasurement::run,
             "moves", (full, figures) -> MoveMeasurement.main(full ? new String[] {"--full"} : new String[0])));
 
--- /dev/null
+++ b/bench/src/main/java/org/mimosahinge/bench/control/CapacitySlopes.java
@@ -0,0 +1,193 @@
+package org.mimosahinge.bench.control;
+
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.List;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.function.ToDoubleFunction;
+import java.util.stream.IntStream;
+import org.mimosahinge.api.config.ConfigUpdate;
+import org.mimosahinge.api.config.MovePhase;
+import org.mimosahinge.api.config.MoveState;
+import org.mimosahinge.api.config.RevisedSection;
+import org.mimosahinge.api.config.Snapshot;
+import org.mimosahinge.api.world.AvailabilityZone;
+import org.mimosahinge.api.world.BackendServer;
+import org.mimosahinge.api.world.Endpoint;
+import org.mimosahinge.api.world.EndpointState;
+import org.mimosahinge.api.world.HostPort;
+import org.mimosahinge.api.world.Node;
+import org.mimosahinge.api.world.NodeId;
+import org.mimosahinge.api.world.Region;
+import org.mimosahinge.api.world.Stamp;
+import org.mimosahinge.bench.Figures;
+import org.mimosahinge.core.config.SnapshotBuilder;
+import org.mimosahinge.core.config.UpdateBuilder;
+import org.mimosahinge.core.move.FailureKind;
+import org.mimosahinge.core.move.LatencyHistogram;
+import org.mimosahinge.net.frame.Frame;
+import org.mimosahinge.net.frame.FrameCodec;
+
+/** Measures sizes of control messages, and processor time and memory of control state, at three sizes each. */
+public final class CapacitySlopes {
+
+    private static final List<Integer> ENDPOINTS = List.of(480, 1_200, 4_800);
+    private static final int SERVICES = 130;
+    private static final int PREFIX_BYTES = 4;
+    private static final int REPETITIONS = 200;
+
+    private CapacitySlopes() {}
+
+    /**
+     * Runs the measurement.
+     *
+     * @param full not used, the run is short
+     * @param figures receives the results
+     */
+    public static void run(boolean full, Figures figures) {
+        print(figures, "capacity.bytes.heartbeat", bytes(new Frame.Heartbeat(1_000_000)), "bytes");
+        sizes(figures, "endpoints", List.of(1, 10, 100), n -> bytes(new Frame.Endpoints(endpoints(n))));
+        sizes(figures, "report_versions", List.of(1, 2, 4), n -> bytes(report(n)));
+        sizes(figures, "evidence_tallies", List.of(2, 8, 32), n -> bytes(evidence(n)));
+        sizes(figures, "update_sections", List.of(1, 10, 130), n -> bytes(new Frame.Config(update(n, 0), 0)));
+        sizes(figures, "update_moves", List.of(1, 10, 130), n -> bytes(new Frame.Config(update(0, n), 0)));
+        for (int count : ENDPOINTS) {
+            Snapshot snapshot = SnapshotBuilder.withEndpoints(Snapshot.EMPTY, endpoints(count));
+            print(figures, "capacity.merge_endpoint." + count, mergeMicros(snapshot, count), "us");
+            figures.print(
+                    new Figures.Figure("capacity.synchronize." + count, synchronizeMs(count), "ms"),
+                    "one_at_a_time",
+                    mergeMicros(snapshot, count) * count / 1e3);
+            print(figures, "capacity.snapshot_memory." + count, memoryBytes(count) / 1024.0, "KiB");
+        }
+        print(figures, "capacity.apply_delta.130", deltaMicros(), "us");
+    }
+
+    private static void print(Figures figures, String name, double value, String unit) {
+        figures.print(new Figures.Figure(name, value, unit), "none", Double.NaN);
+    }
+
+    private static void sizes(Figures figures, String name, List<Integer> counts, ToDoubleFunction<Integer> size) {
+        counts.forEach(
+                count -> print(figures, "capacity.bytes." + name + '.' + count, size.applyAsDouble(count), "bytes"));
+    }
+
+    private static double bytes(Frame frame) {
+        return PREFIX_BYTES + FrameCodec.encode(frame).length;
+    }
+
+    private static List<Endpoint> endpoints(int count) {
+        return IntStream.range(0, count).mapToObj(i -> endpoint(i, 1)).toList();
+    }
+
+    private static Endpoint endpoint(int index, long sequence) {
+        Region region = new Region("region-" + index % 4);
+        AvailabilityZone zone = new AvailabilityZone("zone-" + index % 16, region);
+        HostPort server = new HostPort("10.1." + index / 250 + '.' + index % 250, 8080);
+        Node node = new Node(new NodeId("node-" + index), 1_796_380_896_181L, zone, new HostPort(server.host(), 7400));
+        return new Endpoint(
+                node.id() + "/" + server,
+                new BackendServer("service-" + index % SERVICES, "v1", server, 20, 130, Set.of()),
+                node,
+                EndpointState.READY,
+                new Stamp(node.incarnation(), sequence));
+    }
+
+    private static Frame.Report report(int versions) {
+        TreeMap<Long, Integer> nodes = new TreeMap<>();
+        IntStream.range(0, versions).forEach(i -> nodes.put(1_000_000L + i, 300));
+        return new Frame.Report(nodes);
+    }
+
+    private static Frame.Evidence evidence(int tallies) {
+        List<Long> latencies = IntStream.range(0, LatencyHistogram.BUCKETS)
+                .mapToObj(i -> i < 8 ? 40L : 0L)
+                .toList();
+        List<Long> failures = Collections.nCopies(FailureKind.COUNT, 1L);
+        return new Frame.Evidence(
+                "listings",
+                IntStream.range(0, tallies)
+                        .mapToObj(i -> new Frame.Tally("v2", "route-" + i, "ch-west-1", 320, failures, latencies))
+                        .toList());
+    }
+
+    private static ConfigUpdate update(int sections, int moves) {
+        TreeMap<String, RevisedSection> changed = new TreeMap<>();
+        IntStream.range(0, sections)
+                .forEach(i -> changed.put("team-" + i, new RevisedSection(7, ControlFleet.section(i))));
+        TreeMap<String, MoveState> states = new TreeMap<>();
+        IntStream.range(0, moves).forEach(i -> states.put("service-" + i, move(i)));
+        return new ConfigUpdate(1_000_000, 1_000_001, changed, Set.of(), states, Set.of());
+    }
+
+    private static MoveState move(int index) {
+        return new MoveState(
+                "service-" + index,
+                "v1",
+                "v2",
+                7,
+                20,
+                MovePhase.RUNNING,
+                "canary",
+                Instant.ofEpochSecond(1_796_380_896));
+    }
+
+    private static double mergeMicros(Snapshot snapshot, int count) {
+        return medianMicros(i -> SnapshotBuilder.withEndpoint(snapshot, endpoint(i % count, 2 + i)));
+    }
+
+    /** Time to merge what a new neighbour sends. */
+    private static double synchronizeMs(int count) {
+        List<Endpoint> received = endpoints(count);
+        return medianMicros(i -> SnapshotBuilder.withEndpoints(Snapshot.EMPTY, received)) / 1e3;
+    }
+
+    private static double deltaMicros() {
+        Snapshot from = sections(1);
+        Snapshot to = sections(2);
+        ConfigUpdate delta = UpdateBuilder.between(from, to);
+        return medianMicros(i -> SnapshotBuilder.apply(from, delta));
+    }
+
+    /** A document of one service and two routes per team, of which one section differs with the version. */
+    private static Snapshot sections(long version) {
+        TreeMap<String, RevisedSection> all = new TreeMap<>();
+        IntStream.range(0, SERVICES).forEach(i -> {
+            int content = i == 0 ? (int) version : i;
+            all.put("team-" + i, new RevisedSection(i == 0 ? version : 1, TeamSections.section(i, content)));
+        });
+        return SnapshotBuilder.apply(
+                Snapshot.EMPTY, new ConfigUpdate(0, version, all, Set.of(), new TreeMap<>(), Set.of()));
+    }
+
+    /** An operation whose result keeps the compiler from removing it. */
+    @FunctionalInterface
+    private interface Operation {
+        Snapshot run(int repetition);
+    }
+
+    private static double medianMicros(Operation operation) {
+        List<Long> nanos = new ArrayList<>();
+        long checksum = 0;
+        for (int i = 0; i < REPETITIONS; i++) {
+            long start = System.nanoTime();
+            checksum += operation.run(i).version();
+            nanos.add(System.nanoTime() - start);
+        }
+        nanos.sort(null);
+        // The first half warms the code up and is slower than the median.
+        return checksum < 0 ? Double.NaN : nanos.get(REPETITIONS / 2) / 1e3;
+    }
+
+    private static double memoryBytes(int count) {
+        Runtime runtime = Runtime.getRuntime();
+        System.gc();
+        long before = runtime.totalMemory() - runtime.freeMemory();
+        Snapshot snapshot = SnapshotBuilder.withEndpoints(Snapshot.EMPTY, endpoints(count));
+        System.gc();
+        long after = runtime.totalMemory() - runtime.freeMemory();
+        return snapshot.endpoints().isEmpty() ? Double.NaN : after - before;
+    }
+}
--- a/daemon/src/main/java/org/mimosahinge/daemon/control/Membership.java
+++ b/daemon/src/main/java/org/mimosahinge/daemon/control/Membership.java
@@ -165,30 +165,38 @@
         links.broadcast(new Frame.Endpoints(tombstones), null);
     }
 
+    /** Merges all states at once: one at a time, 4,800 states would block the control thread for seconds. */
     private void merge(List<Endpoint> endpoints, ControlLink from) {
-        List<Endpoint> changed = new ArrayList<>();
-        Snapshot snapshot = snapshots.get();
-        for (Endpoint endpoint : endpoints) {
-            Snapshot next = SnapshotBuilder.withEndpoint(snapshot, endpoint);
-            if (next != snapshot) {
-                snapshot = next;
-                changed.add(endpoint);
-                LOG.info(
-                        "endpoint_state",
-                        "endpoint",
-                        endpoint.id(),
-                        "service",
-                        endpoint.server().service(),
-                        "version",
-                        endpoint.server().version(),
-                        "state",
-                        endpoint.state());
-            }
-        }
-        if (!changed.isEmpty()) {
-            snapshots.replace(snapshot);
-            links.broadcast(new Frame.Endpoints(changed), from);
+        Snapshot before = snapshots.get();
+        Snapshot after = SnapshotBuilder.withEndpoints(before, endpoints);
+        if (after == before) {
+            return;
         }
+        snapshots.replace(after);
+        List<Endpoint> changed = endpoints.stream()
+                .filter(endpoint -> holds(after, endpoint) && !holds(before, endpoint))
+                .toList();
+        changed.forEach(Membership::logState);
+        links.broadcast(new Frame.Endpoints(changed), from);
+    }
+
+    private static boolean holds(Snapshot snapshot, Endpoint endpoint) {
+        return snapshot.endpoints()
+                .getOrDefault(endpoint.server().service(), List.of())
+                .contains(endpoint);
+    }
+
+    private static void logState(Endpoint endpoint) {
+        LOG.info(
+                "endpoint_state",
+                "endpoint",
+                endpoint.id(),
+                "service",
+                endpoint.server().service(),
+                "version",
+                endpoint.server().version(),
+                "state",
+                endpoint.state());
     }
 
     private void attached(Node node, ControlLink link) {
