Give control links room for the state of a large fleet

Cause: a link was cut as too slow when more than 64 KB, Netty's default, waited in its buffer. The endpoints of 4,800 nodes are one frame of 0.35 to 0.53 MB, so on a region link the next heartbeat would have cut the link, again after each reconnect. Found by reading the send path with the sizes of the capacity measurement.

--- a/daemon/src/main/java/org/mimosahinge/daemon/control/PeerChannels.java
+++ b/daemon/src/main/java/org/mimosahinge/daemon/control/PeerChannels.java
@@ -11,6 +11,7 @@
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.WriteBufferWaterMark;
 import io.netty.channel.group.ChannelGroup;
 import io.netty.channel.group.DefaultChannelGroup;
 import io.netty.channel.socket.SocketChannel;
@@ -37,6 +38,12 @@
     /** A peer that does not say hello within this time is disconnected. */
     private static final Duration HELLO_TIMEOUT = Duration.ofSeconds(2);
 
+    /**
+     * Bytes that may wait for a slow link. The endpoints of the target's 4,800 nodes take 0.5 MB in one frame; with the
+     * default of 64 KB the next frame would cut the link.
+     */
+    private static final WriteBufferWaterMark PENDING_BYTES = new WriteBufferWaterMark(1 << 20, 2 << 20);
+
     private static final String HELLO_TIMEOUT_HANDLER = "helloTimeout";
 
     private final EventLoopGroup group;
@@ -221,6 +228,7 @@
 
         void accept(ChannelHandlerContext context, Frame.Hello hello) {
             accepted = true;
+            context.channel().config().setWriteBufferWaterMark(PENDING_BYTES);
             context.pipeline().remove(HELLO_TIMEOUT_HANDLER);
             context.pipeline().addFirst(counters.handler());
             events.opened(context.channel(), hello, dialed);
