Forget endpoints that have been gone for long, and split control events

The handover of connection events to the control thread has its own class, and the unwrapping of stage failures stood twice and now stands once.

--- a/daemon/src/main/java/org/mimosahinge/daemon/control/Failures.java
+++ b/api/src/main/java/org/mimosahinge/api/error/StageFailures.java
@@ -1,13 +1,11 @@
-package org.mimosahinge.daemon.control;
+package org.mimosahinge.api.error;
 
 import java.util.concurrent.CompletionException;
-import org.mimosahinge.api.error.ErrorCode;
-import org.mimosahinge.api.error.MimosahingeException;
 
-/** Finds the typed failure inside the failure of a stage. */
-public final class Failures {
+/** Finds the typed failure inside the failure of a completion stage. */
+public final class StageFailures {
 
-    private Failures() {}
+    private StageFailures() {}
 
     /**
      * Removes the wrapper that stages add.
--- a/bench/src/main/java/org/mimosahinge/bench/control/ControlNode.java
+++ b/bench/src/main/java/org/mimosahinge/bench/control/ControlNode.java
@@ -37,7 +37,7 @@
         self = new Node(settings.nodeId(), System.currentTimeMillis(), settings.zone(), address);
         plane = new ControlPlane(
                 new NodeContext(self, settings, table, objects, loop, System::nanoTime), loop, snapshots, fanout);
-        peers.serve(plane, hello -> {
+        peers.serve(plane.events(), hello -> {
             throw new UnsupportedOperationException("calls are not measured here");
         });
         loop.execute(() -> plane.use(peers, (request, time) -> {}));
--- a/daemon/src/main/java/org/mimosahinge/daemon/Daemon.java
+++ b/daemon/src/main/java/org/mimosahinge/daemon/Daemon.java
@@ -69,7 +69,7 @@
                 platform,
                 event -> loop.offer(() -> trafficEvent(event)));
         peers = new PeerChannels(controlIo, counters);
-        peers.serve(control, hello -> traffic.callConnection());
+        peers.serve(control.events(), hello -> traffic.callConnection());
         peerAddress = peers.listen(settings.peerAddress(), traffic.eventLoops());
         loop.execute(() -> control.use(peers, traffic::quarantine));
         DaemonMetrics metrics = new DaemonMetrics(snapshots, counters, loop);
--- a/daemon/src/main/java/org/mimosahinge/daemon/control/ControlPlane.java
+++ b/daemon/src/main/java/org/mimosahinge/daemon/control/ControlPlane.java
@@ -23,8 +23,8 @@
 import org.mimosahinge.net.frame.Frame;
 import org.mimosahinge.net.log.EventLog;
 
-/** The control state of a node; every method but those of {@link PeerChannels.Events} runs on the control thread. */
-public final class ControlPlane implements PeerChannels.Events {
+/** The control state of a node; only the control thread may use it, but for queries by {@link #ask}. */
+public final class ControlPlane {
 
     /** Interval of {@link #tick()}. */
     public static final Duration TICK = Duration.ofMillis(250);
@@ -120,6 +120,7 @@
             nextSecondNanos = now + context.settings().heartbeat().toNanos();
             heartbeats++;
             links.broadcast(new Frame.Heartbeat(heartbeats), null);
+            membership.forgetOldTombstones();
             fleet.report();
             moves.advance(isRoot(), Instant.now());
         }
@@ -166,8 +167,16 @@
         }
     }
 
-    @Override
-    public Frame.Hello hello() {
+    /**
+     * Returns what handles this node's control connections.
+     *
+     * @return the handler, which hands events over to the control thread
+     */
+    public PeerChannels.Events events() {
+        return new ControlEvents(this, loop);
+    }
+
+    Frame.Hello hello() {
         var snapshot = snapshots.get();
         return new Frame.Hello(
                 Frame.Purpose.CONTROL,
@@ -177,30 +186,7 @@
                 context.settings().interests());
     }
 
-    @Override
-    public void opened(Channel channel, Frame.Hello hello, boolean dialed) {
-        offerOrClose(channel, () -> linkOpened(channel, hello, dialed));
-    }
-
-    @Override
-    public void received(Channel channel, Frame frame) {
-        offerOrClose(channel, () -> links.of(channel).ifPresent(link -> frameReceived(link, frame)));
-    }
-
-    @Override
-    public void closed(Channel channel) {
-        // The close itself must reach the control thread; the tick detects a link whose close was dropped.
-        loop.offer(() -> linkClosed(channel));
-    }
-
-    /** A dropped frame would leave the two ends with different views, so the connection is closed instead. */
-    private void offerOrClose(Channel channel, Runnable task) {
-        if (!loop.offer(task)) {
-            channel.close();
-        }
-    }
-
-    private void linkOpened(Channel channel, Frame.Hello hello, boolean dialed) {
+    void linkOpened(Channel channel, Frame.Hello hello, boolean dialed) {
         if (!dialed) {
             AdmissionRate.Admission admission = admissions.admit(context.now());
             admissions = admission.next();
@@ -228,7 +214,7 @@
         membership.synchronize(link);
     }
 
-    private void linkClosed(Channel channel) {
+    void linkClosed(Channel channel) {
         parentSearch.closed(channel);
         links.remove(channel).ifPresent(link -> {
             LOG.info("link_closed", "node", link.node().id(), "direction", link.direction());
@@ -240,6 +226,10 @@
         });
     }
 
+    void frameReceived(Channel channel, Frame frame) {
+        links.of(channel).ifPresent(link -> frameReceived(link, frame));
+    }
+
     private void frameReceived(ControlLink link, Frame frame) {
         detector = detector.heard(link.node().id(), context.now());
         if (frame instanceof Frame.Config config) {
--- a/daemon/src/main/java/org/mimosahinge/daemon/control/Membership.java
+++ b/daemon/src/main/java/org/mimosahinge/daemon/control/Membership.java
@@ -8,6 +8,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.function.LongSupplier;
+import java.util.stream.Collectors;
 import org.mimosahinge.api.config.HaltMark;
 import org.mimosahinge.api.config.Snapshot;
 import org.mimosahinge.api.world.Endpoint;
@@ -15,6 +16,7 @@
 import org.mimosahinge.api.world.Node;
 import org.mimosahinge.api.world.NodeId;
 import org.mimosahinge.api.world.Proximity;
+import org.mimosahinge.core.config.Endpoints;
 import org.mimosahinge.core.config.NodeRemoval;
 import org.mimosahinge.core.config.SnapshotBuilder;
 import org.mimosahinge.net.frame.Frame;
@@ -31,6 +33,9 @@
     /** The nodes of a failed relay's zone first wait for its lease to expire. */
     private static final Duration RELAY_REATTACH_TIME = Duration.ofSeconds(10);
 
+    /** Longer than any update may be delayed, so that an older state cannot revive an endpoint. */
+    private static final Duration TOMBSTONE_TIME = Duration.ofMinutes(10);
+
     private final Node self;
     private final SnapshotReference snapshots;
     private final LocalEndpoints local;
@@ -40,6 +45,8 @@
     private final Map<NodeId, ControlLink> via = new HashMap<>();
     /** Halt marks that apply to this node's own calls only. */
     private final Set<HaltMark> localCuts = new HashSet<>();
+    /** When each endpoint that is gone was first seen so. */
+    private final Map<String, Long> goneSince = new HashMap<>();
     /** When each unreachable node counts as failed. */
     private final Map<Node, Long> suspects = new HashMap<>();
 
@@ -151,18 +158,29 @@
         return failed;
     }
 
-    private void remove(Node node) {
-        Snapshot before = snapshots.get();
-        Snapshot after = SnapshotBuilder.withRemoval(before, new NodeRemoval(node.id(), node.incarnation()));
-        if (after == before) {
-            return;
+    /** Forgets endpoints that have been gone for long; replaced VMs would otherwise fill the memory. */
+    void forgetOldTombstones() {
+        long now = nanoTime.getAsLong();
+        Set<String> old = goneSince.entrySet().stream()
+                .filter(entry -> now - entry.getValue() >= TOMBSTONE_TIME.toNanos())
+                .map(Map.Entry::getKey)
+                .collect(Collectors.toUnmodifiableSet());
+        if (!old.isEmpty()) {
+            goneSince.keySet().removeAll(old);
+            snapshots.replace(SnapshotBuilder.withoutTombstones(snapshots.get(), old));
         }
-        snapshots.replace(after);
-        List<Endpoint> tombstones = after.endpoints().values().stream()
-                .flatMap(List::stream)
-                .filter(endpoint -> endpoint.node().id().equals(node.id()) && endpoint.state() == EndpointState.GONE)
-                .toList();
-        links.broadcast(new Frame.Endpoints(tombstones), null);
+    }
+
+    private void noteState(Endpoint endpoint) {
+        if (endpoint.state() == EndpointState.GONE) {
+            goneSince.putIfAbsent(endpoint.id(), nanoTime.getAsLong());
+        } else {
+            goneSince.remove(endpoint.id());
+        }
+    }
+
+    private void remove(Node node) {
+        merge(Endpoints.tombstones(snapshots.get().endpoints(), new NodeRemoval(node.id(), node.incarnation())), null);
     }
 
     /** Merges all states at once: one at a time, 4,800 states would block the control thread for seconds. */
@@ -176,6 +194,7 @@
         List<Endpoint> changed = endpoints.stream()
                 .filter(endpoint -> holds(after, endpoint) && !holds(before, endpoint))
                 .toList();
+        changed.forEach(this::noteState);
         changed.forEach(Membership::logState);
         links.broadcast(new Frame.Endpoints(changed), from);
     }
--- a/daemon/src/main/java/org/mimosahinge/daemon/control/Submissions.java
+++ b/daemon/src/main/java/org/mimosahinge/daemon/control/Submissions.java
@@ -19,6 +19,7 @@
 import org.mimosahinge.api.error.PlatformException;
 import org.mimosahinge.api.error.Problem;
 import org.mimosahinge.api.error.SectionConflictException;
+import org.mimosahinge.api.error.StageFailures;
 import org.mimosahinge.api.platform.Condition;
 import org.mimosahinge.api.platform.Put;
 import org.mimosahinge.api.platform.ReadRequest;
@@ -151,9 +152,9 @@
                                         write.row().value().revision());
                             }
                             boolean unknown =
-                                    failure != null && Failures.code(failure) == ErrorCode.PLATFORM_ANSWER_LOST;
+                                    failure != null && StageFailures.code(failure) == ErrorCode.PLATFORM_ANSWER_LOST;
                             if (failure != null && !unknown && !attempt.outcomeUnknown()) {
-                                return CompletableFuture.<Accepted>failedFuture(Failures.unwrap(failure));
+                                return CompletableFuture.<Accepted>failedFuture(StageFailures.unwrap(failure));
                             }
                             return again(attempt, unknown || attempt.outcomeUnknown());
                         },
--- a/daemon/src/main/java/org/mimosahinge/daemon/operator/OperatorHandler.java
+++ b/daemon/src/main/java/org/mimosahinge/daemon/operator/OperatorHandler.java
@@ -16,6 +16,7 @@
 import org.mimosahinge.api.error.CallException;
 import org.mimosahinge.api.error.ErrorCode;
 import org.mimosahinge.api.error.MimosahingeException;
+import org.mimosahinge.api.error.StageFailures;
 import org.mimosahinge.api.operator.DocumentView;
 import org.mimosahinge.api.operator.EndpointList;
 import org.mimosahinge.api.operator.ErrorBody;
@@ -25,7 +26,6 @@
 import org.mimosahinge.api.operator.Submission;
 import org.mimosahinge.api.world.Node;
 import org.mimosahinge.daemon.control.ControlPlane;
-import org.mimosahinge.daemon.control.Failures;
 import org.mimosahinge.net.http.HttpMessageHandler;
 import org.mimosahinge.net.http.HttpMessageRequest;
 import org.mimosahinge.net.http.HttpMessageResponse;
@@ -168,7 +168,7 @@
     }
 
     private static HttpMessageResponse failure(Throwable thrown) {
-        Throwable failure = Failures.unwrap(thrown);
+        Throwable failure = StageFailures.unwrap(thrown);
         if (failure instanceof MimosahingeException typed) {
             return json(typed.code().httpStatus(), ErrorBody.of(typed));
         }
--- a/daemon/src/main/java/org/mimosahinge/daemon/traffic/Attempt.java
+++ b/daemon/src/main/java/org/mimosahinge/daemon/traffic/Attempt.java
@@ -106,7 +106,7 @@
             }
             timedOut();
             call.attemptFailed(
-                    this, Failures.mayHaveRun(0, ErrorCode.CONNECTION_LOST, "The endpoint stopped responding"));
+                    this, CallFailures.mayHaveRun(0, ErrorCode.CONNECTION_LOST, "The endpoint stopped responding"));
         }
     }
 
@@ -119,7 +119,8 @@
         if (start.status() == 503 && HeaderMaps.NOT_RUN.equals(start.headers().get(HeaderMaps.OUTCOME))) {
             // The rest of the refusal is read and dropped so that the connection can be kept.
             end(Optional.of(FailureKind.SHED));
-            call.attemptFailed(this, Failures.notRun(0, ErrorCode.OVERLOADED, "The backend server refused the call"));
+            call.attemptFailed(
+                    this, CallFailures.notRun(0, ErrorCode.OVERLOADED, "The backend server refused the call"));
             return;
         }
         status = start.status();
@@ -155,11 +156,11 @@
         if (ended) {
             return;
         }
-        ErrorCode code = Failures.code(failure);
+        ErrorCode code = CallFailures.code(failure);
         if (code == ErrorCode.CONNECTION_LOST || code == ErrorCode.NO_ENDPOINT || code == ErrorCode.NOT_READY) {
             tracker.connectionFailed(TrafficLoop.nowMs());
         }
-        end(Optional.of(Failures.kind(failure)));
+        end(Optional.of(CallFailures.kind(failure)));
         call.attemptFailed(this, failure);
     }
 
--- a/daemon/src/main/java/org/mimosahinge/daemon/traffic/Failures.java
+++ b/daemon/src/main/java/org/mimosahinge/daemon/traffic/CallFailures.java
@@ -6,7 +6,7 @@
 import org.mimosahinge.net.frame.Frame;
 
 /** Maps failures of calls to frames and back. */
-final class Failures {
+final class CallFailures {
 
     /** Tells a node that no new calls are wanted on the connection; calls are numbered from 1. */
     static final long WHOLE_CONNECTION = 0;
@@ -17,7 +17,7 @@
     /** Code in frames for further calls that were in flight at the same crash. */
     static final String CRASH_COLLATERAL = "backend_crash_collateral";
 
-    private Failures() {}
+    private CallFailures() {}
 
     /** Classifies a failure as evidence about the backend server version. */
     static FailureKind kind(Frame.CallFailure failure) {
--- a/daemon/src/main/java/org/mimosahinge/daemon/traffic/EntryCall.java
+++ b/daemon/src/main/java/org/mimosahinge/daemon/traffic/EntryCall.java
@@ -179,7 +179,7 @@
             from.credited(bytes.length - wanted.length);
         }
         if (last && !progress.complete()) {
-            attemptFailed(from, Failures.mayHaveRun(0, ErrorCode.ANSWER_TRUNCATED, "The response is too short"));
+            attemptFailed(from, CallFailures.mayHaveRun(0, ErrorCode.ANSWER_TRUNCATED, "The response is too short"));
             return;
         }
         if (once != null) {
@@ -212,7 +212,7 @@
         }
         // A refusal by the last endpoint says nothing about attempts at others before it.
         mayHaveRun |= !failure.notRun();
-        if (Failures.crash(failure) && poison.crashed()) {
+        if (CallFailures.crash(failure) && poison.crashed()) {
             conclude(CallException.mayHaveRun(
                     ErrorCode.REQUEST_QUARANTINED, "The request crashed several backend servers"));
             return;
@@ -221,12 +221,12 @@
                 ? progress.resumeHeaders().map(this::withRequestHeaders)
                 : Optional.of(request.headers());
         if (headers.isEmpty() || !plan.mayRetry(failure.notRun() && !progress.begun())) {
-            conclude(Failures.exception(failure, mayHaveRun));
+            conclude(CallFailures.exception(failure, mayHaveRun));
             return;
         }
         Optional<Choice> choice = plan.choose();
         if (choice.isEmpty()) {
-            conclude(Failures.exception(failure, mayHaveRun));
+            conclude(CallFailures.exception(failure, mayHaveRun));
             return;
         }
         loop.budgets().retried(plan.service());
--- a/daemon/src/main/java/org/mimosahinge/daemon/traffic/OnceGuard.java
+++ b/daemon/src/main/java/org/mimosahinge/daemon/traffic/OnceGuard.java
@@ -9,12 +9,11 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.UUID;
-import java.util.concurrent.CompletionException;
 import java.util.concurrent.CompletionStage;
 import java.util.function.BiConsumer;
 import java.util.function.Consumer;
 import org.mimosahinge.api.error.ErrorCode;
-import org.mimosahinge.api.error.MimosahingeException;
+import org.mimosahinge.api.error.StageFailures;
 import org.mimosahinge.api.platform.Condition;
 import org.mimosahinge.api.platform.Put;
 import org.mimosahinge.api.platform.ReadRequest;
@@ -139,20 +138,16 @@
     }
 
     private <T> void settle(CompletionStage<T> stage, BiConsumer<T, ErrorCode> then) {
-        stage.whenComplete((result, failure) ->
-                loop.eventLoop().execute(() -> then.accept(result, failure == null ? null : code(failure))));
-    }
-
-    private static ErrorCode code(Throwable failure) {
-        Throwable cause = failure instanceof CompletionException ? failure.getCause() : failure;
-        return cause instanceof MimosahingeException typed ? typed.code() : ErrorCode.INTERNAL;
+        stage.whenComplete((result, failure) -> loop.eventLoop()
+                .execute(() -> then.accept(result, failure == null ? null : StageFailures.code(failure))));
     }
 
     private static String write(Claim claim) {
         try {
             return JSON.writeValueAsString(claim);
         } catch (JsonProcessingException e) {
-            throw new IllegalStateException(e);
+            // A claim consists of strings and numbers, which always have a JSON form.
+            throw new AssertionError(e);
         }
     }
 
--- a/daemon/src/main/java/org/mimosahinge/daemon/traffic/PeerConnection.java
+++ b/daemon/src/main/java/org/mimosahinge/daemon/traffic/PeerConnection.java
@@ -132,7 +132,7 @@
     }
 
     private void failed(Frame.CallFailure failure) {
-        if (failure.callId() == Failures.WHOLE_CONNECTION) {
+        if (failure.callId() == CallFailures.WHOLE_CONNECTION) {
             retiring = true;
             loop.forget(address, this);
             closeWhenRetired();
--- a/daemon/src/main/java/org/mimosahinge/daemon/traffic/ServedConnection.java
+++ b/daemon/src/main/java/org/mimosahinge/daemon/traffic/ServedConnection.java
@@ -39,7 +39,8 @@
 
     @Override
     public void drain() {
-        channel.writeAndFlush(Failures.notRun(Failures.WHOLE_CONNECTION, ErrorCode.NOT_READY, "The node is stopping"));
+        channel.writeAndFlush(
+                CallFailures.notRun(CallFailures.WHOLE_CONNECTION, ErrorCode.NOT_READY, "The node is stopping"));
         channel.eventLoop().schedule(this::closeWhenIdle, DRAIN_NOTICE_MS, TimeUnit.MILLISECONDS);
     }
 
--- a/daemon/src/main/java/org/mimosahinge/daemon/traffic/TrafficLoop.java
+++ b/daemon/src/main/java/org/mimosahinge/daemon/traffic/TrafficLoop.java
@@ -105,7 +105,7 @@
             }
         }
         return (refused, observer) -> {
-            observer.failed(Failures.notRun(
+            observer.failed(CallFailures.notRun(
                     refused.callId(),
                     ErrorCode.NO_ENDPOINT,
                     "Endpoint " + refused.endpointId() + " takes no calls here"));
