--- a/daemon/src/test/java/org/mimosahinge/daemon/LocalFleet.java
+++ b/daemon/src/test/java/org/mimosahinge/daemon/LocalFleet.java
@@ -11,9 +11,11 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.ScheduledFuture;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.BooleanSupplier;
 import org.mimosahinge.api.operator.OperatorJson;
 import org.mimosahinge.api.operator.Status;
@@ -34,6 +36,8 @@
     private final NioEventLoopGroup group = new NioEventLoopGroup(1);
     private final HttpMessageClient http = HttpMessageClient.create(group, Duration.ofSeconds(20));
     private final Deque<AutoCloseable> resources = new ArrayDeque<>();
+    private final Map<HostPort, AtomicInteger> calls = new ConcurrentHashMap<>();
+    private final Map<HostPort, ScheduledFuture<?>> announcing = new ConcurrentHashMap<>();
     private final List<Daemon> daemons = new CopyOnWriteArrayList<>();
     private final PlatformStandin platform = PlatformStandin.start();
 
@@ -76,17 +80,20 @@
 
     /** Starts a backend server that answers with its version and announces it every second to the node beside it. */
     HttpMessageServer backend(Daemon beside, String service, String version) {
-        HttpMessageServer server = HttpMessageServer.start(
-                ANY_PORT,
-                group,
-                request -> CompletableFuture.completedFuture(
-                        HttpMessageResponse.json(200, "\"" + service + ' ' + version + ' ' + request.uri() + "\"")));
+        AtomicInteger served = new AtomicInteger();
+        HttpMessageServer server = HttpMessageServer.start(ANY_PORT, group, request -> {
+            served.incrementAndGet();
+            return CompletableFuture.completedFuture(
+                    HttpMessageResponse.json(200, "\"" + service + ' ' + version + ' ' + request.uri() + "\""));
+        });
+        calls.put(server.address(), served);
         announce(beside, server, service, version, "ready");
         ScheduledFuture<?> announcements = group.scheduleAtFixedRate(
                 () -> http.send(beside.operators(), announcement(server, service, version, "ready")),
                 1,
                 1,
                 TimeUnit.SECONDS);
+        announcing.put(server.address(), announcements);
         resources.push(() -> {
             announcements.cancel(false);
             server.close();
@@ -94,6 +101,16 @@
         return server;
     }
 
+    /** Ends the announcements of a backend server, which still accepts calls. */
+    void stopAnnouncing(HttpMessageServer server) {
+        announcing.get(server.address()).cancel(false);
+    }
+
+    /** Returns how many calls a backend server has got. */
+    int callsServed(HttpMessageServer server) {
+        return calls.get(server.address()).get();
+    }
+
     void announce(Daemon beside, HttpMessageServer server, String service, String version, String state) {
         expect(200, send(beside.operators(), announcement(server, service, version, state)));
     }
