--- a/api/src/main/java/org/mimosahinge/api/config/Snapshot.java
+++ b/api/src/main/java/org/mimosahinge/api/config/Snapshot.java
@@ -6,6 +6,7 @@
 import java.util.Set;
 import java.util.SortedMap;
 import java.util.TreeMap;
+import org.mimosahinge.api.contract.CallerLimits;
 import org.mimosahinge.api.contract.Route;
 import org.mimosahinge.api.contract.Service;
 import org.mimosahinge.api.world.Endpoint;
@@ -22,6 +23,7 @@
  * @param endpoints known endpoints by service
  * @param halts halt marks
  * @param provenCurrent whether callers' calls may be routed by this version
+ * @param callerLimits bounds on callers
  */
 public record Snapshot(
         long version,
@@ -32,10 +34,20 @@
         Map<String, MoveState> moves,
         Map<String, List<Endpoint>> endpoints,
         Set<HaltMark> halts,
-        boolean provenCurrent) {
+        boolean provenCurrent,
+        CallerLimits callerLimits) {
     /** The snapshot of a node that has just started. */
-    public static final Snapshot EMPTY =
-            new Snapshot(0, new TreeMap<>(), Map.of(), Map.of(), List.of(), Map.of(), Map.of(), Set.of(), false);
+    public static final Snapshot EMPTY = new Snapshot(
+            0,
+            new TreeMap<>(),
+            Map.of(),
+            Map.of(),
+            List.of(),
+            Map.of(),
+            Map.of(),
+            Set.of(),
+            false,
+            CallerLimits.DEFAULT);
 
     /** Copies the collections. */
     public Snapshot {
--- a/api/src/main/java/org/mimosahinge/api/document/SectionReader.java
+++ b/api/src/main/java/org/mimosahinge/api/document/SectionReader.java
@@ -14,6 +14,7 @@
 import org.mimosahinge.api.contract.Route;
 import org.mimosahinge.api.contract.Section;
 import org.mimosahinge.api.contract.Service;
+import org.mimosahinge.api.contract.ServiceShare;
 import org.mimosahinge.api.document.Cursor.Reader;
 import org.mimosahinge.api.error.ErrorCode;
 
@@ -107,10 +108,13 @@
         return allPresent(name, prefix, service, callClass, timeout, idempotent, atMostOnce, resources)
                 ? Optional.of(new Route(
                         name.get(),
+                        "",
                         prefix.get(),
-                        service.get(),
+                        List.of(new ServiceShare(service.get(), 1)),
                         callClass.get(),
                         timeout.get(),
+                        timeout.get(),
+                        Route.DEFAULT_MAX_ATTEMPTS,
                         idempotent.get(),
                         atMostOnce.get(),
                         resources.get()))
--- a/api/src/main/java/org/mimosahinge/api/error/CallException.java
+++ b/api/src/main/java/org/mimosahinge/api/error/CallException.java
@@ -6,10 +6,12 @@
     private static final long serialVersionUID = 1L;
 
     private final boolean notRun;
+    private final long retryAfterMs;
 
-    private CallException(ErrorCode code, boolean notRun, String message) {
-        super(code, message);
+    private CallException(ErrorCode code, boolean notRun, String message, long retryAfterMs) {
+        super(code, message, false);
         this.notRun = notRun;
+        this.retryAfterMs = retryAfterMs;
     }
 
     /**
@@ -20,7 +22,7 @@
      * @return the failure
      */
     public static CallException notRun(ErrorCode code, String message) {
-        return new CallException(code, true, message);
+        return new CallException(code, true, message, 0);
     }
 
     /**
@@ -31,7 +33,7 @@
      * @return the failure
      */
     public static CallException mayHaveRun(ErrorCode code, String message) {
-        return new CallException(code, false, message);
+        return new CallException(code, false, message, 0);
     }
 
     /**
@@ -42,4 +44,23 @@
     public boolean notRun() {
         return notRun;
     }
+
+    /**
+     * Returns the same failure with advice on when to call again.
+     *
+     * @param ms time after which the call is likely to be taken, in milliseconds
+     * @return the failure
+     */
+    public CallException retryAfter(long ms) {
+        return new CallException(code(), notRun, getMessage(), ms);
+    }
+
+    /**
+     * Returns the time after which the call is likely to be taken.
+     *
+     * @return milliseconds, 0 without advice
+     */
+    public long retryAfterMs() {
+        return retryAfterMs;
+    }
 }
--- a/api/src/main/java/org/mimosahinge/api/error/MimosahingeException.java
+++ b/api/src/main/java/org/mimosahinge/api/error/MimosahingeException.java
@@ -18,6 +18,18 @@
         this.code = code;
     }
 
+    /**
+     * Creates a failure that is part of normal operation under load and therefore carries no stack trace.
+     *
+     * @param code the stable code
+     * @param message what failed, with the values involved
+     * @param writableStackTrace whether the stack trace is recorded
+     */
+    protected MimosahingeException(ErrorCode code, String message, boolean writableStackTrace) {
+        super(message, null, true, writableStackTrace);
+        this.code = code;
+    }
+
     /**
      * Creates a failure with a cause.
      *
--- a/api/src/test/java/org/mimosahinge/api/document/RoundTripTest.java
+++ b/api/src/test/java/org/mimosahinge/api/document/RoundTripTest.java
@@ -22,6 +22,7 @@
 import org.mimosahinge.api.contract.Route;
 import org.mimosahinge.api.contract.Section;
 import org.mimosahinge.api.contract.Service;
+import org.mimosahinge.api.contract.ServiceShare;
 import org.mimosahinge.api.operator.DocumentView;
 import org.mimosahinge.api.operator.OperatorJson;
 import org.mimosahinge.api.settings.NodeSettings;
@@ -78,7 +79,17 @@
         Arbitrary<Route> routes = Combinators.combine(names, names, Arbitraries.of(CallClass.class), timeouts, sets)
                 .flatAs((name, service, callClass, timeout, resources) -> Arbitraries.of(0, 1, 2)
                         .map(once -> new Route(
-                                name, "/" + name, service, callClass, timeout, once == 1, once == 2, resources)));
+                                name,
+                                "",
+                                "/" + name,
+                                List.of(new ServiceShare(service, 1)),
+                                callClass,
+                                timeout,
+                                timeout,
+                                Route.DEFAULT_MAX_ATTEMPTS,
+                                once == 1,
+                                once == 2,
+                                resources)));
         return Combinators.combine(
                         names,
                         sets,
--- a/bench/src/main/java/org/mimosahinge/bench/calls/CallMesh.java
+++ b/bench/src/main/java/org/mimosahinge/bench/calls/CallMesh.java
@@ -16,9 +16,11 @@
 import java.util.concurrent.TimeUnit;
 import org.mimosahinge.api.config.Snapshot;
 import org.mimosahinge.api.contract.CallClass;
+import org.mimosahinge.api.contract.CallerLimits;
 import org.mimosahinge.api.contract.Limits;
 import org.mimosahinge.api.contract.Route;
 import org.mimosahinge.api.contract.Service;
+import org.mimosahinge.api.contract.ServiceShare;
 import org.mimosahinge.api.world.AvailabilityZone;
 import org.mimosahinge.api.world.BackendServer;
 import org.mimosahinge.api.world.Endpoint;
@@ -106,7 +108,17 @@
 
     private static Route route(String path, CallClass callClass, int seconds, boolean atMostOnce) {
         return new Route(
-                path, path, SERVICE, callClass, Duration.ofSeconds(seconds), !atMostOnce, atMostOnce, Set.of());
+                path,
+                "",
+                path,
+                List.of(new ServiceShare(SERVICE, 1)),
+                callClass,
+                Duration.ofSeconds(seconds),
+                Duration.ofSeconds(seconds),
+                Route.DEFAULT_MAX_ATTEMPTS,
+                !atMostOnce,
+                atMostOnce,
+                Set.of());
     }
 
     private synchronized void startBackend(Node node) {
@@ -132,7 +144,8 @@
                 Map.of(),
                 Map.of(SERVICE, List.copyOf(endpoints.values())),
                 Set.of(),
-                true);
+                true,
+                CallerLimits.DEFAULT);
     }
 
     /** Removes an endpoint after two refused connections, as the control thread does. */
--- a/core/src/main/java/org/mimosahinge/core/admission/AdmissionDecision.java
+++ b/core/src/main/java/org/mimosahinge/core/admission/AdmissionDecision.java
@@ -19,6 +19,7 @@
      * The call is refused and certainly does not run.
      *
      * @param reason why, for the caller
+     * @param roomInMs time after which the same call would probably have been taken
      */
-    record Refuse(String reason) implements AdmissionDecision {}
+    record Refuse(String reason, long roomInMs) implements AdmissionDecision {}
 }
--- a/core/src/main/java/org/mimosahinge/core/admission/AdmissionQueue.java
+++ b/core/src/main/java/org/mimosahinge/core/admission/AdmissionQueue.java
@@ -26,14 +26,15 @@
             return new Run();
         }
         double startMs = (ahead + 1) * view.serviceMs() / Math.max(1, slots);
-        if (view.nowMs() + startMs + view.serviceMs() > call.deadlineMs()) {
-            return new Refuse("Queue is too long for the deadline");
+        double lateMs = view.nowMs() + startMs + view.ownServiceMs() - call.deadlineMs();
+        if (lateMs > 0) {
+            return new Refuse("Queue is too long for the deadline", (long) Math.min(lateMs, startMs));
         }
         if (view.waiting().size() < view.limits().queue()) {
             return new Wait(Optional.empty());
         }
         if (view.waiting().isEmpty() || view.waiting().last().compareTo(call) < 0) {
-            return new Refuse("Queue is full");
+            return new Refuse("Queue is full", (long) startMs);
         }
         return new Wait(Optional.of(view.waiting().last()));
     }
--- a/core/src/main/java/org/mimosahinge/core/admission/AdmissionView.java
+++ b/core/src/main/java/org/mimosahinge/core/admission/AdmissionView.java
@@ -10,6 +10,26 @@
  * @param waiting calls that wait, next one first
  * @param serviceMs recent mean time that a call holds its slot
  * @param nowMs the current time
+ * @param ownServiceMs recent mean time that calls of the arriving one's class hold their slot
  */
 public record AdmissionView(
-        AdmissionLimits limits, int running, SortedSet<Waiter> waiting, double serviceMs, long nowMs) {}
+        AdmissionLimits limits,
+        int running,
+        SortedSet<Waiter> waiting,
+        double serviceMs,
+        long nowMs,
+        double ownServiceMs) {
+
+    /**
+     * A view in which all classes hold their slots for the same time.
+     *
+     * @param limits limits of the endpoint
+     * @param running calls that hold a slot
+     * @param waiting calls that wait, next one first
+     * @param serviceMs recent mean time that a call holds its slot
+     * @param nowMs the current time
+     */
+    public AdmissionView(AdmissionLimits limits, int running, SortedSet<Waiter> waiting, double serviceMs, long nowMs) {
+        this(limits, running, waiting, serviceMs, nowMs, serviceMs);
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/mimosahinge/core/admission/FinishBy.java
@@ -0,0 +1,37 @@
+package org.mimosahinge.core.admission;
+
+/** Tells until when a waiting call is worth finishing; later ones give way at once instead of after their wait. */
+@FunctionalInterface
+public interface FinishBy {
+
+    /** Time that a call which has missed its target may still take, so that a repeat after a refusal is served. */
+    long LATE_ALLOWANCE_MS = 300;
+
+    /**
+     * Returns the time that a call may take from now on.
+     *
+     * @param targetMs time left until the answer loses part of its use, negative when that has passed
+     * @param deadlineMs time left until the answer is of no use
+     * @return milliseconds from now
+     */
+    long withinMs(long targetMs, long deadlineMs);
+
+    /**
+     * A call may take its whole deadline.
+     *
+     * @return the rule
+     */
+    static FinishBy deadline() {
+        return (targetMs, deadlineMs) -> deadlineMs;
+    }
+
+    /**
+     * A call has to meet its target latency. Under lasting overload a queue bounded by the deadline makes every call
+     * late; one bounded by the target serves as many calls in time as the slots allow and refuses the rest at once.
+     *
+     * @return the rule
+     */
+    static FinishBy target() {
+        return (targetMs, deadlineMs) -> Math.min(deadlineMs, targetMs > 0 ? targetMs : LATE_ALLOWANCE_MS);
+    }
+}
--- a/core/src/main/java/org/mimosahinge/core/admission/Waiter.java
+++ b/core/src/main/java/org/mimosahinge/core/admission/Waiter.java
@@ -7,7 +7,7 @@
  * A call that asks for a slot; the order is class, then deadline, then arrival.
  *
  * @param callClass priority
- * @param deadlineMs when the caller stops waiting
+ * @param deadlineMs when the call must have ended to be of use
  * @param arrival number of the call in order of arrival
  */
 public record Waiter(CallClass callClass, long deadlineMs, long arrival) implements Comparable<Waiter> {
--- a/core/src/main/java/org/mimosahinge/core/config/SnapshotBuilder.java
+++ b/core/src/main/java/org/mimosahinge/core/config/SnapshotBuilder.java
@@ -15,6 +15,7 @@
 import org.mimosahinge.api.config.MoveState;
 import org.mimosahinge.api.config.RevisedSection;
 import org.mimosahinge.api.config.Snapshot;
+import org.mimosahinge.api.contract.CallerLimits;
 import org.mimosahinge.api.contract.Route;
 import org.mimosahinge.api.contract.Section;
 import org.mimosahinge.api.contract.Service;
@@ -208,7 +209,8 @@
                 moves,
                 current.endpoints(),
                 halts,
-                current.provenCurrent());
+                current.provenCurrent(),
+                CallerLimits.DEFAULT);
     }
 
     // Marks of unknown services are kept: they may arrive over the tree before the section does.
@@ -233,7 +235,8 @@
                 current.moves(),
                 endpoints,
                 halts,
-                provenCurrent);
+                provenCurrent,
+                CallerLimits.DEFAULT);
     }
 
     private static UpdateRejectedException rejected(Snapshot current, ConfigUpdate update, String reason) {
--- /dev/null
+++ b/core/src/main/java/org/mimosahinge/core/move/PromptStep.java
@@ -0,0 +1,12 @@
+package org.mimosahinge.core.move;
+
+import org.mimosahinge.api.config.MovePhase;
+
+/**
+ * The next state of a move.
+ *
+ * @param phase running, done or taken back
+ * @param sharePermille share of new calls that the new version gets
+ * @param reason why, for logs and operators
+ */
+public record PromptStep(MovePhase phase, int sharePermille, String reason) {}
--- /dev/null
+++ b/core/src/main/java/org/mimosahinge/core/move/PromptView.java
@@ -0,0 +1,12 @@
+package org.mimosahinge.core.move;
+
+/**
+ * What a node knows of a move that has seconds.
+ *
+ * @param to the new version
+ * @param elapsedMs time since the order was seen
+ * @param durationMs time that the order allows
+ * @param newReady ready endpoints of the new version
+ * @param evidence outcomes since the order, by version and class, summed over the fleet
+ */
+public record PromptView(String to, long elapsedMs, long durationMs, int newReady, Evidence evidence) {}
--- a/core/src/main/java/org/mimosahinge/core/retry/RetryBudget.java
+++ b/core/src/main/java/org/mimosahinge/core/retry/RetryBudget.java
@@ -1,17 +1,27 @@
 package org.mimosahinge.core.retry;
 
+import org.mimosahinge.api.contract.Limits;
+
 /**
  * Limits retries of a service to a share of its first attempts, so that retries cannot multiply an overload.
  *
  * @param percent retries allowed as a percentage of first attempts
  * @param hundredths saved retries in hundredths
+ * @param burst retries that may be saved up
  */
-public record RetryBudget(int percent, long hundredths) {
+public record RetryBudget(int percent, long hundredths, int burst) {
 
     private static final long ONE = 100;
 
-    /** Saved retries at most; bounds the burst after a long time without failures. */
-    private static final long CAP = 50 * ONE;
+    /**
+     * A budget with the default burst.
+     *
+     * @param percent retries allowed as a percentage of first attempts
+     * @param hundredths saved retries in hundredths
+     */
+    public RetryBudget(int percent, long hundredths) {
+        this(percent, hundredths, Limits.DEFAULT_RETRY_BURST);
+    }
 
     /**
      * Starts a budget with one retry, so that a service with little traffic can retry at all.
@@ -23,13 +33,33 @@
         return new RetryBudget(percent, percent > 0 ? ONE : 0);
     }
 
+    /**
+     * Starts a budget with the limits of a service.
+     *
+     * @param limits the limits
+     * @return the budget
+     */
+    public static RetryBudget of(Limits limits) {
+        return new RetryBudget(limits.retryPercent(), limits.retryPercent() > 0 ? ONE : 0, limits.retryBurst());
+    }
+
+    /**
+     * Tells whether the budget follows these limits.
+     *
+     * @param limits limits of the service
+     * @return true when rate and burst are the same
+     */
+    public boolean follows(Limits limits) {
+        return percent == limits.retryPercent() && burst == limits.retryBurst();
+    }
+
     /**
      * Notes a first attempt.
      *
      * @return the budget afterwards
      */
     public RetryBudget attempted() {
-        return new RetryBudget(percent, Math.min(CAP, hundredths + percent));
+        return new RetryBudget(percent, Math.min(burst * ONE, hundredths + percent), burst);
     }
 
     /**
@@ -47,6 +77,6 @@
      * @return the budget afterwards
      */
     public RetryBudget retried() {
-        return new RetryBudget(percent, hundredths - ONE);
+        return new RetryBudget(percent, hundredths - ONE, burst);
     }
 }
--- a/core/src/main/java/org/mimosahinge/core/retry/RetryPolicy.java
+++ b/core/src/main/java/org/mimosahinge/core/retry/RetryPolicy.java
@@ -28,6 +28,24 @@
                 && view.budget().allowsRetry();
     }
 
+    /** Time below which another attempt cannot bring an answer over a region link. */
+    long MIN_USEFUL_MS = 30;
+
+    /**
+     * Counts only attempts that reached an endpoint against the route and the budget; a call that a node refused
+     * before its backend server saw it costs nothing there.
+     *
+     * @return the policy
+     */
+    static RetryPolicy countingArrivals() {
+        return view -> (view.idempotent() || view.notRun())
+                && view.attempts() < MAX_ATTEMPTS
+                && view.reached() < view.maxAttempts()
+                && view.bodyReplayable()
+                && view.remainingMs() > MIN_USEFUL_MS
+                && (view.reached() == 0 || view.budget().allowsRetry());
+    }
+
     /**
      * Baseline: never retries.
      *
--- a/core/src/main/java/org/mimosahinge/core/routing/ChoiceRequest.java
+++ b/core/src/main/java/org/mimosahinge/core/routing/ChoiceRequest.java
@@ -4,11 +4,13 @@
 import org.mimosahinge.api.world.AvailabilityZone;
 
 /**
- * Asks for an endpoint of one backend server version.
+ * Asks for an endpoint of a service.
  *
  * @param service the service
- * @param version the backend server version
+ * @param rule which of its endpoints may take the call
  * @param zone zone of the choosing node
  * @param excluded endpoints that were already tried
+ * @param expectedKb expected size of request and response together, in kilobytes
  */
-public record ChoiceRequest(String service, String version, AvailabilityZone zone, Set<String> excluded) {}
+public record ChoiceRequest(
+        String service, EndpointRule rule, AvailabilityZone zone, Set<String> excluded, double expectedKb) {}
--- a/core/src/main/java/org/mimosahinge/core/routing/EndpointChoosers.java
+++ b/core/src/main/java/org/mimosahinge/core/routing/EndpointChoosers.java
@@ -50,7 +50,7 @@
                 }
                 List<Endpoint> withRoom = new ArrayList<>(candidates.size());
                 for (Endpoint endpoint : candidates) {
-                    if (hasRoom(endpoint, loads.load(endpoint.id()))) {
+                    if (hasRoom(endpoint, loads.load(endpoint))) {
                         withRoom.add(endpoint);
                     }
                 }
@@ -89,16 +89,16 @@
             List<Endpoint> eligible = eligible(request, snapshot);
             return eligible.stream()
                     .min(Comparator.comparingInt(
-                            endpoint -> loads.load(endpoint.id()).reportedPermille()))
+                            endpoint -> loads.load(endpoint).reportedPermille()))
                     .flatMap(endpoint -> choice(request, endpoint, eligible.size()));
         };
     }
 
-    private static List<Endpoint> eligible(ChoiceRequest request, Snapshot snapshot) {
+    static List<Endpoint> eligible(ChoiceRequest request, Snapshot snapshot) {
         List<Endpoint> found = new ArrayList<>();
         for (Endpoint endpoint : snapshot.endpoints().getOrDefault(request.service(), List.of())) {
             if (endpoint.state() == EndpointState.READY
-                    && endpoint.server().version().equals(request.version())
+                    && request.rule().admits(endpoint)
                     && !request.excluded().contains(endpoint.id())) {
                 found.add(endpoint);
             }
@@ -110,7 +110,7 @@
         return Optional.of(new Choice(endpoint, proximity(request, endpoint), candidates));
     }
 
-    private static Proximity proximity(ChoiceRequest request, Endpoint endpoint) {
+    static Proximity proximity(ChoiceRequest request, Endpoint endpoint) {
         return Proximity.between(request.zone(), endpoint.node().zone());
     }
 
@@ -118,7 +118,7 @@
     private static Optional<Choice> withoutRoom(
             ChoiceRequest request, List<Endpoint> eligible, LoadView loads, RandomSource random) {
         Comparator<Endpoint> order = Comparator.<Endpoint, Boolean>comparing(
-                        endpoint -> loads.load(endpoint.id()).suspect())
+                        endpoint -> loads.load(endpoint).suspect())
                 .thenComparing(endpoint -> proximity(request, endpoint));
         Optional<Endpoint> best = eligible.stream().min(order);
         return best.flatMap(first -> {
@@ -143,7 +143,7 @@
         int second = (first + 1 + random.nextInt(size - 1)) % size;
         Endpoint one = candidates.get(first);
         Endpoint other = candidates.get(second);
-        return score(one, loads.load(one.id())) <= score(other, loads.load(other.id())) ? one : other;
+        return score(one, loads.load(one)) <= score(other, loads.load(other)) ? one : other;
     }
 
     /** Expected occupation; own calls count fully, the report loses weight with its age. */
--- /dev/null
+++ b/core/src/main/java/org/mimosahinge/core/routing/EndpointRule.java
@@ -0,0 +1,26 @@
+package org.mimosahinge.core.routing;
+
+import org.mimosahinge.api.world.Endpoint;
+
+/** Tells which endpoints of a service may take a call. */
+@FunctionalInterface
+public interface EndpointRule {
+
+    /**
+     * Decides about one endpoint.
+     *
+     * @param endpoint a ready endpoint of the service
+     * @return whether it may take the call
+     */
+    boolean admits(Endpoint endpoint);
+
+    /**
+     * Admits the endpoints of one backend server version.
+     *
+     * @param version the version
+     * @return the rule
+     */
+    static EndpointRule version(String version) {
+        return endpoint -> endpoint.server().version().equals(version);
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/mimosahinge/core/routing/ExpectedTime.java
@@ -0,0 +1,110 @@
+package org.mimosahinge.core.routing;
+
+import java.util.List;
+import java.util.Optional;
+import org.mimosahinge.api.world.Endpoint;
+import org.mimosahinge.api.world.Proximity;
+
+/**
+ * Chooses the endpoint where a call is expected to end first, with the price of bytes counted as time.
+ *
+ * <p>The expected time is the round trip, the wait for a slot and the time in the slot, as last reported by the node
+ * beside the endpoint, plus the node's own calls since that report.
+ */
+public final class ExpectedTime {
+
+    /** Reports lose their weight within this time; a busy endpoint is reported far more often. */
+    private static final double REPORT_LIFETIME_MS = 2_000;
+
+    /** Load assumed where no fresh report exists, so that silence neither attracts nor repels calls. */
+    private static final double ASSUMED_LOAD = 0.5;
+
+    /** Service time assumed while no endpoint of the service has reported one. */
+    private static final double ASSUMED_SERVICE_MS = 50;
+
+    /** Endpoints answer at about half their speed in the first seconds after their start. */
+    private static final double COLD_FACTOR = 2;
+
+    private static final long COLD_MS = 3_000;
+
+    /** Waiting grows before all slots are taken, since calls come in bunches. */
+    private static final double BUNCHING = 0.3;
+
+    /** Costs this close are drawn at random, so that nodes with the same reports do not all pick one endpoint. */
+    private static final double CLOSE_MS = 3;
+
+    private static final double SUSPECT_MS = 10_000;
+
+    private ExpectedTime() {}
+
+    /**
+     * Creates the chooser.
+     *
+     * @param costs the price of bytes and failures
+     * @return the chooser
+     */
+    public static EndpointChooser chooser(CostModel costs) {
+        return (request, snapshot, loads, random) -> {
+            List<Endpoint> eligible = EndpointChoosers.eligible(request, snapshot);
+            if (eligible.isEmpty()) {
+                return Optional.empty();
+            }
+            EndpointLoad[] load = new EndpointLoad[eligible.size()];
+            for (int i = 0; i < load.length; i++) {
+                load[i] = loads.load(eligible.get(i));
+            }
+            double usualMs = usualServiceMs(load);
+            int best = 0;
+            double bestMs = Double.MAX_VALUE;
+            for (int i = 0; i < load.length; i++) {
+                double ms = costMs(request, eligible.get(i), load[i], usualMs, costs)
+                        + CLOSE_MS * random.nextInt(1000) / 1000;
+                if (ms < bestMs) {
+                    best = i;
+                    bestMs = ms;
+                }
+            }
+            Endpoint chosen = eligible.get(best);
+            return Optional.of(new Choice(chosen, EndpointChoosers.proximity(request, chosen), load.length));
+        };
+    }
+
+    private static double usualServiceMs(EndpointLoad[] loads) {
+        double sum = 0;
+        int known = 0;
+        for (EndpointLoad load : loads) {
+            if (load.pace().serviceMs() > 0) {
+                sum += load.pace().serviceMs();
+                known++;
+            }
+        }
+        return known == 0 ? ASSUMED_SERVICE_MS : sum / known;
+    }
+
+    private static double costMs(
+            ChoiceRequest request, Endpoint endpoint, EndpointLoad load, double usualMs, CostModel costs) {
+        EndpointPace pace = load.pace();
+        double cold = load.readyForMs() < COLD_MS ? COLD_FACTOR : 1;
+        double serviceMs = pace.serviceMs() > 0 ? pace.serviceMs() : usualMs * cold;
+        double occupied = occupied(endpoint, load);
+        double waitMs = occupied < 1
+                ? BUNCHING * serviceMs * Math.pow(occupied, 4)
+                : BUNCHING * serviceMs + (occupied - 1) * serviceMs;
+        Proximity proximity = EndpointChoosers.proximity(request, endpoint);
+        return pace.roundTripMs()
+                + waitMs
+                + serviceMs
+                + costs.transferMs(proximity, request.expectedKb())
+                + pace.failureShare() * costs.failureMs()
+                + (load.suspect() ? SUSPECT_MS : 0);
+    }
+
+    /** Calls in the endpoint's slots and queue after this one has arrived, in units of its slots. */
+    private static double occupied(Endpoint endpoint, EndpointLoad load) {
+        double slots = Math.max(1, endpoint.server().slots());
+        double freshness = Math.max(0, 1 - load.reportAgeMs() / REPORT_LIFETIME_MS);
+        double reported = freshness * load.reportedPermille() / 1000 + (1 - freshness) * ASSUMED_LOAD;
+        double sinceReport = reported + load.pace().sentSinceReport() / slots;
+        return Math.max(sinceReport, load.outstanding() / slots) + 1 / slots;
+    }
+}
--- a/core/src/main/java/org/mimosahinge/core/routing/LoadView.java
+++ b/core/src/main/java/org/mimosahinge/core/routing/LoadView.java
@@ -1,5 +1,7 @@
 package org.mimosahinge.core.routing;
 
+import org.mimosahinge.api.world.Endpoint;
+
 /** A node's view of the load of endpoints. */
 @FunctionalInterface
 public interface LoadView {
@@ -7,8 +9,8 @@
     /**
      * Returns the load of one endpoint.
      *
-     * @param endpointId the endpoint
+     * @param endpoint the endpoint
      * @return its load
      */
-    EndpointLoad load(String endpointId);
+    EndpointLoad load(Endpoint endpoint);
 }
--- /dev/null
+++ b/core/src/main/java/org/mimosahinge/core/routing/RouteIndex.java
@@ -0,0 +1,97 @@
+package org.mimosahinge.core.routing;
+
+import java.util.HashMap;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.Optional;
+import org.mimosahinge.api.contract.Route;
+
+/** Finds the route of a request by host and longest path prefix, in time that depends on the path's depth only. */
+public final class RouteIndex {
+
+    private static final String ANY_HOST = "";
+
+    private final List<Route> routes;
+    private final Map<String, Map<String, Route>> byHost = new HashMap<>();
+
+    private RouteIndex(List<Route> routes) {
+        this.routes = routes;
+        for (Route route : routes) {
+            byHost.computeIfAbsent(route.host().toLowerCase(Locale.ROOT), host -> new HashMap<>())
+                    .putIfAbsent(route.pathPrefix(), route);
+        }
+    }
+
+    /**
+     * Builds the index of a list of routes.
+     *
+     * @param routes the routes
+     * @return the index
+     */
+    public static RouteIndex of(List<Route> routes) {
+        return new RouteIndex(routes);
+    }
+
+    /**
+     * Tells whether the index was built from this list.
+     *
+     * @param list a list of routes
+     * @return true for the very same list
+     */
+    public boolean covers(List<Route> list) {
+        return routes == list;
+    }
+
+    /**
+     * Returns the route with the longest path prefix that matches, among the host's routes first.
+     *
+     * <p>A prefix matches whole path segments only, so {@code /list} does not match {@code /listings}.
+     *
+     * @param host the request's host, with or without a port
+     * @param uri path and query of the request
+     * @return the route, empty when none matches
+     */
+    public Optional<Route> match(String host, String uri) {
+        String path = path(uri);
+        Map<String, Route> ofHost = byHost.get(hostName(host));
+        Route found = ofHost == null ? null : longest(ofHost, path);
+        Map<String, Route> ofAny = found == null ? byHost.get(ANY_HOST) : null;
+        return Optional.ofNullable(ofAny == null ? found : longest(ofAny, path));
+    }
+
+    /**
+     * Returns the path of a request target without its query.
+     *
+     * @param uri path and query
+     * @return the path
+     */
+    public static String path(String uri) {
+        int query = uri.indexOf('?');
+        return query < 0 ? uri : uri.substring(0, query);
+    }
+
+    private static String hostName(String host) {
+        int colon = host.lastIndexOf(':');
+        boolean port = colon > host.lastIndexOf(']');
+        return (port ? host.substring(0, colon) : host).toLowerCase(Locale.ROOT);
+    }
+
+    private static Route longest(Map<String, Route> routes, String path) {
+        Route whole = routes.get(path);
+        if (whole != null) {
+            return whole;
+        }
+        for (int slash = path.lastIndexOf('/'); slash >= 0; slash = path.lastIndexOf('/', slash - 1)) {
+            Route directory = routes.get(path.substring(0, slash + 1));
+            if (directory != null) {
+                return directory;
+            }
+            Route segment = slash == 0 ? null : routes.get(path.substring(0, slash));
+            if (segment != null) {
+                return segment;
+            }
+        }
+        return null;
+    }
+}
--- a/core/src/test/java/org/mimosahinge/core/Samples.java
+++ b/core/src/test/java/org/mimosahinge/core/Samples.java
@@ -17,6 +17,7 @@
 import org.mimosahinge.api.contract.Route;
 import org.mimosahinge.api.contract.Section;
 import org.mimosahinge.api.contract.Service;
+import org.mimosahinge.api.contract.ServiceShare;
 import org.mimosahinge.api.world.AvailabilityZone;
 import org.mimosahinge.api.world.BackendServer;
 import org.mimosahinge.api.world.Endpoint;
@@ -47,10 +48,13 @@
     public static Route route(String prefix, String service, String... resources) {
         return new Route(
                 prefix.substring(1),
+                "",
                 prefix,
-                service,
+                List.of(new ServiceShare(service, 1)),
                 CallClass.INTERACTIVE,
                 Duration.ofSeconds(2),
+                Duration.ofSeconds(2),
+                Route.DEFAULT_MAX_ATTEMPTS,
                 true,
                 false,
                 Set.of(resources));
--- a/core/src/test/java/org/mimosahinge/core/routing/RoutingTest.java
+++ b/core/src/test/java/org/mimosahinge/core/routing/RoutingTest.java
@@ -23,9 +23,11 @@
 import org.mimosahinge.api.config.MoveState;
 import org.mimosahinge.api.config.Snapshot;
 import org.mimosahinge.api.contract.CallClass;
+import org.mimosahinge.api.contract.CallerLimits;
 import org.mimosahinge.api.contract.Limits;
 import org.mimosahinge.api.contract.Route;
 import org.mimosahinge.api.contract.Service;
+import org.mimosahinge.api.contract.ServiceShare;
 import org.mimosahinge.api.world.AvailabilityZone;
 import org.mimosahinge.api.world.BackendServer;
 import org.mimosahinge.api.world.Endpoint;
@@ -48,7 +50,18 @@
             "link", new AvailabilityZone("link", new Region("east")));
 
     private static Route route(String prefix) {
-        return new Route(prefix, prefix, "shop", CallClass.INTERACTIVE, Duration.ofSeconds(1), true, false, Set.of());
+        return new Route(
+                prefix,
+                "",
+                prefix,
+                List.of(new ServiceShare("shop", 1)),
+                CallClass.INTERACTIVE,
+                Duration.ofSeconds(1),
+                Duration.ofSeconds(1),
+                Route.DEFAULT_MAX_ATTEMPTS,
+                true,
+                false,
+                Set.of());
     }
 
     private static Endpoint endpoint(String id, String version, String zone, EndpointState state) {
@@ -69,7 +82,8 @@
                 moves,
                 Map.of("shop", List.of(endpoints)),
                 halts,
-                true);
+                true,
+                CallerLimits.DEFAULT);
     }
 
     @ParameterizedTest(name = "{0} goes to {1}")
@@ -83,7 +97,7 @@
     })
     void matchesTheLongestPrefixOfWholeSegments(String uri, String prefix) {
         List<Route> routes = List.of(route("/shop/pages"), route("/shop"), route("/"));
-        assertEquals(prefix, RouteMatcher.match(routes, uri).orElseThrow().pathPrefix());
+        assertEquals(prefix, RouteIndex.of(routes).match("", uri).orElseThrow().pathPrefix());
     }
 
     @ParameterizedTest(name = "{0} {1} permille, halted {2} at revision {3}, ready {4}: v2 in {5}..{6} of 1000")
@@ -137,9 +151,9 @@
                 endpoint("link", "v1", "link", EndpointState.READY));
         Choice choice = EndpointChoosers.standard()
                 .choose(
-                        new ChoiceRequest("shop", "v1", ZONES.get("near"), Set.of(excluded)),
+                        new ChoiceRequest("shop", EndpointRule.version("v1"), ZONES.get("near"), Set.of(excluded), 1),
                         snapshot,
-                        id -> new EndpointLoad(outstanding.get(id), 0, Long.MAX_VALUE, 60_000, false),
+                        endpoint -> new EndpointLoad(outstanding.get(endpoint.id()), 0, Long.MAX_VALUE, 60_000, false),
                         new Random(1)::nextInt)
                 .orElseThrow();
         assertEquals(expected, choice.endpoint().id());
@@ -162,12 +176,12 @@
                 Set.of(),
                 endpoint("a", "v1", "near", EndpointState.READY),
                 endpoint("b", "v1", "near", EndpointState.READY));
-        LoadView loads = id -> id.equals("a")
+        LoadView loads = endpoint -> endpoint.id().equals("a")
                 ? new EndpointLoad(own, report, age, readyFor, suspect)
                 : new EndpointLoad(4, 0, Long.MAX_VALUE, 60_000, false);
         Choice choice = EndpointChoosers.standard()
                 .choose(
-                        new ChoiceRequest("shop", "v1", ZONES.get("near"), Set.of()),
+                        new ChoiceRequest("shop", EndpointRule.version("v1"), ZONES.get("near"), Set.of(), 1),
                         snapshot,
                         loads,
                         new Random(1)::nextInt)
@@ -189,12 +203,12 @@
                 Set.of(),
                 endpoint("near", "v1", "near", EndpointState.READY),
                 endpoint("link", "v1", "link", EndpointState.READY));
-        LoadView loads = id -> id.equals("near")
+        LoadView loads = endpoint -> endpoint.id().equals("near")
                 ? new EndpointLoad(near, 0, Long.MAX_VALUE, 60_000, nearSuspect)
                 : new EndpointLoad(link, 0, Long.MAX_VALUE, 60_000, linkSuspect);
         Choice choice = EndpointChoosers.standard()
                 .choose(
-                        new ChoiceRequest("shop", "v1", ZONES.get("near"), Set.of()),
+                        new ChoiceRequest("shop", EndpointRule.version("v1"), ZONES.get("near"), Set.of(), 1),
                         snapshot,
                         loads,
                         new Random(1)::nextInt)
@@ -214,9 +228,9 @@
         for (EndpointChooser chooser : List.of(
                 EndpointChoosers.standard(), EndpointChoosers.roundRobin(), EndpointChoosers.leastReportedLoad())) {
             Optional<Choice> choice = chooser.choose(
-                    new ChoiceRequest("shop", "v1", ZONES.get("near"), Set.of()),
+                    new ChoiceRequest("shop", EndpointRule.version("v1"), ZONES.get("near"), Set.of(), 1),
                     snapshot,
-                    id -> EndpointLoad.UNKNOWN,
+                    endpoint -> EndpointLoad.UNKNOWN,
                     new Random(first)::nextInt);
             boolean anyReady = states[first] == EndpointState.READY || states[second] == EndpointState.READY;
             assertEquals(anyReady, choice.isPresent());
--- a/daemon/src/main/java/org/mimosahinge/daemon/control/EvidenceFrames.java
+++ b/daemon/src/main/java/org/mimosahinge/daemon/control/EvidenceFrames.java
@@ -13,11 +13,18 @@
 import org.mimosahinge.net.frame.Frame;
 
 /** Converts evidence on moves between its frame and the form that decisions use. */
-final class EvidenceFrames {
+public final class EvidenceFrames {
 
     private EvidenceFrames() {}
 
-    static Frame.Evidence toFrame(String service, Evidence evidence) {
+    /**
+     * Writes evidence as a frame.
+     *
+     * @param service the service
+     * @param evidence the evidence
+     * @return the frame
+     */
+    public static Frame.Evidence toFrame(String service, Evidence evidence) {
         return new Frame.Evidence(
                 service,
                 evidence.tallies().entrySet().stream()
@@ -25,7 +32,13 @@
                         .toList());
     }
 
-    static Evidence fromFrame(Frame.Evidence frame) {
+    /**
+     * Reads evidence from a frame.
+     *
+     * @param frame the frame
+     * @return the evidence
+     */
+    public static Evidence fromFrame(Frame.Evidence frame) {
         Map<EvidenceKey, Tally> tallies = new HashMap<>();
         for (Frame.Tally tally : frame.tallies()) {
             tallies.merge(
--- a/daemon/src/main/java/org/mimosahinge/daemon/control/SnapshotReference.java
+++ b/daemon/src/main/java/org/mimosahinge/daemon/control/SnapshotReference.java
@@ -13,7 +13,12 @@
         return current;
     }
 
-    void replace(Snapshot next) {
+    /**
+     * Puts a snapshot in force; only the control thread does so.
+     *
+     * @param next the snapshot
+     */
+    public void replace(Snapshot next) {
         current = next;
     }
 }
--- /dev/null
+++ b/daemon/src/main/java/org/mimosahinge/daemon/fleet/FleetOutputs.java
@@ -0,0 +1,34 @@
+package org.mimosahinge.daemon.fleet;
+
+import java.util.concurrent.CompletionStage;
+import org.mimosahinge.api.world.Node;
+
+/** What the control state writes to the platform; results arrive on the control thread. */
+public interface FleetOutputs {
+
+    /**
+     * Registers this node, so that others find it.
+     *
+     * @param self the node
+     * @return fails when the row may not have been written
+     */
+    CompletionStage<Void> register(Node self);
+
+    /**
+     * Removes the row of a node that nobody can reach.
+     *
+     * @param node the node
+     * @param revision revision of its row; a newer row stays
+     * @return fails when the row may not have been removed
+     */
+    CompletionStage<Void> remove(Node node, long revision);
+
+    /**
+     * Tells operators the state of a move, if no other node has told a newer one.
+     *
+     * @param outcome the state
+     * @param revision revision of the state that this one replaces, 0 for none
+     * @return whether it was written; fails when that is not known
+     */
+    CompletionStage<Boolean> publish(MoveOutcome outcome, long revision);
+}
--- a/daemon/src/main/java/org/mimosahinge/daemon/traffic/Attempt.java
+++ b/daemon/src/main/java/org/mimosahinge/daemon/traffic/Attempt.java
@@ -15,6 +15,8 @@
 
     private static final double NANOS_PER_MS = 1e6;
 
+    private static final int SERVER_ERRORS = 500;
+
     /** Silence within a body that is tolerated while the caller has taken everything. */
     private static final long BODY_SILENCE_MS = 1_500;
 
@@ -115,14 +117,32 @@
         if (ended) {
             return;
         }
-        tracker.reported(start.loadPermille(), TrafficLoop.nowMs());
-        if (start.status() == 503 && HeaderMaps.NOT_RUN.equals(start.headers().get(HeaderMaps.OUTCOME))) {
+        tracker.reported(start.load(), TrafficLoop.nowMs());
+        if (loop.protocol().refused().test(start.status(), start.headers())) {
             // The rest of the refusal is read and dropped so that the connection can be kept.
+            call.attemptReached();
             end(Optional.of(FailureKind.SHED));
             call.attemptFailed(
                     this, CallFailures.notRun(0, ErrorCode.OVERLOADED, "The backend server refused the call"));
             return;
         }
+        if (!loop.protocol().genuine().test(start.status(), start.headers())) {
+            end(Optional.of(FailureKind.CONNECTION_LOSS));
+            exchange.cancel();
+            call.attemptFailed(
+                    this,
+                    CallFailures.mayHaveRun(
+                            0, ErrorCode.ANSWER_TRUNCATED, "The response is not one that the backend server made"));
+            return;
+        }
+        if (start.status() >= SERVER_ERRORS && call.mayReplaceFailure()) {
+            end(Optional.of(FailureKind.SERVER_ERROR));
+            call.attemptFailed(
+                    this,
+                    CallFailures.mayHaveRun(
+                            0, ErrorCode.INTERNAL, "The backend server answered with status " + start.status()));
+            return;
+        }
         status = start.status();
         responding = true;
         progressNanos = System.nanoTime();
@@ -160,7 +180,15 @@
         if (code == ErrorCode.CONNECTION_LOST || code == ErrorCode.NO_ENDPOINT || code == ErrorCode.NOT_READY) {
             tracker.connectionFailed(TrafficLoop.nowMs());
         }
-        end(Optional.of(CallFailures.kind(failure)));
+        if (failure.load() != Frame.Load.UNKNOWN) {
+            tracker.reported(failure.load(), TrafficLoop.nowMs());
+        }
+        if (failure.notRun()) {
+            // The queue of the node says nothing about how its backend server answers.
+            finish(Optional.of(CallFailures.kind(failure)));
+        } else {
+            end(Optional.of(CallFailures.kind(failure)));
+        }
         call.attemptFailed(this, failure);
     }
 
@@ -170,7 +198,15 @@
     }
 
     private void end(Optional<FailureKind> failure) {
+        tracker.outcome(failure.isPresent() && failure.get() != FailureKind.CALLER_ERROR, TrafficLoop.nowMs());
+        finish(failure);
+    }
+
+    private void finish(Optional<FailureKind> failure) {
         finish();
+        if (loop.context().policies().fleet().judgesAtBackend()) {
+            return;
+        }
         EvidenceKey key = new EvidenceKey(
                 endpoint.server().version(),
                 route.name(),
--- a/daemon/src/main/java/org/mimosahinge/daemon/traffic/BackendCall.java
+++ b/daemon/src/main/java/org/mimosahinge/daemon/traffic/BackendCall.java
@@ -3,11 +3,13 @@
 import io.netty.channel.EventLoop;
 import java.util.ArrayDeque;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Queue;
 import java.util.concurrent.ScheduledFuture;
 import java.util.concurrent.TimeUnit;
 import org.mimosahinge.api.error.ErrorCode;
 import org.mimosahinge.core.admission.Waiter;
+import org.mimosahinge.core.move.FailureKind;
 import org.mimosahinge.net.frame.Frame;
 
 /** One call at a backend server beside this node. */
@@ -23,6 +25,7 @@
         WAITING,
         CONNECTING,
         RUNNING,
+        ANSWERED,
         LOST,
         ENDED
     }
@@ -30,6 +33,7 @@
     private final BackendGate gate;
     private final Frame.CallStart start;
     private final Waiter waiter;
+    private final long deadlineAtMs;
     private final ResponseObserver observer;
     private final FlowWindow responseWindow = new FlowWindow();
     private final Queue<Frame.Body> unsent = new ArrayDeque<>();
@@ -38,33 +42,36 @@
     private BackendConnection connection;
     private long admittedNanos;
     private boolean responseStarted;
+    private int responseStatus;
+    private Map<String, String> responseHeaders = Map.of();
 
-    BackendCall(BackendGate gate, Frame.CallStart start, Waiter waiter, ResponseObserver observer) {
+    BackendCall(BackendGate gate, Frame.CallStart start, Waiter waiter, long deadlineAtMs, ResponseObserver observer) {
         this.gate = gate;
         this.start = start;
         this.waiter = waiter;
+        this.deadlineAtMs = deadlineAtMs;
         this.observer = observer;
     }
 
-    /** Refuses the call as not run when it still waits shortly before its deadline. */
+    /** Refuses the call as not run when it still waits shortly before it is of no use. */
     void limitWait(EventLoop loop) {
         long waitMs = Math.max(0, waiter.deadlineMs() - TrafficLoop.nowMs() - REFUSAL_LEAD_MS);
         waitLimit = loop.schedule(
                 () -> {
                     gate.leave(waiter);
-                    refuse(ErrorCode.DEADLINE_EXCEEDED, "The deadline passed in the queue");
+                    refuse(ErrorCode.OVERLOADED, "No slot became free in time", 0);
                 },
                 waitMs,
                 TimeUnit.MILLISECONDS);
     }
 
-    void refuse(String reason) {
-        refuse(ErrorCode.OVERLOADED, reason);
+    void refuse(String reason, long roomInMs) {
+        refuse(ErrorCode.OVERLOADED, reason, roomInMs);
     }
 
-    private void refuse(ErrorCode code, String reason) {
+    private void refuse(ErrorCode code, String reason, long roomInMs) {
         end();
-        fail(CallFailures.notRun(start.callId(), code, reason));
+        fail(new Frame.CallFailure(start.callId(), code.code(), true, reason, gate.load(), (int) roomInMs));
     }
 
     void admitted() {
@@ -79,18 +86,20 @@
     void connected(BackendConnection opened) {
         if (state != State.CONNECTING) {
             if (opened != null) {
+                opened.released();
                 gate.release(opened);
             }
             return;
         }
         if (opened == null) {
             gate.refused();
-            refuse(ErrorCode.CONNECTION_LOST, "Backend server refused the connection");
+            refuse(ErrorCode.CONNECTION_LOST, "Backend server refused the connection", 0);
             return;
         }
         state = State.RUNNING;
         connection = opened;
-        connection.send(start, (int) Math.max(1, waiter.deadlineMs() - TrafficLoop.nowMs()), this);
+        int leftMs = (int) Math.max(1, deadlineAtMs - TrafficLoop.nowMs());
+        connection.send(start, new CallMarks(gate.protocol(), gate.endpoint().id(), leftMs), this);
         for (Frame.Body part = unsent.poll(); part != null; part = unsent.poll()) {
             connection.body(part.bytes(), part.last());
         }
@@ -116,7 +125,7 @@
 
     @Override
     public void cancel() {
-        if (state == State.ENDED) {
+        if (state == State.ENDED || state == State.ANSWERED) {
             return;
         }
         boolean doubtful = state == State.RUNNING
@@ -144,10 +153,16 @@
     @Override
     public void started(int status, Map<String, String> headers) {
         responseStarted = true;
-        long reported = Math.min(1000, HeaderMaps.number(headers, "x-load"));
-        observer.started(
-                new Frame.ResponseStart(start.callId(), status, headers, HeaderMaps.contentLength(headers), (int)
-                        Math.max(gate.loadPermille(), reported)));
+        responseStatus = status;
+        responseHeaders = headers;
+        Frame.Load load = gate.load();
+        int reported = (int) Math.min(1000, HeaderMaps.number(headers, "x-load"));
+        observer.started(new Frame.ResponseStart(
+                start.callId(),
+                status,
+                headers,
+                HeaderMaps.contentLength(headers),
+                new Frame.Load(Math.max(load.permille(), reported), load.serviceMs())));
     }
 
     @Override
@@ -158,10 +173,27 @@
             observer.body(bytes, false);
             return;
         }
-        gate.release(connection);
+        BackendConnection used = connection;
+        used.released();
         observer.body(bytes, true);
         observer.flush();
-        end();
+        gate.judged(start.callClass(), failureOfStatus(), System.nanoTime() - admittedNanos);
+        // Bytes behind the response may already have been read; they must not meet the next call.
+        used.whenRead(() -> {
+            gate.release(used);
+            end();
+        });
+        state = State.ANSWERED;
+    }
+
+    private Optional<FailureKind> failureOfStatus() {
+        if (responseStatus >= 500) {
+            return Optional.of(
+                    gate.protocol().refused().test(responseStatus, responseHeaders)
+                            ? FailureKind.SHED
+                            : FailureKind.SERVER_ERROR);
+        }
+        return responseStatus >= 400 ? Optional.of(FailureKind.CALLER_ERROR) : Optional.empty();
     }
 
     @Override
@@ -186,6 +218,10 @@
             return;
         }
         end();
+        gate.judged(
+                start.callClass(),
+                Optional.of(crashed ? FailureKind.CRASH : FailureKind.CONNECTION_LOSS),
+                System.nanoTime() - admittedNanos);
         String code;
         if (crashed) {
             code = firstOfCrash ? CallFailures.CRASHED : CallFailures.CRASH_COLLATERAL;
@@ -210,7 +246,7 @@
             waitLimit.cancel(false);
         }
         if (heldSlot) {
-            gate.ended(System.nanoTime() - admittedNanos);
+            gate.ended(start.callClass(), System.nanoTime() - admittedNanos);
         }
     }
 }
--- a/daemon/src/main/java/org/mimosahinge/daemon/traffic/BackendConnection.java
+++ b/daemon/src/main/java/org/mimosahinge/daemon/traffic/BackendConnection.java
@@ -38,12 +38,21 @@
     }
 
     private static final byte[] NOTHING = {};
+    private static final String TIMEOUT = "timeout=";
+    private static final int MAX_DIGITS = 9;
+    private static final long MS_PER_SECOND = 1_000;
 
     private Channel channel;
     private User user;
-    private boolean keepAlive;
-    private boolean requestSent;
+    private boolean keepAlive = true;
+    private boolean requestSent = true;
     private boolean informational;
+    private boolean foreign;
+    private boolean poisoned;
+    private String requestIdHeader = "";
+    private String expectedId = "";
+    private long idleSinceMs;
+    private long idleLimitMs = Long.MAX_VALUE;
     private int calls;
 
     @Override
@@ -61,7 +70,7 @@
     }
 
     /** Sends a request's head and binds the connection to the call. */
-    void send(Frame.CallStart start, int deadlineMs, User next) {
+    void send(Frame.CallStart start, CallMarks marks, User next) {
         user = next;
         calls++;
         keepAlive = false;
@@ -69,7 +78,9 @@
         DefaultHttpRequest request =
                 new DefaultHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.valueOf(start.method()), start.uri());
         HeaderMaps.copy(start.headers(), request.headers());
-        request.headers().set(HeaderMaps.DEADLINE, deadlineMs);
+        marks.set(request.headers());
+        requestIdHeader = marks.protocol().requestIdHeader();
+        expectedId = marks.expectedId(start.headers());
         if (start.hasBody() && !request.headers().contains(HttpHeaderNames.CONTENT_LENGTH)) {
             HttpUtil.setTransferEncodingChunked(request, true);
         }
@@ -101,14 +112,26 @@
 
     /** Tells whether another call may use the connection after the response is complete. */
     boolean reusable() {
-        return keepAlive && requestSent && usable();
+        return keepAlive && requestSent && !poisoned && usable();
     }
 
-    void release() {
+    /** Ends the use by a call; whatever arrives before the next one belongs to no call. */
+    void released() {
         user = null;
+        idleSinceMs = TrafficLoop.nowMs();
         reading(true);
     }
 
+    /** Runs a task when everything that the last read brought has been looked at. */
+    void whenRead(Runnable task) {
+        channel.eventLoop().execute(task);
+    }
+
+    /** Tells whether the backend server may close the connection for idleness about now. */
+    boolean expires(long nowMs) {
+        return nowMs - idleSinceMs >= idleLimitMs;
+    }
+
     void close() {
         user = null;
         channel.close();
@@ -135,16 +158,44 @@
 
     private void started(HttpResponse response) {
         informational = response.status().codeClass() == HttpStatusClass.INFORMATIONAL;
-        if (!informational) {
+        foreign = !informational && isForeign(response);
+        if (foreign) {
+            poisoned = true;
+        } else if (!informational) {
             keepAlive = HttpUtil.isKeepAlive(response);
+            idleLimitMs = idleLimitMs(response);
             user.started(response.status().code(), HeaderMaps.from(response.headers()));
         }
     }
 
+    /** A late response to an earlier call, which the id tells; the right one follows it. */
+    private boolean isForeign(HttpResponse response) {
+        String id = requestIdHeader.isEmpty() ? null : response.headers().get(requestIdHeader);
+        return id != null && !expectedId.isEmpty() && !id.equals(expectedId);
+    }
+
+    private static long idleLimitMs(HttpResponse response) {
+        String value = response.headers().get("keep-alive");
+        int at = value == null ? -1 : value.indexOf(TIMEOUT);
+        if (at < 0) {
+            return Long.MAX_VALUE;
+        }
+        int end = at + TIMEOUT.length();
+        while (end < value.length() && Character.isDigit(value.charAt(end))) {
+            end++;
+        }
+        String seconds = value.substring(at + TIMEOUT.length(), end);
+        // A connection is given up a second before its end, since the backend server's clock decides.
+        return seconds.isEmpty() || seconds.length() > MAX_DIGITS
+                ? Long.MAX_VALUE
+                : Math.max(0, (Long.parseLong(seconds) - 1) * MS_PER_SECOND);
+    }
+
     private void content(HttpContent content) {
         boolean last = content instanceof LastHttpContent;
-        if (informational) {
-            informational = !last;
+        if (informational || foreign) {
+            informational &= !last;
+            foreign &= !last;
             return;
         }
         int size = content.content().readableBytes();
--- a/daemon/src/main/java/org/mimosahinge/daemon/traffic/BackendGate.java
+++ b/daemon/src/main/java/org/mimosahinge/daemon/traffic/BackendGate.java
@@ -1,43 +1,43 @@
 package org.mimosahinge.daemon.traffic;
 
-import io.netty.channel.EventLoop;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
 import java.util.TreeMap;
 import java.util.concurrent.TimeUnit;
+import org.mimosahinge.api.contract.CallClass;
 import org.mimosahinge.api.contract.Limits;
 import org.mimosahinge.api.world.Endpoint;
 import org.mimosahinge.core.admission.AdmissionDecision;
 import org.mimosahinge.core.admission.AdmissionLimits;
 import org.mimosahinge.core.admission.AdmissionQueue;
 import org.mimosahinge.core.admission.AdmissionView;
+import org.mimosahinge.core.admission.SlotTimes;
 import org.mimosahinge.core.admission.Waiter;
+import org.mimosahinge.core.move.EvidenceKey;
+import org.mimosahinge.core.move.FailureKind;
 import org.mimosahinge.net.frame.Frame;
 
 /** Admits calls to one backend server beside this node and notices when it goes down. */
 final class BackendGate implements CallTarget {
 
-    /** Weight of a new call in the mean time that calls hold a slot. */
-    private static final double NEWEST_WEIGHT = 0.1;
-
     /** A process that ends closes its connections and its listening socket in no certain order. */
     private static final long PROBE_DELAY_MS = 10;
 
-    private final EventLoop loop;
-    private final TrafficListener listener;
+    private static final int WHOLE_PERMILLE = 1_000;
+
+    private final TrafficLoop loop;
     private final BackendPool pool;
     private final TreeMap<Waiter, BackendCall> waiting = new TreeMap<>();
     private final List<BackendCall> lost = new ArrayList<>();
+    private final SlotTimes slotTimes = new SlotTimes();
     private Endpoint endpoint;
     private AdmissionLimits limits;
-    private double serviceMs;
     private int running;
     private long arrivals;
 
-    BackendGate(EventLoop loop, TrafficListener listener, Endpoint endpoint) {
+    BackendGate(TrafficLoop loop, Endpoint endpoint) {
         this.loop = loop;
-        this.listener = listener;
         pool = new BackendPool(loop, endpoint.server().address());
     }
 
@@ -50,26 +50,41 @@
         return this;
     }
 
+    Endpoint endpoint() {
+        return endpoint;
+    }
+
+    CallProtocol protocol() {
+        return loop.protocol();
+    }
+
     @Override
     public Exchange start(Frame.CallStart start, ResponseObserver observer) {
         long now = TrafficLoop.nowMs();
-        Waiter waiter = new Waiter(start.callClass(), now + start.deadlineMs(), ++arrivals);
-        BackendCall call = new BackendCall(this, start, waiter, observer);
-        AdmissionDecision decision = AdmissionQueue.decide(view(now), waiter);
+        long finishBy = now + loop.context().policies().finishBy().withinMs(start.targetMs(), start.deadlineMs());
+        Waiter waiter = new Waiter(start.callClass(), finishBy, ++arrivals);
+        BackendCall call = new BackendCall(this, start, waiter, now + start.deadlineMs(), observer);
+        AdmissionDecision decision = AdmissionQueue.decide(view(now, start.callClass()), waiter);
         if (decision instanceof AdmissionDecision.Run) {
             run(call);
         } else if (decision instanceof AdmissionDecision.Wait wait) {
-            wait.evicted().map(waiting::remove).ifPresent(evicted -> evicted.refuse("A call of higher class came"));
+            wait.evicted().map(waiting::remove).ifPresent(evicted -> evicted.refuse("A call of higher class came", 0));
             waiting.put(waiter, call);
-            call.limitWait(loop);
+            call.limitWait(loop.eventLoop());
         } else if (decision instanceof AdmissionDecision.Refuse refusal) {
-            call.refuse(refusal.reason());
+            call.refuse(refusal.reason(), refusal.roomInMs());
         }
         return call;
     }
 
-    private AdmissionView view(long nowMs) {
-        return new AdmissionView(limits, running, waiting.navigableKeySet(), serviceMs, nowMs);
+    private AdmissionView view(long nowMs, CallClass callClass) {
+        return new AdmissionView(
+                limits,
+                running,
+                waiting.navigableKeySet(),
+                slotTimes.overallMs(),
+                nowMs,
+                slotTimes.ofClassMs(callClass));
     }
 
     private void run(BackendCall call) {
@@ -84,16 +99,33 @@
     }
 
     /** Takes back a call's slot. */
-    void ended(long heldNanos) {
+    void ended(CallClass callClass, long heldNanos) {
         running--;
-        serviceMs += NEWEST_WEIGHT * (heldNanos / 1e6 - serviceMs);
-        for (Optional<Waiter> next = AdmissionQueue.next(view(0));
-                next.isPresent();
-                next = AdmissionQueue.next(view(0))) {
+        slotTimes.observe(callClass, heldNanos / 1e6);
+        while (!waiting.isEmpty()) {
+            Optional<Waiter> next = AdmissionQueue.next(view(0, callClass));
+            if (next.isEmpty()) {
+                return;
+            }
             run(waiting.remove(next.get()));
         }
     }
 
+    /** Records how the backend server answered a call, while its service moves to another version. */
+    void judged(CallClass callClass, Optional<FailureKind> failure, long heldNanos) {
+        String service = endpoint.server().service();
+        if (!loop.context().policies().fleet().judgesAtBackend()
+                || !loop.snapshot().moves().containsKey(service)) {
+            return;
+        }
+        EvidenceKey key = new EvidenceKey(endpoint.server().version(), callClass.name(), "");
+        if (failure.isPresent()) {
+            loop.evidence(service).failed(key, failure.get());
+        } else {
+            loop.evidence(service).succeeded(key, heldNanos / 1e6);
+        }
+    }
+
     void release(BackendConnection connection) {
         pool.release(connection);
     }
@@ -104,14 +136,14 @@
     }
 
     void refused() {
-        listener.on(new TrafficEvent.ConnectionRefused(endpoint.id()));
+        loop.context().listener().on(new TrafficEvent.ConnectionRefused(endpoint.id()));
     }
 
     /** A connection broke under a call; a new connection tells whether the backend server is still there. */
     void lost(BackendCall call) {
         lost.add(call);
         if (lost.size() == 1) {
-            loop.schedule(() -> pool.acquire(true, this::probed), PROBE_DELAY_MS, TimeUnit.MILLISECONDS);
+            loop.eventLoop().schedule(() -> pool.acquire(true, this::probed), PROBE_DELAY_MS, TimeUnit.MILLISECONDS);
         }
     }
 
@@ -119,9 +151,10 @@
         List<BackendCall> calls = List.copyOf(lost);
         lost.clear();
         if (connection == null) {
-            listener.on(new TrafficEvent.EndpointDied(endpoint.id(), calls.size()));
+            loop.context().listener().on(new TrafficEvent.EndpointDied(endpoint.id(), calls.size()));
         } else {
-            connection.close();
+            connection.released();
+            pool.release(connection);
         }
         for (int i = 0; i < calls.size(); i++) {
             calls.get(i).resolveLost(connection == null, i == 0);
@@ -133,8 +166,13 @@
         return running == 0 && waiting.isEmpty() && pool.idle();
     }
 
+    int running() {
+        return running + waiting.size();
+    }
+
     /** Own measure of occupation, sent with responses as a hint for other nodes. */
-    int loadPermille() {
-        return Math.min(1000, 1000 * (running + waiting.size()) / limits.slots());
+    Frame.Load load() {
+        int permille = WHOLE_PERMILLE * (running + waiting.size()) / limits.slots();
+        return new Frame.Load(permille, (int) Math.round(slotTimes.overallMs()));
     }
 }
--- a/daemon/src/main/java/org/mimosahinge/daemon/traffic/BackendPool.java
+++ b/daemon/src/main/java/org/mimosahinge/daemon/traffic/BackendPool.java
@@ -4,7 +4,6 @@
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
-import io.netty.channel.EventLoop;
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.http.HttpClientCodec;
@@ -19,27 +18,29 @@
     /** A backend server beside the node answers at once or is down. */
     private static final int CONNECT_TIMEOUT_MS = 1_000;
 
-    private final EventLoop loop;
+    private final TrafficLoop loop;
     private final HostPort address;
     private final Deque<BackendConnection> idle = new ArrayDeque<>();
 
-    BackendPool(EventLoop loop, HostPort address) {
+    BackendPool(TrafficLoop loop, HostPort address) {
         this.loop = loop;
         this.address = address;
     }
 
     /** Hands over a kept connection at once or a new one later; null tells that none could be opened. */
     void acquire(boolean fresh, Consumer<BackendConnection> receiver) {
+        long now = TrafficLoop.nowMs();
         // The connection used last is the least likely one to have been closed for idleness.
         for (BackendConnection kept = fresh ? null : idle.pollLast(); kept != null; kept = idle.pollLast()) {
-            if (kept.usable()) {
+            if (kept.usable() && !kept.expires(now)) {
                 receiver.accept(kept);
                 return;
             }
+            kept.close();
         }
         BackendConnection connection = new BackendConnection();
         new Bootstrap()
-                .group(loop)
+                .group(loop.eventLoop())
                 .channel(NioSocketChannel.class)
                 .option(ChannelOption.TCP_NODELAY, true)
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MS)
@@ -56,7 +57,6 @@
     /** Takes a connection back after its call. */
     void release(BackendConnection connection) {
         if (connection.reusable()) {
-            connection.release();
             idle.addLast(connection);
         } else {
             connection.close();
--- a/daemon/src/main/java/org/mimosahinge/daemon/traffic/Budgets.java
+++ b/daemon/src/main/java/org/mimosahinge/daemon/traffic/Budgets.java
@@ -12,8 +12,7 @@
 
     RetryBudget of(Service service) {
         RetryBudget known = budgets.get(service.name());
-        int percent = service.limits().retryPercent();
-        return known != null && known.percent() == percent ? known : RetryBudget.of(percent);
+        return known != null && known.follows(service.limits()) ? known : RetryBudget.of(service.limits());
     }
 
     void attempted(Service service) {
--- a/daemon/src/main/java/org/mimosahinge/daemon/traffic/CallPlan.java
+++ b/daemon/src/main/java/org/mimosahinge/daemon/traffic/CallPlan.java
@@ -11,7 +11,7 @@
 import org.mimosahinge.core.retry.RetryView;
 import org.mimosahinge.core.routing.Choice;
 import org.mimosahinge.core.routing.ChoiceRequest;
-import org.mimosahinge.core.routing.VersionPicker;
+import org.mimosahinge.core.routing.EndpointRule;
 import org.mimosahinge.net.frame.Frame;
 
 /** Where a routed call goes: its attempts so far and the choice of the next one. */
@@ -23,7 +23,9 @@
     private final Route route;
     private final Service service;
     private final long deadlineNanos;
+    private final long startedNanos = System.nanoTime();
     private final Set<String> tried = new HashSet<>();
+    private int reached;
 
     CallPlan(TrafficLoop loop, CallRequest request, RequestBody body, Route route, Service service, long timeoutMs) {
         this.loop = loop;
@@ -31,22 +33,47 @@
         this.body = body;
         this.route = route;
         this.service = service;
-        deadlineNanos = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(timeoutMs);
+        deadlineNanos = startedNanos + TimeUnit.MILLISECONDS.toNanos(timeoutMs);
     }
 
     Service service() {
         return service;
     }
 
+    Route route() {
+        return route;
+    }
+
+    int attempts() {
+        return tried.size();
+    }
+
     /** Chooses an endpoint that was not tried yet. */
     Optional<Choice> choose() {
         Snapshot snapshot = loop.snapshot();
         TrafficPolicies policies = loop.context().policies();
-        return VersionPicker.pick(service, snapshot, policies.random()).flatMap(version -> {
+        for (EndpointRule rule : policies.rules().pick(service, snapshot, policies.random())) {
             ChoiceRequest wanted = new ChoiceRequest(
-                    service.name(), version, loop.context().config().self().zone(), tried);
-            return policies.chooser().choose(wanted, snapshot, loop::load, policies.random());
-        });
+                    service.name(),
+                    rule,
+                    loop.context().config().self().zone(),
+                    tried,
+                    loop.sizes().expectedKb(route.name()));
+            Optional<Choice> choice = policies.chooser().choose(wanted, snapshot, loop::load, policies.random());
+            if (choice.isPresent()) {
+                return choice;
+            }
+        }
+        return Optional.empty();
+    }
+
+    /** Takes note that an attempt has reached its endpoint. */
+    void reached() {
+        reached++;
+    }
+
+    boolean hasReached() {
+        return reached > 0;
     }
 
     /** Tells whether a failed attempt may be followed by another one. */
@@ -58,7 +85,9 @@
                 tried.size(),
                 body.replayable(),
                 remainingMs(),
-                loop.budgets().of(service));
+                loop.budgets().of(service),
+                reached,
+                route.maxAttempts());
         return loop.context().policies().retry().retries(view);
     }
 
@@ -75,6 +104,7 @@
                 service.name(),
                 route.callClass(),
                 (int) remainingMs(),
+                (int) targetMs(),
                 request.method(),
                 request.uri(),
                 headers,
@@ -85,6 +115,14 @@
         }
     }
 
+    private long targetMs() {
+        return route.targetLatency().toMillis() - elapsedMs();
+    }
+
+    long elapsedMs() {
+        return TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - startedNanos);
+    }
+
     private long remainingMs() {
         return Math.max(0, TimeUnit.NANOSECONDS.toMillis(deadlineNanos - System.nanoTime()));
     }
--- a/daemon/src/main/java/org/mimosahinge/daemon/traffic/CallRequest.java
+++ b/daemon/src/main/java/org/mimosahinge/daemon/traffic/CallRequest.java
@@ -10,4 +10,9 @@
  * @param headers end-to-end headers by lower-case name
  * @param hasBody whether a body follows
  */
-record CallRequest(String method, String uri, Map<String, String> headers, boolean hasBody) {}
+record CallRequest(String method, String uri, Map<String, String> headers, boolean hasBody) {
+
+    String host() {
+        return headers.getOrDefault("host", "");
+    }
+}
--- a/daemon/src/main/java/org/mimosahinge/daemon/traffic/CallerConnection.java
+++ b/daemon/src/main/java/org/mimosahinge/daemon/traffic/CallerConnection.java
@@ -7,6 +7,7 @@
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.handler.codec.CorruptedFrameException;
 import io.netty.handler.codec.TooLongFrameException;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.DefaultHttpContent;
@@ -43,6 +44,7 @@
     private final Queue<HttpObject> pipelined = new ArrayDeque<>();
     private Channel channel;
     private Turn turn;
+    private long idleSinceMs;
 
     CallerConnection(TrafficPlane plane, TrafficLoop loop) {
         super(false);
@@ -53,14 +55,31 @@
     @Override
     public void channelActive(ChannelHandlerContext context) {
         channel = context.channel();
+        idleSinceMs = TrafficLoop.nowMs();
         loop.connections().add(this);
         if (plane.draining()) {
             drain();
         }
     }
 
+    @Override
+    public boolean busy() {
+        return turn != null;
+    }
+
+    /** Closes the connection when its caller has sent nothing for too long. */
+    void closeIfIdle(long nowMs, long limitMs) {
+        if (turn == null && nowMs - idleSinceMs > limitMs) {
+            channel.close();
+        }
+    }
+
     @Override
     public void drain() {
+        if (plane.context().policies().fleet().keepsPeers()) {
+            // Callers leave when the node stops being ready; until then their connections stay open.
+            return;
+        }
         if (turn == null) {
             channel.eventLoop()
                     .schedule(
@@ -91,6 +110,10 @@
                 return;
             }
             if (message instanceof HttpRequest request) {
+                if (ambiguous(request)) {
+                    malformed(new CorruptedFrameException("Both Content-Length and Transfer-Encoding"));
+                    return;
+                }
                 turn = new Turn(request);
                 turn.begin();
             }
@@ -102,6 +125,12 @@
         }
     }
 
+    /** Two statements of a body's length could be read differently by a backend server. */
+    private static boolean ambiguous(HttpRequest request) {
+        return HttpUtil.isTransferEncodingChunked(request)
+                && request.headers().contains(HttpHeaderNames.CONTENT_LENGTH);
+    }
+
     private void malformed(Throwable cause) {
         if (turn != null) {
             turn.call.callerLeft();
@@ -145,6 +174,7 @@
 
     private void next() {
         turn = null;
+        idleSinceMs = TrafficLoop.nowMs();
         while (!pipelined.isEmpty() && (turn == null || !turn.requestComplete)) {
             take(pipelined.poll());
         }
@@ -161,6 +191,9 @@
         private final boolean keepAlive;
         private final boolean head;
         private final FlowWindow requestWindow = new FlowWindow();
+        private final long bodyLimit;
+        private long bodyBytes;
+        private boolean oversized;
         private boolean requestComplete;
         private boolean responseStarted;
         private boolean answered;
@@ -169,24 +202,45 @@
             keepAlive = HttpUtil.isKeepAlive(request);
             head = request.method().name().equals("HEAD");
             boolean hasBody = HttpUtil.isTransferEncodingChunked(request) || HttpUtil.getContentLength(request, 0L) > 0;
-            if (HttpUtil.is100ContinueExpected(request)) {
+            bodyLimit = loop.snapshot().callerLimits().maxBodyBytes();
+            oversized = HttpUtil.getContentLength(request, 0L) > bodyLimit;
+            if (HttpUtil.is100ContinueExpected(request) && !oversized) {
                 channel.writeAndFlush(new DefaultFullHttpResponse(
                         HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE, Unpooled.EMPTY_BUFFER));
             }
             call = new EntryCall(
                     loop,
                     new CallRequest(
-                            request.method().name(), request.uri(), HeaderMaps.from(request.headers()), hasBody),
+                            request.method().name(),
+                            request.uri(),
+                            loop.marked(HeaderMaps.from(request.headers())),
+                            hasBody),
                     this);
         }
 
         void begin() {
-            call.begin();
+            if (oversized) {
+                refuseBody();
+            } else {
+                call.begin();
+            }
+        }
+
+        private void refuseBody() {
+            oversized = true;
+            responseStarted = true;
+            answered = true;
+            channel.writeAndFlush(ErrorResponses.bodyTooLarge(bodyLimit)).addListener(ChannelFutureListener.CLOSE);
         }
 
         void content(HttpContent content) {
             boolean last = content instanceof LastHttpContent;
             int size = content.content().readableBytes();
+            bodyBytes += size;
+            if (bodyBytes > bodyLimit && !answered) {
+                call.callerLeft();
+                refuseBody();
+            }
             if (!answered && (size > 0 || last)) {
                 requestWindow.sent(size);
                 call.requestBody(ByteBufUtil.getBytes(content.content()), last);
@@ -232,7 +286,7 @@
         @Override
         public void failed(CallException failure) {
             responseStarted = true;
-            FullHttpResponse response = ErrorResponses.of(failure);
+            FullHttpResponse response = ErrorResponses.of(failure, loop.protocol());
             prepare(response);
             finish(channel.writeAndFlush(response));
         }
--- a/daemon/src/main/java/org/mimosahinge/daemon/traffic/EndpointTracker.java
+++ b/daemon/src/main/java/org/mimosahinge/daemon/traffic/EndpointTracker.java
@@ -1,6 +1,8 @@
 package org.mimosahinge.daemon.traffic;
 
 import org.mimosahinge.core.routing.EndpointLoad;
+import org.mimosahinge.core.routing.EndpointPace;
+import org.mimosahinge.net.frame.Frame;
 
 /** What one event loop knows about the load of an endpoint. */
 final class EndpointTracker {
@@ -8,18 +10,30 @@
     /** Membership removes a dead endpoint within 3 s; until then this keeps most calls away from it. */
     private static final long SUSPECT_MS = 3_000;
 
+    /** Weight of a new outcome in the share of failures. */
+    private static final double NEWEST_WEIGHT = 0.1;
+
+    /** Without new outcomes the share of failures is halved in this time, so that the endpoint is tried again. */
+    private static final double FAILURES_HALVED_MS = 1_500;
+
     private final long readySinceMs;
     private int outstanding;
     private int reportedPermille;
     private long reportedAtMs = Long.MIN_VALUE;
     private long suspectUntilMs = Long.MIN_VALUE;
+    private double serviceMs;
+    private double failureShare;
+    private long outcomeAtMs;
+    private int sentSinceReport;
 
     EndpointTracker(long nowMs) {
         readySinceMs = nowMs;
+        outcomeAtMs = nowMs;
     }
 
     void started() {
         outstanding++;
+        sentSinceReport++;
     }
 
     void ended() {
@@ -30,9 +44,13 @@
         return outstanding == 0;
     }
 
-    void reported(int permille, long nowMs) {
-        reportedPermille = permille;
+    void reported(Frame.Load load, long nowMs) {
+        reportedPermille = load.permille();
+        if (load.serviceMs() > 0) {
+            serviceMs = load.serviceMs();
+        }
         reportedAtMs = nowMs;
+        sentSinceReport = 0;
         suspectUntilMs = Long.MIN_VALUE;
     }
 
@@ -40,8 +58,20 @@
         suspectUntilMs = nowMs + SUSPECT_MS;
     }
 
-    EndpointLoad load(long nowMs) {
+    /** Takes note of how an attempt ended; refusals by the node beside the endpoint do not count. */
+    void outcome(boolean failed, long nowMs) {
+        failureShare = failureShare(nowMs) + NEWEST_WEIGHT * ((failed ? 1 : 0) - failureShare(nowMs));
+        outcomeAtMs = nowMs;
+    }
+
+    private double failureShare(long nowMs) {
+        return failureShare * Math.pow(0.5, (nowMs - outcomeAtMs) / FAILURES_HALVED_MS);
+    }
+
+    EndpointLoad load(long nowMs, boolean reachable, double roundTripMs) {
         long age = reportedAtMs == Long.MIN_VALUE ? Long.MAX_VALUE : nowMs - reportedAtMs;
-        return new EndpointLoad(outstanding, reportedPermille, age, nowMs - readySinceMs, nowMs < suspectUntilMs);
+        EndpointPace pace = new EndpointPace(serviceMs, failureShare(nowMs), roundTripMs, sentSinceReport);
+        return new EndpointLoad(
+                outstanding, reportedPermille, age, nowMs - readySinceMs, !reachable || nowMs < suspectUntilMs, pace);
     }
 }
--- a/daemon/src/main/java/org/mimosahinge/daemon/traffic/EntryCall.java
+++ b/daemon/src/main/java/org/mimosahinge/daemon/traffic/EntryCall.java
@@ -10,14 +10,20 @@
 import org.mimosahinge.api.contract.Service;
 import org.mimosahinge.api.error.CallException;
 import org.mimosahinge.api.error.ErrorCode;
+import org.mimosahinge.core.admission.RetryAdvice;
 import org.mimosahinge.core.once.ClaimStep;
 import org.mimosahinge.core.routing.Choice;
-import org.mimosahinge.core.routing.RouteMatcher;
+import org.mimosahinge.core.routing.RouteIndex;
 import org.mimosahinge.net.frame.Frame;
 
 /** A caller's call at the node that the caller is connected to. */
 final class EntryCall {
 
+    private static final int SERVER_ERRORS = 500;
+
+    /** Time assumed to be left where a call is refused before its route is known. */
+    private static final long UNKNOWN_REMAINING_MS = 1_000;
+
     private final TrafficLoop loop;
     private final CallRequest request;
     private final CallerSink sink;
@@ -28,6 +34,9 @@
     private OnceGuard once;
     private ScheduledFuture<?> timer;
     private Attempt attempt;
+    private HeldResponse heldResponse;
+    private long deadlineMs;
+    private long roomInMs;
     private boolean held;
     private boolean mayHaveRun;
     private boolean ended;
@@ -46,17 +55,26 @@
             refuse(ErrorCode.NOT_READY, "The node has no proof that its configuration is current");
             return;
         }
-        Optional<Route> matched = RouteMatcher.match(snapshot.routes(), request.uri());
+        Optional<Route> matched = loop.routes().match(request.host(), request.uri());
         if (matched.isEmpty()) {
-            refuse(ErrorCode.NO_ROUTE, "No route matches " + RouteMatcher.path(request.uri()));
+            refuse(
+                    ErrorCode.NO_ROUTE,
+                    "No route of version " + snapshot.version() + " matches " + RouteIndex.path(request.uri()));
             return;
         }
         Route route = matched.get();
-        Service service = snapshot.services().get(route.service());
-        long timeoutMs =
-                HeaderMaps.deadlineMs(request.headers(), route.timeout().toMillis());
-        plan = new CallPlan(loop, request, body, route, service, timeoutMs);
-        timer = loop.eventLoop().schedule(this::deadlinePassed, timeoutMs, TimeUnit.MILLISECONDS);
+        String target = loop.turns().next(route);
+        Service service = snapshot.services().get(target);
+        deadlineMs = HeaderMaps.deadlineMs(
+                request.headers(),
+                loop.protocol().deadlineHeader(),
+                route.timeout().toMillis());
+        if (service == null) {
+            refuse(ErrorCode.NO_ENDPOINT, "Service \"" + target + "\" is not known");
+            return;
+        }
+        plan = new CallPlan(loop, request, body, route, service, deadlineMs);
+        timer = loop.eventLoop().schedule(this::deadlinePassed, deadlineMs, TimeUnit.MILLISECONDS);
         if (route.atMostOnce()) {
             String key = request.headers().getOrDefault(OnceGuard.KEY_HEADER, "");
             if (!OnceGuard.valid(key)) {
@@ -145,6 +163,7 @@
     /** The caller has left. */
     void callerLeft() {
         if (!ended) {
+            loop.decisions().callerLeft(request, plan);
             end();
             if (attempt != null) {
                 attempt.abandon();
@@ -163,6 +182,14 @@
             }
             return;
         }
+        if (loop.context().policies().fleet().heldBytes() > 0 && plan.route().idempotent()) {
+            heldResponse = new HeldResponse(start);
+            return;
+        }
+        deliverStart(start);
+    }
+
+    private void deliverStart(Frame.ResponseStart start) {
         progress.begin(start);
         if (once != null) {
             once.started(start);
@@ -174,6 +201,36 @@
         if (from != attempt || ended) {
             return;
         }
+        if (heldResponse == null) {
+            deliverBody(from, bytes, last);
+            return;
+        }
+        heldResponse.add(bytes);
+        if (!last && heldResponse.bytes() <= loop.context().policies().fleet().heldBytes()) {
+            from.credited(bytes.length);
+            return;
+        }
+        HeldResponse whole = heldResponse;
+        heldResponse = null;
+        if (last && !complete(whole)) {
+            attemptFailed(from, CallFailures.mayHaveRun(0, ErrorCode.ANSWER_TRUNCATED, "The response is too short"));
+            return;
+        }
+        deliverStart(whole.start());
+        whole.parts().forEach(part -> deliverBody(from, part, false));
+        if (last) {
+            deliverBody(from, new byte[0], true);
+        }
+    }
+
+    private boolean complete(HeldResponse whole) {
+        ResponseProgress held = new ResponseProgress(request);
+        held.begin(whole.start());
+        whole.parts().forEach(held::take);
+        return held.complete();
+    }
+
+    private void deliverBody(Attempt from, byte[] bytes, boolean last) {
         byte[] wanted = progress.take(bytes);
         if (wanted.length < bytes.length && !last) {
             from.credited(bytes.length - wanted.length);
@@ -187,6 +244,8 @@
         }
         if (last) {
             poison.succeeded();
+            loop.sizes().observe(plan.route().name(), progress.bytes());
+            loop.decisions().answered(request, plan, from);
             end();
         }
         if (wanted.length > 0 || last) {
@@ -205,13 +264,26 @@
         sink.flush();
     }
 
+    /** An attempt has certainly reached its endpoint. */
+    void attemptReached() {
+        plan.reached();
+    }
+
     /** An attempt ended without a whole response. */
     void attemptFailed(Attempt from, Frame.CallFailure failure) {
         if (from != attempt || ended) {
             return;
         }
-        // A refusal by the last endpoint says nothing about attempts at others before it.
-        mayHaveRun |= !failure.notRun();
+        heldResponse = null;
+        if (!failure.notRun()) {
+            // A refusal by the last endpoint says nothing about attempts at others before it.
+            mayHaveRun = true;
+            plan.reached();
+        }
+        if (failure.roomInMs() > 0) {
+            roomInMs = roomInMs == 0 ? failure.roomInMs() : Math.min(roomInMs, failure.roomInMs());
+        }
+        loop.decisions().attemptFailed(request, plan, from, failure);
         if (CallFailures.crash(failure) && poison.crashed()) {
             conclude(CallException.mayHaveRun(
                     ErrorCode.REQUEST_QUARANTINED, "The request crashed several backend servers"));
@@ -229,7 +301,9 @@
             conclude(CallFailures.exception(failure, mayHaveRun));
             return;
         }
-        loop.budgets().retried(plan.service());
+        if (plan.hasReached()) {
+            loop.budgets().retried(plan.service());
+        }
         attempt(choice.get(), headers.get());
     }
 
@@ -238,6 +312,11 @@
         return (!progress.begun() || progress.resumeHeaders().isPresent()) && plan.mayRetry(false);
     }
 
+    /** Tells whether a failure that the backend server answered is worth another attempt. */
+    boolean mayReplaceFailure() {
+        return loop.context().policies().fleet().heldBytes() > 0 && !progress.begun() && plan.mayRetry(false);
+    }
+
     private Map<String, String> withRequestHeaders(Map<String, String> extra) {
         Map<String, String> headers = new HashMap<>(request.headers());
         headers.putAll(extra);
@@ -274,15 +353,24 @@
     }
 
     private void refuse(ErrorCode code, String message) {
-        fail(CallException.notRun(code, message));
+        CallException refusal = CallException.notRun(code, message);
+        boolean mayComeBack = code.httpStatus() >= SERVER_ERRORS && code != ErrorCode.REQUEST_QUARANTINED;
+        long remainingMs = plan == null ? UNKNOWN_REMAINING_MS : Math.max(0, deadlineMs - plan.elapsedMs());
+        fail(
+                mayComeBack
+                        ? refusal.retryAfter(RetryAdvice.waitMs(
+                                roomInMs, remainingMs, loop.context().policies().random()))
+                        : refusal);
     }
 
     private void fail(CallException failure) {
+        loop.decisions().failed(request, plan, failure);
         end();
         sink.failed(failure);
     }
 
     private void cut() {
+        loop.decisions().cut(request, plan);
         end();
         sink.cut();
     }
--- a/daemon/src/main/java/org/mimosahinge/daemon/traffic/HeaderMaps.java
+++ b/daemon/src/main/java/org/mimosahinge/daemon/traffic/HeaderMaps.java
@@ -54,8 +54,8 @@
     }
 
     /** Returns the time that the caller allows, at most the route's. */
-    static long deadlineMs(Map<String, String> headers, long routeMs) {
-        long callerMs = number(headers, DEADLINE);
+    static long deadlineMs(Map<String, String> headers, String name, long routeMs) {
+        long callerMs = number(headers, name);
         return callerMs > 0 ? Math.min(callerMs, routeMs) : routeMs;
     }
 
--- /dev/null
+++ b/daemon/src/main/java/org/mimosahinge/daemon/traffic/HeldResponse.java
@@ -0,0 +1,36 @@
+package org.mimosahinge.daemon.traffic;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.mimosahinge.net.frame.Frame;
+
+/** The start of a response that its caller does not have yet. */
+final class HeldResponse {
+
+    private final Frame.ResponseStart start;
+    private final List<byte[]> parts = new ArrayList<>(1);
+    private long bytes;
+
+    HeldResponse(Frame.ResponseStart start) {
+        this.start = start;
+    }
+
+    Frame.ResponseStart start() {
+        return start;
+    }
+
+    List<byte[]> parts() {
+        return parts;
+    }
+
+    long bytes() {
+        return bytes;
+    }
+
+    void add(byte[] part) {
+        if (part.length > 0) {
+            parts.add(part);
+            bytes += part.length;
+        }
+    }
+}
--- a/daemon/src/main/java/org/mimosahinge/daemon/traffic/OnceGuard.java
+++ b/daemon/src/main/java/org/mimosahinge/daemon/traffic/OnceGuard.java
@@ -132,7 +132,7 @@
         if (!claim.contentType().isEmpty()) {
             headers.put("content-type", claim.contentType());
         }
-        sink.started(new Frame.ResponseStart(0, claim.status(), headers, content.length, 0));
+        sink.started(new Frame.ResponseStart(0, claim.status(), headers, content.length, Frame.Load.UNKNOWN));
         sink.body(content, true);
         sink.flush();
     }
--- a/daemon/src/main/java/org/mimosahinge/daemon/traffic/PeerConnection.java
+++ b/daemon/src/main/java/org/mimosahinge/daemon/traffic/PeerConnection.java
@@ -18,9 +18,11 @@
 import java.util.concurrent.TimeUnit;
 import org.mimosahinge.api.error.ErrorCode;
 import org.mimosahinge.api.world.HostPort;
+import org.mimosahinge.api.world.Node;
 import org.mimosahinge.net.frame.Frame;
 import org.mimosahinge.net.frame.FrameDecoder;
 import org.mimosahinge.net.frame.FrameEncoder;
+import org.mimosahinge.net.tcp.KeepAlive;
 
 /** Carries calls of one event loop to another node, many at a time over one connection. */
 final class PeerConnection extends SimpleChannelInboundHandler<Frame> implements CallTarget {
@@ -38,18 +40,23 @@
     private final Set<ResponseObserver> touched = new LinkedHashSet<>();
     private Channel channel;
     private Heartbeats heartbeats;
+    private final long link;
+    private final long openedNanos = System.nanoTime();
+    private Node node;
+    private double roundTripMs;
     private boolean closed;
     private boolean retiring;
     private long idleSinceMs = TrafficLoop.nowMs();
 
-    private PeerConnection(TrafficLoop loop, HostPort address) {
+    private PeerConnection(TrafficLoop loop, HostPort address, long link) {
         this.loop = loop;
         this.address = address;
+        this.link = link;
     }
 
     static PeerConnection open(TrafficLoop loop, HostPort address) {
-        PeerConnection connection = new PeerConnection(loop, address);
-        new Bootstrap()
+        PeerConnection connection = new PeerConnection(loop, address, loop.nextLink());
+        KeepAlive.on(new Bootstrap())
                 .group(loop.eventLoop())
                 .channel(NioSocketChannel.class)
                 .option(ChannelOption.TCP_NODELAY, true)
@@ -65,6 +72,22 @@
         return connection;
     }
 
+    /** Tells whether calls can be sent now without waiting for the connection. */
+    boolean connected() {
+        return channel != null && usable();
+    }
+
+    double roundTripMs() {
+        return roundTripMs;
+    }
+
+    /** Tells the other node something beside calls. */
+    void tell(Frame frame) {
+        if (connected()) {
+            channel.writeAndFlush(frame);
+        }
+    }
+
     boolean usable() {
         return !closed && !retiring && (heartbeats == null || !heartbeats.overdue());
     }
@@ -84,8 +107,11 @@
             return;
         }
         channel = future.channel();
+        roundTripMs = (System.nanoTime() - openedNanos) / 1e6;
         heartbeats = Heartbeats.install(channel);
-        channel.eventLoop().schedule(this::closeWhenIdle, IDLE_MS, TimeUnit.MILLISECONDS);
+        if (!loop.context().policies().fleet().keepsPeers()) {
+            channel.eventLoop().schedule(this::closeWhenIdle, IDLE_MS, TimeUnit.MILLISECONDS);
+        }
         channel.write(loop.hello());
         unsent.forEach(channel::write);
         unsent.clear();
@@ -128,13 +154,19 @@
             }
         } else if (frame instanceof Frame.CallFailure failure) {
             failed(failure);
+        } else if (frame instanceof Frame.Hello hello) {
+            node = hello.node();
+            loop.dialed(address);
+            loop.context().listener().on(new TrafficEvent.PeerUp(node, hello.version(), link));
+        } else if (node != null && !(frame instanceof Frame.Heartbeat)) {
+            loop.context().listener().on(new TrafficEvent.PeerTold(node, frame, link));
         }
     }
 
     private void failed(Frame.CallFailure failure) {
         if (failure.callId() == CallFailures.WHOLE_CONNECTION) {
             retiring = true;
-            loop.forget(address, this);
+            loop.retired(address, this);
             closeWhenRetired();
             return;
         }
@@ -196,9 +228,14 @@
     }
 
     private void fail(boolean notRun, String message) {
+        if (closed) {
+            return;
+        }
         closed = true;
         unsent.clear();
         loop.forget(address, this);
+        loop.context().listener().on(new TrafficEvent.PeerDown(address, link));
+        loop.redial(address);
         List<PeerExchange> open = List.copyOf(calls.values());
         calls.clear();
         for (PeerExchange call : open) {
--- a/daemon/src/main/java/org/mimosahinge/daemon/traffic/ResponseProgress.java
+++ b/daemon/src/main/java/org/mimosahinge/daemon/traffic/ResponseProgress.java
@@ -52,6 +52,10 @@
         return wanted;
     }
 
+    long bytes() {
+        return download.received();
+    }
+
     boolean complete() {
         return download.complete();
     }
--- /dev/null
+++ b/daemon/src/main/java/org/mimosahinge/daemon/traffic/ResponseSizes.java
@@ -0,0 +1,33 @@
+package org.mimosahinge.daemon.traffic;
+
+import java.util.HashMap;
+import java.util.Map;
+
+/** Running means of the size of a route's calls, on one event loop. */
+final class ResponseSizes {
+
+    /** Weight of a new response. */
+    private static final double NEWEST_WEIGHT = 0.05;
+
+    /** Heads of request and response and their frames, in kilobytes. */
+    private static final double HEADS_KB = 0.6;
+
+    private static final double BYTES_PER_KB = 1_000;
+
+    /** Routes come and go with configurations; sizes are learned again when this many have collected. */
+    private static final int MAX_ROUTES = 1_000;
+
+    private final Map<String, Double> meanKb = new HashMap<>();
+
+    void observe(String route, long bytes) {
+        if (meanKb.size() >= MAX_ROUTES) {
+            meanKb.clear();
+        }
+        double kilobytes = bytes / BYTES_PER_KB;
+        meanKb.merge(route, kilobytes, (known, newest) -> known + NEWEST_WEIGHT * (newest - known));
+    }
+
+    double expectedKb(String route) {
+        return HEADS_KB + meanKb.getOrDefault(route, 0.0);
+    }
+}
--- a/daemon/src/main/java/org/mimosahinge/daemon/traffic/ServedConnection.java
+++ b/daemon/src/main/java/org/mimosahinge/daemon/traffic/ServedConnection.java
@@ -8,6 +8,7 @@
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
 import org.mimosahinge.api.error.ErrorCode;
+import org.mimosahinge.api.world.Node;
 import org.mimosahinge.net.frame.Frame;
 
 /** Serves calls that another node sends for the backend servers beside this one. */
@@ -20,6 +21,7 @@
     private final Map<Long, ServedCall> calls = new HashMap<>();
     private TrafficLoop loop;
     private Channel channel;
+    private Node node;
 
     ServedConnection(TrafficPlane plane) {
         this.plane = plane;
@@ -30,13 +32,28 @@
         channel = context.channel();
         loop = plane.loop(channel.eventLoop());
         Heartbeats.install(channel);
-        channel.writeAndFlush(loop.hello());
+        channel.write(loop.hello());
+        loop.plane().greeting().forEach(channel::write);
+        channel.flush();
         loop.connections().add(this);
+        loop.served().add(this);
         if (plane.draining()) {
             drain();
         }
     }
 
+    /** Tells the other node something beside calls. */
+    void tell(Frame frame) {
+        if (channel.isActive()) {
+            channel.writeAndFlush(frame);
+        }
+    }
+
+    @Override
+    public boolean busy() {
+        return !calls.isEmpty();
+    }
+
     @Override
     public void drain() {
         channel.writeAndFlush(
@@ -72,7 +89,12 @@
             if (call != null) {
                 call.exchange.cancel();
             }
-        } else if (!(frame instanceof Frame.Heartbeat || frame instanceof Frame.Hello)) {
+        } else if (frame instanceof Frame.Hello hello) {
+            node = hello.node();
+            loop.context().listener().on(new TrafficEvent.PeerArrived(node, hello.version()));
+        } else if (frame instanceof Frame.HeadHint && node != null) {
+            loop.context().listener().on(new TrafficEvent.PeerTold(node, frame, 0));
+        } else if (!(frame instanceof Frame.Heartbeat)) {
             // Frames of the control connection have no place here.
             context.close();
         }
@@ -83,9 +105,14 @@
         List<ServedCall> open = List.copyOf(calls.values());
         calls.clear();
         loop.connections().remove(this);
+        loop.served().remove(this);
         open.forEach(call -> call.exchange.cancel());
     }
 
+    Node node() {
+        return node;
+    }
+
     @Override
     public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
         context.close();
--- a/daemon/src/main/java/org/mimosahinge/daemon/traffic/TrafficConfig.java
+++ b/daemon/src/main/java/org/mimosahinge/daemon/traffic/TrafficConfig.java
@@ -9,6 +9,20 @@
  * @param self the node itself
  * @param callers address for callers; port 0 picks a free port
  * @param eventLoops number of traffic threads; one carries the planned load of a node without hops between threads
+ * @param protocol marks of calls on HTTP connections
  * @param logEvery one in this many routing decisions is logged; 0 logs none
  */
-public record TrafficConfig(Node self, HostPort callers, int eventLoops, int logEvery) {}
+public record TrafficConfig(Node self, HostPort callers, int eventLoops, CallProtocol protocol, int logEvery) {
+
+    /**
+     * Settings with the product's own marks of calls.
+     *
+     * @param self the node itself
+     * @param callers address for callers; port 0 picks a free port
+     * @param eventLoops number of traffic threads
+     * @param logEvery one in this many routing decisions is logged; 0 logs none
+     */
+    public TrafficConfig(Node self, HostPort callers, int eventLoops, int logEvery) {
+        this(self, callers, eventLoops, CallProtocol.STANDARD, logEvery);
+    }
+}
--- a/daemon/src/main/java/org/mimosahinge/daemon/traffic/TrafficEvent.java
+++ b/daemon/src/main/java/org/mimosahinge/daemon/traffic/TrafficEvent.java
@@ -2,8 +2,11 @@
 
 import java.time.Duration;
 import java.util.Map;
+import org.mimosahinge.api.world.HostPort;
+import org.mimosahinge.api.world.Node;
 import org.mimosahinge.core.move.Evidence;
 import org.mimosahinge.core.poison.Fingerprint;
+import org.mimosahinge.net.frame.Frame;
 
 /** What traffic threads tell the control thread. */
 public sealed interface TrafficEvent {
@@ -42,4 +45,38 @@
      * @param refusedFor how long it is refused
      */
     record RequestQuarantined(Fingerprint fingerprint, Duration refusedFor) implements TrafficEvent {}
+
+    /**
+     * A connection to another node is open.
+     *
+     * @param node the node at the other end
+     * @param revision newest revision of the operators' rows there
+     * @param link number of the connection; later connections have higher ones
+     */
+    record PeerUp(Node node, long revision, long link) implements TrafficEvent {}
+
+    /**
+     * A connection to another node has ended or could not be opened.
+     *
+     * @param address the node's address
+     * @param link number of the connection
+     */
+    record PeerDown(HostPort address, long link) implements TrafficEvent {}
+
+    /**
+     * Another node has connected to this one.
+     *
+     * @param node that node
+     * @param revision newest revision of the operators' rows there
+     */
+    record PeerArrived(Node node, long revision) implements TrafficEvent {}
+
+    /**
+     * A node has told something beside calls.
+     *
+     * @param node the node
+     * @param frame what it told
+     * @param link number of the connection, 0 for one that the other node has opened
+     */
+    record PeerTold(Node node, Frame frame, long link) implements TrafficEvent {}
 }
--- a/daemon/src/main/java/org/mimosahinge/daemon/traffic/TrafficLoop.java
+++ b/daemon/src/main/java/org/mimosahinge/daemon/traffic/TrafficLoop.java
@@ -20,6 +20,8 @@
 import org.mimosahinge.core.retry.ResponsePace;
 import org.mimosahinge.core.routing.Choice;
 import org.mimosahinge.core.routing.EndpointLoad;
+import org.mimosahinge.core.routing.RouteIndex;
+import org.mimosahinge.core.routing.ServiceTurns;
 import org.mimosahinge.net.frame.Frame;
 import org.mimosahinge.net.log.EventLog;
 
@@ -37,6 +39,15 @@
     /** Trackers of endpoints that are gone are dropped when this many have collected. */
     private static final int MAX_TRACKERS = 1_000;
 
+    /** Callers that are silent for long cost little, so a coarse check suffices. */
+    private static final long IDLE_CHECK_MS = 1_000;
+
+    /** A reset connection is replaced at once; a machine that is away is tried about every two seconds. */
+    private static final long FIRST_REDIAL_MS = 20;
+
+    private static final int MAX_REDIAL_DOUBLINGS = 7;
+    private static final long MAX_REDIAL_MS = 2_000;
+
     private final TrafficPlane plane;
     private final EventLoop eventLoop;
     private final Map<HostPort, PeerConnection> peers = new HashMap<>();
@@ -46,13 +57,114 @@
     private final Map<String, ResponsePace> paces = new HashMap<>();
     private final Set<Attempt> watched = new HashSet<>();
     private final Set<Drainable> connections = new HashSet<>();
+    private final Set<ServedConnection> served = new HashSet<>();
+    private final Map<HostPort, Integer> failedDials = new HashMap<>();
     private final Budgets budgets = new Budgets();
+    private final ServiceTurns turns = new ServiceTurns();
+    private final ResponseSizes sizes = new ResponseSizes();
+    private final CallDecisions decisions;
+    private RouteIndex routes = RouteIndex.of(List.of());
+    private Set<HostPort> keptPeers = Set.of();
     private long lastCallId;
+    private long lastLink;
     private long choices;
 
     TrafficLoop(TrafficPlane plane, EventLoop eventLoop) {
         this.plane = plane;
         this.eventLoop = eventLoop;
+        decisions = new CallDecisions(this, plane.context().config().logEvery());
+        eventLoop.scheduleWithFixedDelay(this::closeIdleCallers, IDLE_CHECK_MS, IDLE_CHECK_MS, TimeUnit.MILLISECONDS);
+    }
+
+    TrafficPlane plane() {
+        return plane;
+    }
+
+    CallProtocol protocol() {
+        return context().config().protocol();
+    }
+
+    ServiceTurns turns() {
+        return turns;
+    }
+
+    ResponseSizes sizes() {
+        return sizes;
+    }
+
+    CallDecisions decisions() {
+        return decisions;
+    }
+
+    /** Connections that other nodes have opened. */
+    Set<ServedConnection> served() {
+        return served;
+    }
+
+    /** Returns the index of the routes in force. */
+    RouteIndex routes() {
+        List<Route> inForce = snapshot().routes();
+        if (!routes.covers(inForce)) {
+            routes = RouteIndex.of(inForce);
+        }
+        return routes;
+    }
+
+    /** Sets the headers that the node answers for, whatever the caller sent. */
+    Map<String, String> marked(Map<String, String> headers) {
+        if (!protocol().callerHeader().isEmpty()) {
+            headers.put(protocol().callerHeader(), protocol().callerService().get());
+        }
+        return headers;
+    }
+
+    private void closeIdleCallers() {
+        long now = nowMs();
+        long limit = snapshot().callerLimits().idleTimeout().toMillis();
+        for (Drainable connection : List.copyOf(connections)) {
+            if (connection instanceof CallerConnection caller) {
+                caller.closeIfIdle(now, limit);
+            }
+        }
+    }
+
+    long nextLink() {
+        return ++lastLink;
+    }
+
+    /** Keeps connections to these nodes open and closes none that carries calls. */
+    void keepPeers(Set<HostPort> addresses) {
+        keptPeers = Set.copyOf(addresses);
+        failedDials.keySet().retainAll(keptPeers);
+        keptPeers.forEach(this::peer);
+    }
+
+    /** Opens a connection again after a wait that grows with each failure. */
+    void redial(HostPort address) {
+        if (!keptPeers.contains(address)) {
+            return;
+        }
+        int failures = failedDials.merge(address, 1, Integer::sum);
+        long waitMs = Math.min(MAX_REDIAL_MS, FIRST_REDIAL_MS << Math.min(failures - 1, MAX_REDIAL_DOUBLINGS));
+        long spreadMs = waitMs / 2 + context().policies().random().nextInt((int) waitMs);
+        eventLoop.schedule(
+                () -> {
+                    if (keptPeers.contains(address)) {
+                        peer(address);
+                    }
+                },
+                spreadMs,
+                TimeUnit.MILLISECONDS);
+    }
+
+    /** A connection of a stopping node takes no more calls; another one is opened later. */
+    void retired(HostPort address, PeerConnection connection) {
+        forget(address, connection);
+        redial(address);
+    }
+
+    void dialed(HostPort address) {
+        failedDials.remove(address);
     }
 
     TrafficContext context() {
@@ -87,7 +199,7 @@
     Frame.Hello hello() {
         Snapshot snapshot = snapshot();
         return new Frame.Hello(
-                Frame.Purpose.CALLS, context().config().self(), snapshot.version(), snapshot.provenCurrent(), Set.of());
+                Frame.Purpose.CALLS, context().config().self(), plane.revision(), snapshot.provenCurrent(), Set.of());
     }
 
     /** Finds where calls for an endpoint are sent. */
@@ -135,9 +247,7 @@
             gates.entrySet().removeIf(entry -> entry.getValue().idle() && !known.contains(entry.getKey()));
         }
         Service service = snapshot().services().get(endpoint.server().service());
-        return gates.computeIfAbsent(
-                        endpoint.id(),
-                        id -> new BackendGate(eventLoop, context().listener(), endpoint))
+        return gates.computeIfAbsent(endpoint.id(), id -> new BackendGate(this, endpoint))
                 .announced(endpoint, service == null ? Limits.DEFAULT : service.limits());
     }
 
@@ -233,7 +343,24 @@
         return known;
     }
 
-    EndpointLoad load(String endpointId) {
-        return tracker(endpointId).load(nowMs());
+    EndpointLoad load(Endpoint endpoint) {
+        EndpointTracker tracker = tracker(endpoint.id());
+        if (isBeside(endpoint)) {
+            return tracker.load(nowMs(), true, 0);
+        }
+        PeerConnection peer = peers.get(endpoint.node().address());
+        boolean reachable = !context().policies().fleet().keepsPeers() || peer != null && peer.connected();
+        return tracker.load(nowMs(), reachable, peer == null ? 0 : peer.roundTripMs());
+    }
+
+    /** Returns how many calls the backend server beside this node holds, running and waiting. */
+    int callsAt(String endpointId) {
+        BackendGate gate = gates.get(endpointId);
+        return gate == null ? 0 : gate.running();
+    }
+
+    /** Tells the nodes to which this one is connected. */
+    void tellDialed(Frame frame) {
+        List.copyOf(peers.values()).forEach(peer -> peer.tell(frame));
     }
 }
--- a/daemon/src/main/java/org/mimosahinge/daemon/traffic/TrafficPlane.java
+++ b/daemon/src/main/java/org/mimosahinge/daemon/traffic/TrafficPlane.java
@@ -17,18 +17,22 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicReference;
 import java.util.function.Consumer;
+import java.util.function.LongSupplier;
 import java.util.function.Supplier;
 import org.mimosahinge.api.config.Snapshot;
 import org.mimosahinge.api.platform.TableService;
 import org.mimosahinge.api.world.HostPort;
+import org.mimosahinge.api.world.NodeId;
 import org.mimosahinge.core.poison.CrashRegistry;
 import org.mimosahinge.core.poison.Fingerprint;
+import org.mimosahinge.net.frame.Frame;
 import org.mimosahinge.net.frame.FrameDecoder;
 import org.mimosahinge.net.frame.FrameEncoder;
 
@@ -37,12 +41,20 @@
 
     private static final long DRAIN_CHECK_MS = 20;
 
+    /** Bodies are handed on in parts of at most this size, Netty's default. */
+    private static final int CHUNK_BYTES = 8_192;
+
+    /** Connections of callers that wait to be accepted; a burst must not lose opening packets. */
+    private static final int BACKLOG = 1_024;
+
     private final TrafficContext context;
     private final EventLoopGroup group;
     private final Map<EventLoop, TrafficLoop> loops = new ConcurrentHashMap<>();
     private final List<TrafficLoop> ordered = new ArrayList<>();
     private Channel server;
     private volatile boolean draining;
+    private volatile List<Frame> greeting = List.of();
+    private volatile LongSupplier revision = () -> 0;
 
     private TrafficPlane(TrafficContext context) {
         this.context = context;
@@ -87,8 +99,13 @@
     }
 
     private void bind() {
-        server = listen(context.config().callers(), caller -> caller.pipeline()
-                .addLast(new HttpServerCodec(), new CallerConnection(this, loop(caller.eventLoop()))));
+        server = listen(context.config().callers(), caller -> {
+            int headerBytes = context.snapshots().get().callerLimits().maxHeaderBytes();
+            caller.pipeline()
+                    .addLast(
+                            new HttpServerCodec(headerBytes, headerBytes, CHUNK_BYTES),
+                            new CallerConnection(this, loop(caller.eventLoop())));
+        });
     }
 
     /**
@@ -124,6 +141,7 @@
         return new ServerBootstrap()
                 .group(group)
                 .channel(NioServerSocketChannel.class)
+                .option(ChannelOption.SO_BACKLOG, BACKLOG)
                 .childOption(ChannelOption.TCP_NODELAY, true)
                 .childHandler(new ChannelInitializer<SocketChannel>() {
                     @Override
@@ -184,6 +202,114 @@
         }
     }
 
+    /**
+     * Keeps a connection open to each of these nodes.
+     *
+     * @param addresses the nodes' addresses
+     */
+    public void keepPeers(Set<HostPort> addresses) {
+        ordered.forEach(loop -> loop.eventLoop().execute(() -> loop.keepPeers(addresses)));
+    }
+
+    /**
+     * Sets what each node that connects is told first.
+     *
+     * @param frames the frames
+     */
+    public void greetWith(List<Frame> frames) {
+        greeting = List.copyOf(frames);
+    }
+
+    List<Frame> greeting() {
+        return greeting;
+    }
+
+    /**
+     * Sets where the newest revision of the operators' rows is read.
+     *
+     * @param source the revision of this node
+     */
+    public void revisionFrom(LongSupplier source) {
+        revision = source;
+    }
+
+    long revision() {
+        return policiesKeepPeers()
+                ? revision.getAsLong()
+                : context.snapshots().get().version();
+    }
+
+    private boolean policiesKeepPeers() {
+        return context.policies().fleet().keepsPeers();
+    }
+
+    /**
+     * Tells all nodes that have connected to this one.
+     *
+     * @param frame what is told
+     */
+    public void tellServed(Frame frame) {
+        ordered.forEach(loop ->
+                loop.eventLoop().execute(() -> List.copyOf(loop.served()).forEach(peer -> peer.tell(frame))));
+    }
+
+    /**
+     * Tells one node that has connected to this one.
+     *
+     * @param node the node
+     * @param frames what it is told
+     */
+    public void tellServed(NodeId node, List<Frame> frames) {
+        ordered.forEach(loop -> loop.eventLoop().execute(() -> List.copyOf(loop.served()).stream()
+                .filter(peer -> peer.node() != null && peer.node().id().equals(node))
+                .forEach(peer -> frames.forEach(peer::tell))));
+    }
+
+    /**
+     * Tells all nodes to which this one has connected.
+     *
+     * @param frame what is told
+     */
+    public void tellDialed(Frame frame) {
+        ordered.forEach(loop -> loop.eventLoop().execute(() -> loop.tellDialed(frame)));
+    }
+
+    /**
+     * Counts the calls that a backend server beside this node holds.
+     *
+     * @param endpointId its endpoint
+     * @return calls running and waiting
+     */
+    public CompletionStage<Integer> callsAt(String endpointId) {
+        TrafficLoop owner = owner(endpointId);
+        return CompletableFuture.supplyAsync(() -> owner.callsAt(endpointId), owner.eventLoop());
+    }
+
+    /** Asks other nodes for no more calls and callers to use other connections; connections stay open. */
+    public void withdraw() {
+        draining = true;
+        ordered.forEach(loop ->
+                loop.eventLoop().execute(() -> List.copyOf(loop.connections()).forEach(Drainable::drain)));
+    }
+
+    /**
+     * Counts connections with calls in flight.
+     *
+     * @return the count
+     */
+    public CompletionStage<Integer> busyConnections() {
+        List<CompletableFuture<Integer>> counts = ordered.stream()
+                .map(loop -> CompletableFuture.supplyAsync(
+                        () -> (int) loop.connections().stream()
+                                .filter(Drainable::busy)
+                                .count(),
+                        loop.eventLoop()))
+                .toList();
+        return CompletableFuture.allOf(counts.toArray(CompletableFuture[]::new))
+                .thenApply(done ->
+                        counts.stream().mapToInt(CompletableFuture::join).sum());
+    }
+
     TrafficContext context() {
         return context;
     }
--- a/daemon/src/main/java/org/mimosahinge/daemon/traffic/TrafficPolicies.java
+++ b/daemon/src/main/java/org/mimosahinge/daemon/traffic/TrafficPolicies.java
@@ -1,10 +1,14 @@
 package org.mimosahinge.daemon.traffic;
 
 import java.util.concurrent.ThreadLocalRandom;
+import org.mimosahinge.core.admission.FinishBy;
 import org.mimosahinge.core.retry.RetryPolicy;
+import org.mimosahinge.core.routing.CostModel;
 import org.mimosahinge.core.routing.EndpointChooser;
 import org.mimosahinge.core.routing.EndpointChoosers;
+import org.mimosahinge.core.routing.ExpectedTime;
 import org.mimosahinge.core.routing.RandomSource;
+import org.mimosahinge.core.routing.RulePicker;
 
 /**
  * Decisions of the traffic plane that vary; measurements put baselines here.
@@ -12,8 +16,28 @@
  * @param chooser choice of endpoints
  * @param retry whether failed attempts are tried again
  * @param random source of random choices
+ * @param rules which endpoints of a service may take a call
+ * @param finishBy how long a call may wait for a slot
+ * @param fleet how the node takes part in a fleet that no tree joins
  */
-public record TrafficPolicies(EndpointChooser chooser, RetryPolicy retry, RandomSource random) {
+public record TrafficPolicies(
+        EndpointChooser chooser,
+        RetryPolicy retry,
+        RandomSource random,
+        RulePicker rules,
+        FinishBy finishBy,
+        FleetRole fleet) {
+
+    /**
+     * Policies for versions that the document declares, with queues bounded by the deadline.
+     *
+     * @param chooser choice of endpoints
+     * @param retry whether failed attempts are tried again
+     * @param random source of random choices
+     */
+    public TrafficPolicies(EndpointChooser chooser, RetryPolicy retry, RandomSource random) {
+        this(chooser, retry, random, RulePicker.declaredVersions(), FinishBy.deadline(), FleetRole.TREE);
+    }
 
     /**
      * The policies of a daemon.
@@ -21,8 +45,25 @@
      * @return the policies
      */
     public static TrafficPolicies standard() {
+        return new TrafficPolicies(EndpointChoosers.standard(), RetryPolicy.standard(), threadRandom());
+    }
+
+    /**
+     * The policies of a daemon whose nodes are connected to each other directly and share paid links.
+     *
+     * @return the policies
+     */
+    public static TrafficPolicies direct() {
         return new TrafficPolicies(
-                EndpointChoosers.standard(), RetryPolicy.standard(), bound -> ThreadLocalRandom.current()
-                        .nextInt(bound));
+                ExpectedTime.chooser(CostModel.PAID_LINKS),
+                RetryPolicy.countingArrivals(),
+                threadRandom(),
+                RulePicker.movesOnly(),
+                FinishBy.target(),
+                FleetRole.DIRECT);
+    }
+
+    private static RandomSource threadRandom() {
+        return bound -> ThreadLocalRandom.current().nextInt(bound);
     }
 }
--- a/daemon/src/test/java/org/mimosahinge/daemon/traffic/CallPathTest.java
+++ b/daemon/src/test/java/org/mimosahinge/daemon/traffic/CallPathTest.java
@@ -6,6 +6,7 @@
 import java.net.http.HttpRequest;
 import java.net.http.HttpResponse;
 import java.time.Duration;
+import java.util.List;
 import java.util.Set;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -13,13 +14,25 @@
 import org.junit.jupiter.params.provider.ValueSource;
 import org.mimosahinge.api.config.Snapshot;
 import org.mimosahinge.api.contract.CallClass;
+import org.mimosahinge.api.contract.CallerLimits;
 import org.mimosahinge.api.contract.Route;
+import org.mimosahinge.api.contract.ServiceShare;
 
 /** Guards against calls that reach no backend server or the wrong one. */
 class CallPathTest {
 
     private static final Route BROWSE = new Route(
-            "browse", "/listings", "listings", CallClass.INTERACTIVE, Duration.ofSeconds(5), true, false, Set.of());
+            "browse",
+            "",
+            "/listings",
+            List.of(new ServiceShare("listings", 1)),
+            CallClass.INTERACTIVE,
+            Duration.ofSeconds(5),
+            Duration.ofSeconds(5),
+            Route.DEFAULT_MAX_ATTEMPTS,
+            true,
+            false,
+            Set.of());
 
     @ParameterizedTest(name = "endpoint beside node {0}, {1} body bytes")
     @CsvSource({"0, 0", "1, 0", "0, 10", "1, 10", "0, 300000", "1, 300000"})
@@ -65,7 +78,8 @@
                             proven.moves(),
                             proven.endpoints(),
                             proven.halts(),
-                            false));
+                            false,
+                            CallerLimits.DEFAULT));
             HttpResponse<String> refused =
                     mesh.send(mesh.request(1, "/listings")).get();
             assertEquals("503 not-run", TestMesh.outcome(refused));
--- a/daemon/src/test/java/org/mimosahinge/daemon/traffic/TestMesh.java
+++ b/daemon/src/test/java/org/mimosahinge/daemon/traffic/TestMesh.java
@@ -26,9 +26,11 @@
 import java.util.function.UnaryOperator;
 import org.mimosahinge.api.config.Snapshot;
 import org.mimosahinge.api.contract.CallClass;
+import org.mimosahinge.api.contract.CallerLimits;
 import org.mimosahinge.api.contract.Limits;
 import org.mimosahinge.api.contract.Route;
 import org.mimosahinge.api.contract.Service;
+import org.mimosahinge.api.contract.ServiceShare;
 import org.mimosahinge.api.platform.TableService;
 import org.mimosahinge.api.world.AvailabilityZone;
 import org.mimosahinge.api.world.BackendServer;
@@ -111,8 +113,17 @@
     TestMesh publish(UnaryOperator<Snapshot> change) {
         Map<String, Long> revisions = new HashMap<>();
         services.keySet().forEach(service -> revisions.put(service, 1L));
-        snapshot = change.apply(
-                new Snapshot(1, new TreeMap<>(), services, revisions, routes, Map.of(), endpoints, Set.of(), true));
+        snapshot = change.apply(new Snapshot(
+                1,
+                new TreeMap<>(),
+                services,
+                revisions,
+                routes,
+                Map.of(),
+                endpoints,
+                Set.of(),
+                true,
+                CallerLimits.DEFAULT));
         return this;
     }
 
@@ -166,10 +177,13 @@
     static Route route(String path, boolean idempotent, boolean atMostOnce) {
         return new Route(
                 path,
+                "",
                 path,
-                "svc",
+                List.of(new ServiceShare("svc", 1)),
                 path.contains("check") ? CallClass.INTERNAL_CHECK : CallClass.INTERACTIVE,
                 Duration.ofSeconds(30),
+                Duration.ofSeconds(30),
+                Route.DEFAULT_MAX_ATTEMPTS,
                 idempotent,
                 atMostOnce,
                 Set.of());
--- a/net/src/main/java/org/mimosahinge/net/frame/Frame.java
+++ b/net/src/main/java/org/mimosahinge/net/frame/Frame.java
@@ -121,6 +121,15 @@
      */
     record Quarantine(String route, String method, String uri, String bodyHash, long refusedForMs) implements Frame {}
 
+    /**
+     * A row that an operator or the fleet keeps on the platform, for nodes that cannot read it there.
+     *
+     * @param key table and key of the row
+     * @param revision revision of the row on the platform
+     * @param content the row's value
+     */
+    record OperatorRow(String key, long revision, byte[] content) implements Frame {}
+
     /**
      * Starts a call.
      *
@@ -129,6 +138,7 @@
      * @param service the service
      * @param callClass priority
      * @param deadlineMs time left in milliseconds
+     * @param targetMs time left until the answer loses part of its use, negative when that has passed
      * @param method HTTP method
      * @param uri path and query
      * @param headers headers by lower-case name
@@ -140,6 +150,7 @@
             String service,
             CallClass callClass,
             int deadlineMs,
+            int targetMs,
             String method,
             String uri,
             Map<String, String> headers,
@@ -177,11 +188,23 @@
      * @param status HTTP status
      * @param headers headers by lower-case name
      * @param contentLength announced length in bytes, -1 when unknown
-     * @param loadPermille load that the backend server last reported, 0 to 1000
+     * @param load load of the endpoint
      */
-    record ResponseStart(long callId, int status, Map<String, String> headers, long contentLength, int loadPermille)
+    record ResponseStart(long callId, int status, Map<String, String> headers, long contentLength, Load load)
             implements Frame {}
 
+    /**
+     * Load of an endpoint as the node beside it sees it.
+     *
+     * @param permille calls running and waiting, in thousandths of its slots
+     * @param serviceMs mean time that a call holds a slot, in milliseconds; 0 while unknown
+     */
+    record Load(int permille, int serviceMs) {
+
+        /** Load of an endpoint about which nothing is known. */
+        public static final Load UNKNOWN = new Load(0, 0);
+    }
+
     /**
      * The call ended without a whole response.
      *
@@ -189,6 +212,22 @@
      * @param code stable code of the failure
      * @param notRun whether the call certainly did not run
      * @param message what failed
-     */
-    record CallFailure(long callId, String code, boolean notRun, String message) implements Frame {}
+     * @param load load of the endpoint
+     * @param roomInMs time after which the endpoint would probably have taken the call, 0 when unknown
+     */
+    record CallFailure(long callId, String code, boolean notRun, String message, Load load, int roomInMs)
+            implements Frame {
+
+        /**
+         * A failure that says nothing about the endpoint's load.
+         *
+         * @param callId the call
+         * @param code stable code of the failure
+         * @param notRun whether the call certainly did not run
+         * @param message what failed
+         */
+        public CallFailure(long callId, String code, boolean notRun, String message) {
+            this(callId, code, notRun, message, Load.UNKNOWN, 0);
+        }
+    }
 }
--- a/net/src/main/java/org/mimosahinge/net/frame/FrameCodec.java
+++ b/net/src/main/java/org/mimosahinge/net/frame/FrameCodec.java
@@ -56,12 +56,15 @@
             out.integer(cancel.callId());
         } else if (frame instanceof Frame.ResponseStart response) {
             out.integer(response.callId()).integer(response.status()).texts(response.headers());
-            out.integer(response.contentLength()).integer(response.loadPermille());
+            out.integer(response.contentLength());
+            packLoad(out, response.load());
         } else if (frame instanceof Frame.CallFailure failure) {
             out.integer(failure.callId())
                     .text(failure.code())
                     .flag(failure.notRun())
                     .text(failure.message());
+            packLoad(out, failure.load());
+            out.integer(failure.roomInMs());
         } else {
             packControl(out, frame);
         }
@@ -92,15 +95,25 @@
         } else if (frame instanceof Frame.Quarantine request) {
             out.text(request.route()).text(request.method()).text(request.uri()).text(request.bodyHash());
             out.integer(request.refusedForMs());
+        } else if (frame instanceof Frame.OperatorRow row) {
+            out.text(row.key()).integer(row.revision()).bytes(row.content());
         } else if (frame instanceof Frame.Report report) {
             out.list(report.versions().entrySet(), (packer, entry) -> packer.integer(entry.getKey())
                     .integer(entry.getValue()));
         }
     }
 
+    private static void packLoad(Packer out, Frame.Load load) {
+        out.integer(load.permille()).integer(load.serviceMs());
+    }
+
+    private static Frame.Load unpackLoad(Unpacker in) {
+        return new Frame.Load(in.smallInteger(), in.smallInteger());
+    }
+
     private static void packCallStart(Packer out, Frame.CallStart call) {
         out.integer(call.callId()).text(call.endpointId()).text(call.service());
-        out.integer(call.callClass().ordinal()).integer(call.deadlineMs());
+        out.integer(call.callClass().ordinal()).integer(call.deadlineMs()).integer(call.targetMs());
         out.text(call.method()).text(call.uri()).texts(call.headers()).flag(call.hasBody());
     }
 
@@ -112,6 +125,7 @@
                     in.text(),
                     in.constant(CallClass.values()),
                     in.smallInteger(),
+                    in.smallInteger(),
                     in.text(),
                     in.text(),
                     in.texts(),
@@ -120,8 +134,9 @@
             case CREDIT -> new Frame.Credit(in.integer(), in.smallInteger());
             case CANCEL -> new Frame.Cancel(in.integer());
             case RESPONSE_START -> new Frame.ResponseStart(
-                    in.integer(), in.smallInteger(), in.texts(), in.integer(), in.smallInteger());
-            case CALL_FAILURE -> new Frame.CallFailure(in.integer(), in.text(), in.flag(), in.text());
+                    in.integer(), in.smallInteger(), in.texts(), in.integer(), unpackLoad(in));
+            case CALL_FAILURE -> new Frame.CallFailure(
+                    in.integer(), in.text(), in.flag(), in.text(), unpackLoad(in), in.smallInteger());
             case HELLO -> new Frame.Hello(
                     in.constant(Frame.Purpose.values()),
                     WorldFields.unpackNode(in),
@@ -137,6 +152,7 @@
             case DRAIN -> new Frame.Drain(in.text());
             case EVIDENCE -> new Frame.Evidence(in.text(), in.list(ConfigFields::unpackTally));
             case QUARANTINE -> new Frame.Quarantine(in.text(), in.text(), in.text(), in.text(), in.integer());
+            case OPERATOR_ROW -> new Frame.OperatorRow(in.text(), in.integer(), in.bytes());
             case REPORT -> new Frame.Report(unpackVersions(in));
         };
     }
--- a/net/src/main/java/org/mimosahinge/net/frame/FrameType.java
+++ b/net/src/main/java/org/mimosahinge/net/frame/FrameType.java
@@ -15,6 +15,7 @@
     DRAIN(9, Frame.Drain.class),
     EVIDENCE(10, Frame.Evidence.class),
     QUARANTINE(11, Frame.Quarantine.class),
+    OPERATOR_ROW(12, Frame.OperatorRow.class),
     CALL_START(16, Frame.CallStart.class),
     BODY(17, Frame.Body.class),
     CREDIT(18, Frame.Credit.class),
--- a/net/src/main/java/org/mimosahinge/net/http/HttpMessageClient.java
+++ b/net/src/main/java/org/mimosahinge/net/http/HttpMessageClient.java
@@ -32,6 +32,7 @@
 import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.TimeUnit;
 import org.mimosahinge.api.world.HostPort;
+import org.mimosahinge.net.tcp.KeepAlive;
 
 /**
  * Sends whole HTTP/1.1 messages and keeps idle connections for reuse.
@@ -76,7 +77,7 @@
             reused.eventLoop().execute(() -> exchange.start(reused));
             return exchange.result;
         }
-        new Bootstrap()
+        KeepAlive.on(new Bootstrap())
                 .group(group)
                 .channel(NioSocketChannel.class)
                 .option(ChannelOption.TCP_NODELAY, true)
--- /dev/null
+++ b/net/src/main/java/org/mimosahinge/net/tcp/package-info.java
@@ -0,0 +1,2 @@
+/** Options of TCP connections. */
+package org.mimosahinge.net.tcp;
--- a/net/src/test/java/org/mimosahinge/net/frame/FrameCodecTest.java
+++ b/net/src/test/java/org/mimosahinge/net/frame/FrameCodecTest.java
@@ -31,6 +31,7 @@
 import org.mimosahinge.api.contract.Route;
 import org.mimosahinge.api.contract.Section;
 import org.mimosahinge.api.contract.Service;
+import org.mimosahinge.api.contract.ServiceShare;
 import org.mimosahinge.api.error.FrameException;
 import org.mimosahinge.api.world.AvailabilityZone;
 import org.mimosahinge.api.world.BackendServer;
@@ -60,10 +61,13 @@
                 List.of(new Service("listings", List.of("v1"), "v1", Optional.empty(), Limits.DEFAULT)),
                 List.of(new Route(
                         "browse",
+                        "",
                         "/listings",
-                        "listings",
+                        List.of(new ServiceShare("listings", 1)),
                         CallClass.INTERACTIVE,
                         Duration.ofSeconds(2),
+                        Duration.ofSeconds(2),
+                        Route.DEFAULT_MAX_ATTEMPTS,
                         true,
                         false,
                         Set.of("index"))));
@@ -92,11 +96,11 @@
                         "listings",
                         List.of(new Frame.Tally("v2", "browse", "ch-west-1", 9, List.of(0L, 2L), List.of(7L)))),
                 new Frame.CallStart(
-                        1, "n1/a", "ledger", CallClass.CONFIRMATION, 500, "POST", "/c", Map.of("a", "b"), true),
+                        1, "n1/a", "ledger", CallClass.CONFIRMATION, 500, -20, "POST", "/c", Map.of("a", "b"), true),
                 new Frame.Credit(1, 65_536),
                 new Frame.Cancel(1),
-                new Frame.ResponseStart(1, 200, Map.of("etag", "\"x\""), -1, 700),
-                new Frame.CallFailure(1, "overloaded", true, "queue full"));
+                new Frame.ResponseStart(1, 200, Map.of("etag", "\"x\""), -1, new Frame.Load(1700, 90)),
+                new Frame.CallFailure(1, "overloaded", true, "queue full", new Frame.Load(2500, 80), 120));
     }
 
     @ParameterizedTest
