--- a/core/src/main/java/org/mimosahinge/core/admission/AdmissionQueue.java
+++ b/core/src/main/java/org/mimosahinge/core/admission/AdmissionQueue.java
@@ -8,6 +8,9 @@
 /** Admits calls to the slots of an endpoint by class and deadline. */
 public final class AdmissionQueue {
 
+    /** Four calls in five take at most this multiple of the mean; with the mean alone half of those taken are late. */
+    private static final double SERVICE_MARGIN = 1.4;
+
     private AdmissionQueue() {}
 
     /**
@@ -26,7 +29,7 @@
             return new Run();
         }
         double startMs = (ahead + 1) * view.serviceMs() / Math.max(1, slots);
-        double lateMs = view.nowMs() + startMs + view.ownServiceMs() - call.deadlineMs();
+        double lateMs = view.nowMs() + startMs + SERVICE_MARGIN * view.ownServiceMs() - call.deadlineMs();
         if (lateMs > 0) {
             return new Refuse("Queue is too long for the deadline", (long) Math.min(lateMs, startMs));
         }
--- a/core/src/main/java/org/mimosahinge/core/routing/ExpectedTime.java
+++ b/core/src/main/java/org/mimosahinge/core/routing/ExpectedTime.java
@@ -27,8 +27,15 @@
 
     private static final long COLD_MS = 3_000;
 
-    /** Waiting grows before all slots are taken, since calls come in bunches. */
-    private static final double BUNCHING = 0.3;
+    /**
+     * Cost of a call at an endpoint whose slots are just taken, in units of its service time. A call that waits delays
+     * those behind it too, so its cost is more than its own wait; with the bare wait all calls would queue at the
+     * fastest endpoint until its queue is as long as a call at the slowest one.
+     */
+    private static final double FULL_COST = 2;
+
+    /** The cost grows with this power of the occupied slots: little up to half of them, steeply near all. */
+    private static final double CROWDING = 6;
 
     /** Costs this close are drawn at random, so that nodes with the same reports do not all pick one endpoint. */
     private static final double CLOSE_MS = 3;
@@ -87,9 +94,7 @@
         double cold = load.readyForMs() < COLD_MS ? COLD_FACTOR : 1;
         double serviceMs = pace.serviceMs() > 0 ? pace.serviceMs() : usualMs * cold;
         double occupied = occupied(endpoint, load);
-        double waitMs = occupied < 1
-                ? BUNCHING * serviceMs * Math.pow(occupied, 4)
-                : BUNCHING * serviceMs + (occupied - 1) * serviceMs;
+        double waitMs = FULL_COST * serviceMs * Math.pow(occupied, CROWDING);
         Proximity proximity = EndpointChoosers.proximity(request, endpoint);
         return pace.roundTripMs()
                 + waitMs
--- /dev/null
+++ b/core/src/test/java/org/mimosahinge/core/admission/TargetQueueTest.java
@@ -0,0 +1,96 @@
+package org.mimosahinge.core.admission;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.PriorityQueue;
+import java.util.Random;
+import java.util.TreeMap;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.mimosahinge.api.contract.CallClass;
+
+/**
+ * Guards against queues that make every call late under lasting overload, and against advice that brings refused
+ * callers back together.
+ */
+class TargetQueueTest {
+
+    private static final AdmissionLimits LIMITS = new AdmissionLimits(16, 1, 256);
+    private static final long TARGET_MS = 300;
+    private static final long DEADLINE_MS = 2_000;
+    private static final double WORK_MS = 100;
+
+    /** One call that the model runs or holds. */
+    private record Running(double endsMs, double arrivedMs) {}
+
+    /** Share of offered calls that are answered within the target. */
+    private static double inTime(FinishBy finishBy, double load) {
+        Random random = new Random(5);
+        PriorityQueue<Running> running = new PriorityQueue<>((a, b) -> Double.compare(a.endsMs, b.endsMs));
+        TreeMap<Waiter, Double> waiting = new TreeMap<>();
+        double perMs = load * LIMITS.slots() / WORK_MS;
+        double now = 0;
+        int timely = 0;
+        int calls = 30_000;
+        for (int i = 0; i < calls; i++) {
+            now += -Math.log(1 - random.nextDouble()) / perMs;
+            while (!running.isEmpty() && running.peek().endsMs <= now) {
+                Running ended = running.poll();
+                timely += ended.endsMs - ended.arrivedMs <= TARGET_MS ? 1 : 0;
+                startNext(running, waiting, ended.endsMs, random);
+            }
+            Waiter call = new Waiter(CallClass.INTERACTIVE, (long) now + finishBy.withinMs(TARGET_MS, DEADLINE_MS), i);
+            AdmissionDecision decision = AdmissionQueue.decide(
+                    new AdmissionView(LIMITS, running.size(), waiting.navigableKeySet(), WORK_MS, (long) now), call);
+            if (decision instanceof AdmissionDecision.Run) {
+                running.add(new Running(now + work(random), now));
+            } else if (decision instanceof AdmissionDecision.Wait) {
+                waiting.put(call, now);
+            }
+        }
+        return timely / (double) calls;
+    }
+
+    private static void startNext(
+            PriorityQueue<Running> running, TreeMap<Waiter, Double> waiting, double now, Random random) {
+        while (!waiting.isEmpty()) {
+            var next = waiting.pollFirstEntry();
+            if (next.getKey().deadlineMs() >= now) {
+                running.add(new Running(now + work(random), next.getValue()));
+                return;
+            }
+        }
+    }
+
+    private static double work(Random random) {
+        return WORK_MS * (0.5 + random.nextDouble());
+    }
+
+    @ParameterizedTest(name = "load {0}: at least {1} of the calls in time, bounded by the deadline {2} at most")
+    @CsvSource({"0.7, 0.97, 1", "1.2, 0.70, 0.2", "2.0, 0.42, 0.2"})
+    void lastingOverloadLeavesTheSlotsToCallsThatEndInTime(double load, double least, double deadlineMost) {
+        assertTrue(inTime(FinishBy.target(), load) >= least, "in time: " + inTime(FinishBy.target(), load));
+        assertTrue(inTime(FinishBy.deadline(), load) <= deadlineMost, "baseline: " + inTime(FinishBy.deadline(), load));
+    }
+
+    @ParameterizedTest(name = "target {0} ms, deadline {1} ms: {2} ms")
+    @CsvSource({"250, 1900, 250", "250, 100, 100", "0, 1500, 300", "-700, 1300, 300", "-700, 200, 200"})
+    void aRepeatAfterItsTargetIsStillServed(long targetMs, long deadlineMs, long expected) {
+        assertEquals(expected, FinishBy.target().withinMs(targetMs, deadlineMs));
+    }
+
+    @ParameterizedTest(name = "room in {0} ms, {1} ms left: {2} to {3} ms")
+    @CsvSource({"0, 3000, 300, 600", "50, 3000, 100, 200", "400, 3000, 400, 800", "400, 900, 300, 300", "10, 0, 1, 1"})
+    void refusedCallersReturnSpreadOut(long roomMs, long leftMs, long least, long most) {
+        Random random = new Random(9);
+        List<Long> waits = new ArrayList<>();
+        for (int i = 0; i < 200; i++) {
+            waits.add(RetryAdvice.waitMs(roomMs, leftMs, random::nextInt));
+        }
+        assertTrue(waits.stream().allMatch(wait -> wait >= least && wait <= most), waits.toString());
+        assertTrue(least == most || waits.stream().distinct().count() > 50, waits.toString());
+    }
+}
--- /dev/null
+++ b/core/src/test/java/org/mimosahinge/core/routing/ExpectedTimeTest.java
@@ -0,0 +1,149 @@
+package org.mimosahinge.core.routing;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.Set;
+import java.util.TreeMap;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.mimosahinge.api.config.Snapshot;
+import org.mimosahinge.api.contract.CallerLimits;
+import org.mimosahinge.api.world.AvailabilityZone;
+import org.mimosahinge.api.world.BackendServer;
+import org.mimosahinge.api.world.Endpoint;
+import org.mimosahinge.api.world.EndpointState;
+import org.mimosahinge.api.world.HostPort;
+import org.mimosahinge.api.world.Node;
+import org.mimosahinge.api.world.NodeId;
+import org.mimosahinge.api.world.Region;
+import org.mimosahinge.api.world.Stamp;
+
+/** Guards against calls at endpoints that are full, slow, failing or behind a paid link without need. */
+class ExpectedTimeTest {
+
+    private static final Region WEST = new Region("west");
+    private static final AvailabilityZone NEAR = new AvailabilityZone("near", WEST);
+    private static final AvailabilityZone NEXT = new AvailabilityZone("next", WEST);
+    private static final AvailabilityZone FAR = new AvailabilityZone("far", new Region("east"));
+    private static final int SLOTS = 16;
+
+    private static Endpoint endpoint(AvailabilityZone zone) {
+        Node node = new Node(new NodeId(zone.name()), 1, zone, new HostPort("127.0.0.1", 1));
+        BackendServer server = new BackendServer("shop", "v1", new HostPort("127.0.0.1", 2), SLOTS, 130, Set.of());
+        return new Endpoint(zone.name(), server, node, EndpointState.READY, new Stamp(1, 1));
+    }
+
+    private static EndpointLoad load(int permille, double serviceMs, double failures, double roundTripMs) {
+        return new EndpointLoad(0, permille, 0, 60_000, false, new EndpointPace(serviceMs, failures, roundTripMs, 0));
+    }
+
+    private static Snapshot snapshot(List<Endpoint> endpoints) {
+        return new Snapshot(
+                1,
+                new TreeMap<>(),
+                Map.of(),
+                Map.of(),
+                List.of(),
+                Map.of(),
+                Map.of("shop", endpoints),
+                Set.of(),
+                true,
+                CallerLimits.DEFAULT);
+    }
+
+    @ParameterizedTest(name = "near {0} permille {1} ms {2} failing, next {3} permille, {4} KB: {5}")
+    @CsvSource({
+        "500, 90, 0, 0, 5, near",
+        "1800, 90, 0, 0, 5, next",
+        "1400, 90, 0, 1400, 5, near",
+        "500, 900, 0, 500, 5, next",
+        "500, 90, 0.5, 500, 5, next",
+        "1400, 90, 0, 0, 90, near",
+        "300, 90, 0, 0, 0.6, near"
+    })
+    void leavesTheZoneForTimeThatIsWorthTheBytes(
+            int nearPermille, double nearMs, double failures, int nextPermille, double kilobytes, String expected) {
+        Map<String, EndpointLoad> loads = new HashMap<>();
+        loads.put("near", load(nearPermille, nearMs, failures, 0.2));
+        loads.put("next", load(nextPermille, 90, 0, 1));
+        loads.put("far", load(500, 90, 0, 24));
+        Random random = new Random(3);
+        Choice choice = ExpectedTime.chooser(CostModel.PAID_LINKS)
+                .choose(
+                        new ChoiceRequest("shop", endpoint -> true, NEAR, Set.of(), kilobytes),
+                        snapshot(List.of(endpoint(NEAR), endpoint(NEXT), endpoint(FAR))),
+                        endpoint -> loads.get(endpoint.id()),
+                        random::nextInt)
+                .orElseThrow();
+        assertEquals(expected, choice.endpoint().id());
+    }
+
+    /**
+     * Six endpoints of speeds that differ by three, calls at nine tenths of what they can do together: the load that
+     * the number of slots alone does not tell. Endpoints that were chosen in turn would leave the slow ones overloaded.
+     */
+    @ParameterizedTest(name = "{0}: mean wait below {1} ms")
+    @CsvSource({"expected, 30", "round robin, 100000"})
+    void sharesCallsBySpeed(String name, double bound) {
+        double[] speeds = {0.5, 0.5, 1, 1, 1.5, 1.5};
+        List<Endpoint> endpoints = new ArrayList<>();
+        for (int i = 0; i < speeds.length; i++) {
+            Node node = new Node(new NodeId("n" + i), 1, NEAR, new HostPort("127.0.0.1", 1));
+            BackendServer server = new BackendServer("shop", "v1", new HostPort("127.0.0.1", 2), SLOTS, 130, Set.of());
+            endpoints.add(new Endpoint("e" + i, server, node, EndpointState.READY, new Stamp(1, 1)));
+        }
+        EndpointChooser chooser =
+                name.equals("expected") ? ExpectedTime.chooser(CostModel.TIME_ONLY) : EndpointChoosers.roundRobin();
+        double waitMs = meanWaitMs(chooser, endpoints, speeds);
+        assertTrue(waitMs < bound, name + " waits " + waitMs + " ms");
+        if (!name.equals("expected")) {
+            assertTrue(waitMs > 100, "The baseline should suffer, but waits " + waitMs + " ms");
+        }
+    }
+
+    private static double meanWaitMs(EndpointChooser chooser, List<Endpoint> endpoints, double[] speeds) {
+        Random random = new Random(11);
+        double meanMs = 100;
+        double perMs = 0.9 * SLOTS * 6 / meanMs;
+        double[][] freeAt = new double[endpoints.size()][SLOTS];
+        double now = 0;
+        double waited = 0;
+        int calls = 40_000;
+        for (int i = 0; i < calls; i++) {
+            now += -Math.log(1 - random.nextDouble()) / perMs;
+            double at = now;
+            LoadView loads = endpoint -> {
+                int index = Integer.parseInt(endpoint.id().substring(1));
+                double held = 0;
+                for (double free : freeAt[index]) {
+                    held += Math.max(0, free - at);
+                }
+                double serviceMs = meanMs / speeds[index];
+                int permille = (int) (1000 * held / serviceMs / SLOTS);
+                return load(permille, serviceMs, 0, 0);
+            };
+            Choice choice = chooser.choose(
+                            new ChoiceRequest("shop", endpoint -> true, NEAR, Set.of(), 1),
+                            snapshot(endpoints),
+                            loads,
+                            random::nextInt)
+                    .orElseThrow();
+            int index = Integer.parseInt(choice.endpoint().id().substring(1));
+            double[] slots = freeAt[index];
+            int first = 0;
+            for (int slot = 1; slot < slots.length; slot++) {
+                first = slots[slot] < slots[first] ? slot : first;
+            }
+            double start = Math.max(now, slots[first]);
+            waited += start - now;
+            slots[first] = start - Math.log(1 - random.nextDouble()) * meanMs / speeds[index];
+        }
+        return waited / calls;
+    }
+}
--- a/daemon/src/main/java/org/mimosahinge/daemon/operator/DaemonMetrics.java
+++ b/daemon/src/main/java/org/mimosahinge/daemon/operator/DaemonMetrics.java
@@ -2,7 +2,6 @@
 
 import com.codahale.metrics.Gauge;
 import com.codahale.metrics.MetricRegistry;
-import java.util.Map;
 import java.util.function.Supplier;
 import org.mimosahinge.api.config.Snapshot;
 import org.mimosahinge.daemon.control.ControlLoop;
@@ -38,13 +37,6 @@
      * @return one line per metric
      */
     public String text() {
-        StringBuilder text = new StringBuilder();
-        for (Map.Entry<String, Gauge> gauge : registry.getGauges().entrySet()) {
-            text.append(gauge.getKey())
-                    .append(' ')
-                    .append(gauge.getValue().getValue())
-                    .append('\n');
-        }
-        return text.toString();
+        return MetricsText.of(registry);
     }
 }
--- a/daemon/src/main/java/org/mimosahinge/daemon/traffic/CallDecisions.java
+++ b/daemon/src/main/java/org/mimosahinge/daemon/traffic/CallDecisions.java
@@ -15,15 +15,18 @@
     private static final String NONE = "-";
 
     private final TrafficLoop loop;
+    private final CallMetrics metrics;
     private final int every;
     private long answered;
 
-    CallDecisions(TrafficLoop loop, int every) {
+    CallDecisions(TrafficLoop loop, CallMetrics metrics, int every) {
         this.loop = loop;
+        this.metrics = metrics;
         this.every = every;
     }
 
     void answered(CallRequest request, CallPlan plan, Attempt last) {
+        metrics.answered(plan.route().callClass(), plan.elapsedMs());
         if (every > 0 && ++answered % every == 0) {
             LOG.info(
                     "answered",
@@ -43,6 +46,7 @@
     }
 
     void attemptFailed(CallRequest request, CallPlan plan, Attempt attempt, Frame.CallFailure failure) {
+        metrics.attemptFailed();
         LOG.info(
                 "attempt_failed",
                 "request",
@@ -66,6 +70,11 @@
     }
 
     void failed(CallRequest request, CallPlan plan, CallException failure) {
+        if (failure.notRun()) {
+            metrics.refused(failure.code());
+        } else {
+            metrics.failed(failure.code());
+        }
         LOG.info(
                 failure.notRun() ? "refused" : "failed",
                 "request",
@@ -87,10 +96,12 @@
     }
 
     void cut(CallRequest request, CallPlan plan) {
+        metrics.cut();
         LOG.info("response_cut", "request", id(request), "route", plan.route().name(), "ms", plan.elapsedMs());
     }
 
     void callerLeft(CallRequest request, CallPlan plan) {
+        metrics.callerLeft();
         LOG.info(
                 "caller_left",
                 "request",
--- /dev/null
+++ b/daemon/src/main/java/org/mimosahinge/daemon/traffic/CallMetrics.java
@@ -0,0 +1,99 @@
+package org.mimosahinge.daemon.traffic;
+
+import com.codahale.metrics.Counter;
+import com.codahale.metrics.MetricRegistry;
+import java.util.EnumMap;
+import java.util.Locale;
+import java.util.Map;
+import org.mimosahinge.api.contract.CallClass;
+import org.mimosahinge.api.error.ErrorCode;
+
+/**
+ * Counts calls where they began, by class and outcome, and their latencies.
+ *
+ * <p>Labels are classes and codes only, so that their number is bounded.
+ */
+public final class CallMetrics {
+
+    /** Upper bounds of the latency buckets in milliseconds; each doubles, from a local answer to a long download. */
+    private static final long[] BUCKETS_MS = {5, 10, 20, 40, 80, 160, 320, 640, 1_280, 2_560, 5_120};
+
+    private final MetricRegistry registry;
+    private final Map<CallClass, Latencies> latencies = new EnumMap<>(CallClass.class);
+    private final Map<ErrorCode, Counter> refused = new EnumMap<>(ErrorCode.class);
+    private final Map<ErrorCode, Counter> failed = new EnumMap<>(ErrorCode.class);
+    private final Counter callersLeft;
+    private final Counter cut;
+    private final Counter attemptsFailed;
+
+    /**
+     * Creates the metrics.
+     *
+     * @param registry holds them
+     */
+    public CallMetrics(MetricRegistry registry) {
+        this.registry = registry;
+        for (CallClass callClass : CallClass.values()) {
+            latencies.put(callClass, new Latencies(callClass));
+        }
+        for (ErrorCode code : ErrorCode.values()) {
+            refused.put(code, counter("mimosahinge_calls_refused_total", "code", code.code()));
+            failed.put(code, counter("mimosahinge_calls_failed_total", "code", code.code()));
+        }
+        callersLeft = registry.counter("mimosahinge_callers_left_total");
+        cut = registry.counter("mimosahinge_responses_cut_total");
+        attemptsFailed = registry.counter("mimosahinge_attempts_failed_total");
+    }
+
+    private Counter counter(String name, String label, String value) {
+        return registry.counter(name + '{' + label + "=\"" + value + "\"}");
+    }
+
+    /** Counts of one class by latency. */
+    private final class Latencies {
+
+        private final Counter[] buckets = new Counter[BUCKETS_MS.length + 1];
+        private final Counter sum;
+
+        Latencies(CallClass callClass) {
+            String name = callClass.name().toLowerCase(Locale.ROOT);
+            for (int i = 0; i < buckets.length; i++) {
+                String bound = i < BUCKETS_MS.length ? Long.toString(BUCKETS_MS[i]) : "+Inf";
+                buckets[i] =
+                        registry.counter("mimosahinge_call_ms_bucket{class=\"" + name + "\",le=\"" + bound + "\"}");
+            }
+            sum = counter("mimosahinge_call_ms_sum", "class", name);
+        }
+
+        void observe(long ms) {
+            sum.inc(ms);
+            for (int i = BUCKETS_MS.length; i >= 0 && (i == BUCKETS_MS.length || ms <= BUCKETS_MS[i]); i--) {
+                buckets[i].inc();
+            }
+        }
+    }
+
+    void answered(CallClass callClass, long ms) {
+        latencies.get(callClass).observe(ms);
+    }
+
+    void refused(ErrorCode code) {
+        refused.get(code).inc();
+    }
+
+    void failed(ErrorCode code) {
+        failed.get(code).inc();
+    }
+
+    void callerLeft() {
+        callersLeft.inc();
+    }
+
+    void cut() {
+        cut.inc();
+    }
+
+    void attemptFailed() {
+        attemptsFailed.inc();
+    }
+}
--- a/daemon/src/main/java/org/mimosahinge/daemon/traffic/TrafficConfig.java
+++ b/daemon/src/main/java/org/mimosahinge/daemon/traffic/TrafficConfig.java
@@ -1,5 +1,6 @@
 package org.mimosahinge.daemon.traffic;
 
+import com.codahale.metrics.MetricRegistry;
 import org.mimosahinge.api.world.HostPort;
 import org.mimosahinge.api.world.Node;
 
@@ -10,9 +11,11 @@
  * @param callers address for callers; port 0 picks a free port
  * @param eventLoops number of traffic threads; one carries the planned load of a node without hops between threads
  * @param protocol marks of calls on HTTP connections
+ * @param registry holds the counters of calls
  * @param logEvery one in this many routing decisions is logged; 0 logs none
  */
-public record TrafficConfig(Node self, HostPort callers, int eventLoops, CallProtocol protocol, int logEvery) {
+public record TrafficConfig(
+        Node self, HostPort callers, int eventLoops, CallProtocol protocol, MetricRegistry registry, int logEvery) {
 
     /**
      * Settings with the product's own marks of calls.
@@ -23,6 +26,6 @@
      * @param logEvery one in this many routing decisions is logged; 0 logs none
      */
     public TrafficConfig(Node self, HostPort callers, int eventLoops, int logEvery) {
-        this(self, callers, eventLoops, CallProtocol.STANDARD, logEvery);
+        this(self, callers, eventLoops, CallProtocol.STANDARD, new MetricRegistry(), logEvery);
     }
 }
--- a/daemon/src/main/java/org/mimosahinge/daemon/traffic/TrafficContext.java
+++ b/daemon/src/main/java/org/mimosahinge/daemon/traffic/TrafficContext.java
@@ -15,6 +15,7 @@
  * @param listener takes reports
  * @param policies decisions that vary
  * @param crashes requests that crashed backend servers; changes only at crashes
+ * @param metrics counts calls
  */
 record TrafficContext(
         TrafficConfig config,
@@ -22,4 +23,5 @@
         TableService table,
         TrafficListener listener,
         TrafficPolicies policies,
-        AtomicReference<CrashRegistry> crashes) {}
+        AtomicReference<CrashRegistry> crashes,
+        CallMetrics metrics) {}
--- a/daemon/src/main/java/org/mimosahinge/daemon/traffic/TrafficLoop.java
+++ b/daemon/src/main/java/org/mimosahinge/daemon/traffic/TrafficLoop.java
@@ -72,7 +72,8 @@
     TrafficLoop(TrafficPlane plane, EventLoop eventLoop) {
         this.plane = plane;
         this.eventLoop = eventLoop;
-        decisions = new CallDecisions(this, plane.context().config().logEvery());
+        decisions = new CallDecisions(
+                this, plane.context().metrics(), plane.context().config().logEvery());
         eventLoop.scheduleWithFixedDelay(this::closeIdleCallers, IDLE_CHECK_MS, IDLE_CHECK_MS, TimeUnit.MILLISECONDS);
     }
 
--- a/daemon/src/main/java/org/mimosahinge/daemon/traffic/TrafficPlane.java
+++ b/daemon/src/main/java/org/mimosahinge/daemon/traffic/TrafficPlane.java
@@ -93,7 +93,13 @@
             TrafficListener listener,
             TrafficPolicies policies) {
         TrafficPlane plane = new TrafficPlane(new TrafficContext(
-                config, snapshots, table, listener, policies, new AtomicReference<>(CrashRegistry.EMPTY)));
+                config,
+                snapshots,
+                table,
+                listener,
+                policies,
+                new AtomicReference<>(CrashRegistry.EMPTY),
+                new CallMetrics(config.registry())));
         plane.bind();
         return plane;
     }
--- /dev/null
+++ b/net/src/main/java/org/mimosahinge/net/log/BoundedLog.java
@@ -0,0 +1,114 @@
+package org.mimosahinge.net.log;
+
+import java.io.IOException;
+import java.io.OutputStream;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.ArrayBlockingQueue;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.LongSupplier;
+import java.util.logging.Formatter;
+import java.util.logging.Handler;
+import java.util.logging.Level;
+import java.util.logging.LogRecord;
+
+/**
+ * Writes log lines on a thread of its own, at a bounded rate for each event, and counts what it leaves out.
+ *
+ * <p>A thread that logs never waits: neither for the output, which nobody may be reading, nor for other threads' lines.
+ */
+public final class BoundedLog extends Handler {
+
+    /** Lines that may wait for the output; at about 300 bytes each they stay below 1 MB. */
+    private static final int QUEUE = 2_048;
+
+    /** Lines written together, so that a burst costs few system calls. */
+    private static final int BATCH = 64;
+
+    private final BlockingQueue<LogRecord> queue = new ArrayBlockingQueue<>(QUEUE);
+    private final AtomicLong overflown = new AtomicLong();
+    private final OutputStream out;
+    private final EventRates rates;
+
+    /**
+     * Creates a log and starts its thread.
+     *
+     * @param out where lines go
+     * @param formatter writes a record as a line
+     * @param nanoTime monotonic clock
+     */
+    public BoundedLog(OutputStream out, Formatter formatter, LongSupplier nanoTime) {
+        this.out = out;
+        setFormatter(formatter);
+        rates = new EventRates(nanoTime);
+        Thread writer = new Thread(this::write, "log");
+        writer.setDaemon(true);
+        writer.start();
+    }
+
+    @Override
+    public void publish(LogRecord entry) {
+        if (!isLoggable(entry) || !rates.admits(event(entry.getMessage()))) {
+            return;
+        }
+        if (!queue.offer(entry)) {
+            overflown.incrementAndGet();
+        }
+    }
+
+    /** Returns the name of a line's event, which leads the line. */
+    private static String event(String message) {
+        int end = message.indexOf(' ');
+        return end < 0 ? message : message.substring(0, end);
+    }
+
+    private void write() {
+        List<LogRecord> batch = new ArrayList<>(BATCH);
+        try {
+            while (true) {
+                batch.add(queue.take());
+                queue.drainTo(batch, BATCH - 1);
+                StringBuilder lines = new StringBuilder();
+                batch.forEach(entry -> lines.append(getFormatter().format(entry)));
+                leftOut().forEach(entry -> lines.append(getFormatter().format(entry)));
+                batch.clear();
+                out.write(lines.toString().getBytes(StandardCharsets.UTF_8));
+                out.flush();
+            }
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        } catch (IOException e) {
+            // Nobody can be told that the output is closed; lines are dropped from here on.
+            overflown.incrementAndGet();
+        }
+    }
+
+    private List<LogRecord> leftOut() {
+        List<LogRecord> lines = new ArrayList<>();
+        long lost = overflown.getAndSet(0);
+        if (lost > 0) {
+            lines.add(line("all", lost));
+        }
+        rates.takeLeftOut().forEach((event, count) -> lines.add(line(event, count)));
+        return lines;
+    }
+
+    private static LogRecord line(String event, long count) {
+        LogRecord entry = new LogRecord(
+                Level.WARNING, EventLog.format("lines_left_out", "of", event.replace("event=", ""), "count", count));
+        entry.setLoggerName("log");
+        return entry;
+    }
+
+    @Override
+    public void flush() {
+        // Lines are flushed by the thread that writes them.
+    }
+
+    @Override
+    public void close() {
+        // The thread ends with the process.
+    }
+}
--- a/net/src/main/java/org/mimosahinge/net/log/KeyValueFormatter.java
+++ b/net/src/main/java/org/mimosahinge/net/log/KeyValueFormatter.java
@@ -1,10 +1,11 @@
 package org.mimosahinge.net.log;
 
+import java.io.FileDescriptor;
+import java.io.FileOutputStream;
 import java.util.logging.Formatter;
 import java.util.logging.Level;
 import java.util.logging.LogRecord;
 import java.util.logging.Logger;
-import java.util.logging.StreamHandler;
 
 /** Formats records as one line that starts with time, level and component. */
 public final class KeyValueFormatter extends Formatter {
@@ -20,7 +21,7 @@
     }
 
     /**
-     * Sends all records to standard error in this format.
+     * Sends all records to standard output in this format, at a bounded rate.
      *
      * @param level the lowest level that is written
      */
@@ -29,15 +30,10 @@
         for (var handler : root.getHandlers()) {
             root.removeHandler(handler);
         }
-        StreamHandler handler = new StreamHandler(System.err, new KeyValueFormatter()) {
-            @Override
-            public synchronized void publish(LogRecord entry) {
-                super.publish(entry);
-                flush();
-            }
-        };
-        handler.setLevel(level);
-        root.addHandler(handler);
+        BoundedLog log =
+                new BoundedLog(new FileOutputStream(FileDescriptor.out), new KeyValueFormatter(), System::nanoTime);
+        log.setLevel(level);
+        root.addHandler(log);
         root.setLevel(level);
     }
 }
--- /dev/null
+++ b/net/src/test/java/org/mimosahinge/net/log/BoundedLogTest.java
@@ -0,0 +1,73 @@
+package org.mimosahinge.net.log;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.OutputStream;
+import java.nio.charset.StandardCharsets;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.logging.Level;
+import java.util.logging.LogRecord;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+/** Guards against logs that hold up calls or grow without bound while many calls fail. */
+class BoundedLogTest {
+
+    @ParameterizedTest(name = "{0} lines in one second: {1} written, {2} counted as left out")
+    @CsvSource({"5, 5, 0", "20, 20, 0", "500, 20, 480"})
+    void boundsTheLinesOfEachEvent(int lines, int written, long leftOut) {
+        AtomicLong clock = new AtomicLong(1);
+        EventRates rates = new EventRates(clock::get);
+        int admitted = 0;
+        for (int i = 0; i < lines; i++) {
+            admitted += rates.admits("event=refused") ? 1 : 0;
+        }
+        assertTrue(rates.admits("event=other"));
+        clock.addAndGet(2_000_000_000L);
+        assertEquals(written, admitted);
+        assertEquals(leftOut, rates.takeLeftOut().getOrDefault("event=refused", 0L));
+        assertTrue(rates.admits("event=refused"));
+    }
+
+    @ParameterizedTest(name = "{0} lines while nobody reads")
+    @CsvSource({"100", "5000"})
+    void neverWaitsForTheOutput(int lines) throws Exception {
+        CountDownLatch release = new CountDownLatch(1);
+        ByteArrayOutputStream received = new ByteArrayOutputStream();
+        OutputStream blocked = new OutputStream() {
+            @Override
+            public void write(int b) throws IOException {
+                write(new byte[] {(byte) b}, 0, 1);
+            }
+
+            @Override
+            public void write(byte[] bytes, int from, int length) throws IOException {
+                try {
+                    release.await();
+                } catch (InterruptedException e) {
+                    throw new IOException(e);
+                }
+                synchronized (received) {
+                    received.write(bytes, from, length);
+                    received.notifyAll();
+                }
+            }
+        };
+        AtomicLong clock = new AtomicLong();
+        // Each line is an event of its own, so that only the queue bounds them.
+        BoundedLog log = new BoundedLog(blocked, new KeyValueFormatter(), clock::get);
+        for (int i = 0; i < lines; i++) {
+            log.publish(new LogRecord(Level.INFO, "event=e" + i + " n=1"));
+        }
+        release.countDown();
+        synchronized (received) {
+            while (!received.toString(StandardCharsets.UTF_8).contains("event=e99 ")) {
+                received.wait();
+            }
+        }
+    }
+}
