Serve internal checks first, keep connections of stopping nodes, pause failed writes

Ruled out: the route's priority as the mark of inner calls; a refusal at 937 permille shows that they do not carry the highest one. A call from the VM's own address is one of its backend server.

--- a/core/src/main/java/org/mimosahinge/core/routing/ExpectedTime.java
+++ b/core/src/main/java/org/mimosahinge/core/routing/ExpectedTime.java
@@ -32,11 +32,14 @@
      * those behind it too, so its cost is more than its own wait; with the bare wait all calls would queue at the
      * fastest endpoint until its queue is as long as a call at the slowest one.
      */
-    private static final double FULL_COST = 2;
+    private static final double FULL_COST = 1.2;
 
     /** The cost grows with this power of the occupied slots: little up to half of them, steeply near all. */
     private static final double CROWDING = 6;
 
+    /** Cost of a whole queue of as many calls as slots, in units of the service time; above the wait itself. */
+    private static final double QUEUE_COST = 3;
+
     /** Costs this close are drawn at random, so that nodes with the same reports do not all pick one endpoint. */
     private static final double CLOSE_MS = 3;
 
@@ -94,7 +97,8 @@
         double cold = load.readyForMs() < COLD_MS ? COLD_FACTOR : 1;
         double serviceMs = pace.serviceMs() > 0 ? pace.serviceMs() : usualMs * cold;
         double occupied = occupied(endpoint, load);
-        double waitMs = FULL_COST * serviceMs * Math.pow(occupied, CROWDING);
+        double crowding = FULL_COST * Math.pow(Math.min(1, occupied), CROWDING);
+        double waitMs = serviceMs * (crowding + QUEUE_COST * Math.max(0, occupied - 1));
         Proximity proximity = EndpointChoosers.proximity(request, endpoint);
         return pace.roundTripMs()
                 + waitMs
--- a/daemon/src/main/java/org/mimosahinge/daemon/fleet/FleetControl.java
+++ b/daemon/src/main/java/org/mimosahinge/daemon/fleet/FleetControl.java
@@ -390,12 +390,15 @@
         for (MoveDesk.Move move : moves.moves()) {
             Optional<MoveOutcome> outcome = move.unpublished();
             long due = move.decidedNanos() + peers.rank(move.order().service()) * RANK_STEP_NANOS;
-            if (outcome.isEmpty() || now - due < 0) {
+            if (outcome.isEmpty() || now - due < 0 || now - move.writeDueNanos() < 0) {
                 continue;
             }
             move.writing(true);
             outputs.publish(outcome.get(), move.publishedRevision()).whenComplete((written, failure) -> {
                 move.writing(false);
+                if (failure != null) {
+                    move.writeFailed(now());
+                }
                 LOG.info(
                         "move_published",
                         "service",
--- a/daemon/src/main/java/org/mimosahinge/daemon/fleet/MoveDesk.java
+++ b/daemon/src/main/java/org/mimosahinge/daemon/fleet/MoveDesk.java
@@ -34,6 +34,9 @@
     /** An order may reach a node after the first endpoints of its version. */
     private static final long UNORDERED_NANOS = TimeUnit.MILLISECONDS.toNanos(2_500);
 
+    /** The platform limits and charges writes, also those that fail. */
+    private static final long WRITE_RETRY_NANOS = TimeUnit.SECONDS.toNanos(1);
+
     private static final long NO_REVISION = 0;
 
     private final Map<String, Move> moves = new HashMap<>();
@@ -59,12 +62,14 @@
         private long publishedRevision;
         private long decidedNanos;
         private boolean writing;
+        private long writeDueNanos;
 
         private Move(MoveOrder order, long orderRevision, long seenNanos) {
             this.order = order;
             this.orderRevision = orderRevision;
             this.seenNanos = seenNanos;
             decidedNanos = seenNanos;
+            writeDueNanos = seenNanos;
         }
 
         MoveOrder order() {
@@ -92,6 +97,15 @@
             writing = now;
         }
 
+        /** Returns when the state may be written next. */
+        long writeDueNanos() {
+            return writeDueNanos;
+        }
+
+        void writeFailed(long nowNanos) {
+            writeDueNanos = nowNanos + WRITE_RETRY_NANOS;
+        }
+
         private Evidence total() {
             Evidence sum = own;
             for (Evidence evidence : ofPeers.values()) {
--- a/daemon/src/main/java/org/mimosahinge/daemon/traffic/BackendGate.java
+++ b/daemon/src/main/java/org/mimosahinge/daemon/traffic/BackendGate.java
@@ -61,7 +61,11 @@
     @Override
     public Exchange start(Frame.CallStart start, ResponseObserver observer) {
         long now = TrafficLoop.nowMs();
-        long finishBy = now + loop.context().policies().finishBy().withinMs(start.targetMs(), start.deadlineMs());
+        long finishBy = now
+                + loop.context()
+                        .policies()
+                        .finishBy()
+                        .withinMs(start.callClass(), start.targetMs(), start.deadlineMs());
         Waiter waiter = new Waiter(start.callClass(), finishBy, ++arrivals);
         BackendCall call = new BackendCall(this, start, waiter, now + start.deadlineMs(), observer);
         AdmissionDecision decision = AdmissionQueue.decide(view(now, start.callClass()), waiter);
--- a/daemon/src/main/java/org/mimosahinge/daemon/traffic/CallDecisions.java
+++ b/daemon/src/main/java/org/mimosahinge/daemon/traffic/CallDecisions.java
@@ -81,6 +81,8 @@
                 id(request),
                 "route",
                 plan == null ? NONE : plan.route().name(),
+                "class",
+                plan == null ? NONE : plan.callClass(),
                 "code",
                 failure.code().code(),
                 "attempts",
--- a/daemon/src/main/java/org/mimosahinge/daemon/traffic/CallerConnection.java
+++ b/daemon/src/main/java/org/mimosahinge/daemon/traffic/CallerConnection.java
@@ -214,7 +214,8 @@
                             request.method().name(),
                             request.uri(),
                             loop.marked(HeaderMaps.from(request.headers())),
-                            hasBody),
+                            hasBody,
+                            loop.isOnVm(channel)),
                     this);
         }
 
--- a/daemon/src/main/java/org/mimosahinge/daemon/traffic/Heartbeats.java
+++ b/daemon/src/main/java/org/mimosahinge/daemon/traffic/Heartbeats.java
@@ -1,24 +1,26 @@
 package org.mimosahinge.daemon.traffic;
 
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelDuplexHandler;
 import io.netty.channel.ChannelHandlerContext;
-import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.ChannelPromise;
 import java.util.concurrent.ScheduledFuture;
 import java.util.concurrent.TimeUnit;
 import org.mimosahinge.net.frame.Frame;
 
 /** Sends heartbeats on a connection for calls and closes it when no byte arrives; a dead path shows no other sign. */
-final class Heartbeats extends ChannelInboundHandlerAdapter {
+final class Heartbeats extends ChannelDuplexHandler {
 
     private static final long INTERVAL_MS = 500;
-    private static final long SILENCE_NANOS = TimeUnit.MILLISECONDS.toNanos(1_500);
+    private static final long SILENCE_NANOS = TimeUnit.MILLISECONDS.toNanos(2_000);
 
-    /** One heartbeat is overdue; new calls take another connection while this one may still come back. */
-    private static final long DOUBT_NANOS = TimeUnit.MILLISECONDS.toNanos(750);
+    /** Heartbeats are overdue; new calls take another connection while this one may still come back. */
+    private static final long DOUBT_NANOS = TimeUnit.MILLISECONDS.toNanos(1_100);
 
     private ScheduledFuture<?> timer;
     private long lastBeatNanos = System.nanoTime();
     private long lastReadNanos = System.nanoTime();
+    private boolean wroteSinceBeat;
     private long sequence;
 
     /** Starts heartbeats on a connection; must see raw bytes, so it goes before the frame decoder. */
@@ -46,9 +48,19 @@
         lastBeatNanos = now;
         if (!paused && now - lastReadNanos > SILENCE_NANOS) {
             channel.close();
-        } else {
+            return;
+        }
+        // Calls tell the other end as much as a heartbeat, which costs both ends a wake-up.
+        if (!wroteSinceBeat) {
             channel.writeAndFlush(new Frame.Heartbeat(++sequence));
         }
+        wroteSinceBeat = false;
+    }
+
+    @Override
+    public void write(ChannelHandlerContext context, Object message, ChannelPromise promise) {
+        wroteSinceBeat = true;
+        context.write(message, promise);
     }
 
     @Override
--- a/daemon/src/main/java/org/mimosahinge/daemon/traffic/PeerConnection.java
+++ b/daemon/src/main/java/org/mimosahinge/daemon/traffic/PeerConnection.java
@@ -72,6 +72,11 @@
         return connection;
     }
 
+    /** Tells whether the other node is stopping; the connection stays until it has gone. */
+    boolean retiring() {
+        return retiring && !closed;
+    }
+
     /** Tells whether calls can be sent now without waiting for the connection. */
     boolean connected() {
         return channel != null && usable();
@@ -94,6 +99,10 @@
 
     @Override
     public Exchange start(Frame.CallStart start, ResponseObserver observer) {
+        if (retiring) {
+            observer.failed(CallFailures.notRun(start.callId(), ErrorCode.NOT_READY, "The node is stopping"));
+            return EndedExchange.INSTANCE;
+        }
         PeerExchange exchange = new PeerExchange(start.callId(), observer);
         calls.put(start.callId(), exchange);
         write(start);
@@ -166,8 +175,10 @@
     private void failed(Frame.CallFailure failure) {
         if (failure.callId() == CallFailures.WHOLE_CONNECTION) {
             retiring = true;
-            loop.retired(address, this);
-            closeWhenRetired();
+            if (!loop.context().policies().fleet().keepsPeers()) {
+                loop.forget(address, this);
+                closeWhenRetired();
+            }
             return;
         }
         PeerExchange call = remove(failure.callId());
@@ -187,7 +198,8 @@
     }
 
     private void closeWhenRetired() {
-        if (retiring && calls.isEmpty()) {
+        boolean kept = loop.context().policies().fleet().keepsPeers();
+        if (retiring && !kept && calls.isEmpty()) {
             channel.close();
         }
     }
--- a/daemon/src/main/java/org/mimosahinge/daemon/traffic/TrafficLoop.java
+++ b/daemon/src/main/java/org/mimosahinge/daemon/traffic/TrafficLoop.java
@@ -1,6 +1,8 @@
 package org.mimosahinge.daemon.traffic;
 
+import io.netty.channel.Channel;
 import io.netty.channel.EventLoop;
+import java.net.InetSocketAddress;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -119,6 +121,13 @@
         return headers;
     }
 
+    /** Tells whether a connection comes from this VM itself. */
+    boolean isOnVm(Channel channel) {
+        String self = context().config().self().address().host();
+        return channel.remoteAddress() instanceof InetSocketAddress remote
+                && remote.getAddress().getHostAddress().equals(self);
+    }
+
     private void closeIdleCallers() {
         long now = nowMs();
         long limit = snapshot().callerLimits().idleTimeout().toMillis();
@@ -158,12 +167,6 @@
                 TimeUnit.MILLISECONDS);
     }
 
-    /** A connection of a stopping node takes no more calls; another one is opened later. */
-    void retired(HostPort address, PeerConnection connection) {
-        forget(address, connection);
-        redial(address);
-    }
-
     void dialed(HostPort address) {
         failedDials.remove(address);
     }
@@ -254,7 +257,7 @@
 
     private PeerConnection peer(HostPort address) {
         PeerConnection known = peers.get(address);
-        if (known == null || !known.usable()) {
+        if (known == null || !known.usable() && !known.retiring()) {
             known = PeerConnection.open(this, address);
             peers.put(address, known);
         }
