--- a/api/src/main/java/org/mimosahinge/api/contract/Route.java
+++ b/api/src/main/java/org/mimosahinge/api/contract/Route.java
@@ -50,6 +50,27 @@
         return shares.get(0).service();
     }
 
+    /**
+     * Returns the same route with another priority.
+     *
+     * @param newClass the priority
+     * @return the route
+     */
+    public Route withClass(CallClass newClass) {
+        return new Route(
+                name,
+                host,
+                pathPrefix,
+                shares,
+                newClass,
+                timeout,
+                targetLatency,
+                maxAttempts,
+                idempotent,
+                atMostOnce,
+                resources);
+    }
+
     /**
      * Starts a route with default values.
      *
--- a/daemon/src/main/java/org/mimosahinge/daemon/fleet/FleetControl.java
+++ b/daemon/src/main/java/org/mimosahinge/daemon/fleet/FleetControl.java
@@ -14,6 +14,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.LongSupplier;
 import org.mimosahinge.api.config.Snapshot;
+import org.mimosahinge.api.contract.CallClass;
 import org.mimosahinge.api.contract.Limits;
 import org.mimosahinge.api.contract.Route;
 import org.mimosahinge.api.contract.Service;
@@ -21,6 +22,7 @@
 import org.mimosahinge.api.world.Endpoint;
 import org.mimosahinge.api.world.Node;
 import org.mimosahinge.api.world.NodeId;
+import org.mimosahinge.core.admission.InternalChecks;
 import org.mimosahinge.core.membership.ServerReport;
 import org.mimosahinge.core.poison.Fingerprint;
 import org.mimosahinge.daemon.control.EvidenceFrames;
@@ -396,7 +398,7 @@
             move.writing(true);
             outputs.publish(outcome.get(), move.publishedRevision()).whenComplete((written, failure) -> {
                 move.writing(false);
-                if (failure != null) {
+                if (failure != null || !written) {
                     move.writeFailed(now());
                 }
                 LOG.info(
@@ -485,10 +487,14 @@
                 current.callerLimits()));
     }
 
-    /** Keeps the list that is in force when it is the same, so that indexes built from it stay valid. */
+    /** Ranks internal checks first and keeps the list in force when it is the same, with indexes built from it. */
     private List<Route> routes(List<Route> next) {
         List<Route> held = snapshots.get().routes();
-        return held.equals(next) ? held : next;
+        Set<String> checks = InternalChecks.find(next);
+        List<Route> ranked = next.stream()
+                .map(route -> checks.contains(route.name()) ? route.withClass(CallClass.INTERNAL_CHECK) : route)
+                .toList();
+        return held.equals(ranked) ? held : ranked;
     }
 
     private Map<String, Service> services(Document current, Map<String, List<Endpoint>> endpoints) {
--- a/daemon/src/main/java/org/mimosahinge/daemon/fleet/MoveDesk.java
+++ b/daemon/src/main/java/org/mimosahinge/daemon/fleet/MoveDesk.java
@@ -40,6 +40,7 @@
     private static final long NO_REVISION = 0;
 
     private final Map<String, Move> moves = new HashMap<>();
+    private final Map<String, PublishedOutcome> outcomes = new HashMap<>();
     private final Map<String, Map<String, Long>> versionsSince = new HashMap<>();
     private final Map<String, Set<String>> superseded = new HashMap<>();
     private final long startedNanos;
@@ -48,6 +49,9 @@
         this.startedNanos = startedNanos;
     }
 
+    /** The newest state that operators read; a restarted node may learn it before the order. */
+    private record PublishedOutcome(MoveOutcome outcome, long revision) {}
+
     /** One order and its state on this node. */
     static final class Move {
 
@@ -129,10 +133,11 @@
         }
         superseded.getOrDefault(order.service(), new TreeSet<>()).remove(order.to());
         Move move = new Move(order, revision, nowNanos);
-        if (known != null && known.publishedRevision > 0) {
-            move.publishedRevision = known.publishedRevision;
-        }
         moves.put(order.service(), move);
+        PublishedOutcome held = outcomes.get(order.service());
+        if (held != null) {
+            bind(move, held.outcome, held.revision, nowNanos);
+        }
         LOG.info(
                 "move_ordered",
                 "service",
@@ -147,10 +152,16 @@
 
     /** Takes the state that operators read; it binds this node whatever it had decided. */
     boolean published(MoveOutcome outcome, long revision, long nowNanos) {
-        Move move = moves.get(outcome.service());
-        if (move == null || revision <= move.publishedRevision) {
+        PublishedOutcome held = outcomes.get(outcome.service());
+        if (held != null && revision <= held.revision) {
             return false;
         }
+        outcomes.put(outcome.service(), new PublishedOutcome(outcome, revision));
+        Move move = moves.get(outcome.service());
+        return move != null && bind(move, outcome, revision, nowNanos);
+    }
+
+    private static boolean bind(Move move, MoveOutcome outcome, long revision, long nowNanos) {
         move.publishedRevision = revision;
         if (revision < move.orderRevision || !outcome.to().equals(move.order.to())) {
             return false;
--- a/daemon/src/main/java/org/mimosahinge/daemon/traffic/CallDecisions.java
+++ b/daemon/src/main/java/org/mimosahinge/daemon/traffic/CallDecisions.java
@@ -82,7 +82,7 @@
                 "route",
                 plan == null ? NONE : plan.route().name(),
                 "class",
-                plan == null ? NONE : plan.callClass(),
+                plan == null ? NONE : plan.route().callClass(),
                 "code",
                 failure.code().code(),
                 "attempts",
--- a/daemon/src/main/java/org/mimosahinge/daemon/traffic/CallPlan.java
+++ b/daemon/src/main/java/org/mimosahinge/daemon/traffic/CallPlan.java
@@ -6,7 +6,6 @@
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import org.mimosahinge.api.config.Snapshot;
-import org.mimosahinge.api.contract.CallClass;
 import org.mimosahinge.api.contract.Route;
 import org.mimosahinge.api.contract.Service;
 import org.mimosahinge.core.retry.RetryView;
@@ -103,7 +102,7 @@
                 loop.nextCallId(),
                 attempt.endpoint().id(),
                 service.name(),
-                callClass(),
+                route.callClass(),
                 (int) remainingMs(),
                 (int) targetMs(),
                 request.method(),
@@ -116,12 +115,6 @@
         }
     }
 
-    /** A call that a running call makes comes first: refusing it would waste the work already done. */
-    CallClass callClass() {
-        boolean nested = request.fromVm() && loop.context().policies().fleet().nestedFirst();
-        return nested ? CallClass.INTERNAL_CHECK : route.callClass();
-    }
-
     private long targetMs() {
         return route.targetLatency().toMillis() - elapsedMs();
     }
--- a/daemon/src/main/java/org/mimosahinge/daemon/traffic/CallRequest.java
+++ b/daemon/src/main/java/org/mimosahinge/daemon/traffic/CallRequest.java
@@ -9,9 +9,8 @@
  * @param uri path and query
  * @param headers end-to-end headers by lower-case name
  * @param hasBody whether a body follows
- * @param fromVm whether a process on this VM calls, as its backend server does while it runs a call
  */
-record CallRequest(String method, String uri, Map<String, String> headers, boolean hasBody, boolean fromVm) {
+record CallRequest(String method, String uri, Map<String, String> headers, boolean hasBody) {
 
     String host() {
         return headers.getOrDefault("host", "");
--- a/daemon/src/main/java/org/mimosahinge/daemon/traffic/CallerConnection.java
+++ b/daemon/src/main/java/org/mimosahinge/daemon/traffic/CallerConnection.java
@@ -214,8 +214,7 @@
                             request.method().name(),
                             request.uri(),
                             loop.marked(HeaderMaps.from(request.headers())),
-                            hasBody,
-                            loop.isOnVm(channel)),
+                            hasBody),
                     this);
         }
 
--- a/daemon/src/main/java/org/mimosahinge/daemon/traffic/EntryCall.java
+++ b/daemon/src/main/java/org/mimosahinge/daemon/traffic/EntryCall.java
@@ -224,10 +224,10 @@
     }
 
     private boolean complete(HeldResponse whole) {
-        ResponseProgress held = new ResponseProgress(request);
-        held.begin(whole.start());
-        whole.parts().forEach(held::take);
-        return held.complete();
+        ResponseProgress received = new ResponseProgress(request);
+        received.begin(whole.start());
+        whole.parts().forEach(received::take);
+        return received.complete();
     }
 
     private void deliverBody(Attempt from, byte[] bytes, boolean last) {
--- a/daemon/src/main/java/org/mimosahinge/daemon/traffic/TrafficLoop.java
+++ b/daemon/src/main/java/org/mimosahinge/daemon/traffic/TrafficLoop.java
@@ -1,8 +1,6 @@
 package org.mimosahinge.daemon.traffic;
 
-import io.netty.channel.Channel;
 import io.netty.channel.EventLoop;
-import java.net.InetSocketAddress;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -121,13 +119,6 @@
         return headers;
     }
 
-    /** Tells whether a connection comes from this VM itself. */
-    boolean isOnVm(Channel channel) {
-        String self = context().config().self().address().host();
-        return channel.remoteAddress() instanceof InetSocketAddress remote
-                && remote.getAddress().getHostAddress().equals(self);
-    }
-
     private void closeIdleCallers() {
         long now = nowMs();
         long limit = snapshot().callerLimits().idleTimeout().toMillis();
--- /dev/null
+++ b/daemon/src/test/java/org/mimosahinge/daemon/fleet/MoveDeskTest.java
@@ -0,0 +1,47 @@
+package org.mimosahinge.daemon.fleet;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import java.time.Duration;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.mimosahinge.api.config.MovePhase;
+
+/** Guards against restarted nodes that decide again about a move which was decided before. */
+class MoveDeskTest {
+
+    private static final MoveOrder ORDER = new MoveOrder("shop", "v2", Duration.ofSeconds(15));
+
+    @ParameterizedTest(
+            name = "outcome {0} of version {1}, order at {2}, outcome at {3}, outcome first {4}: {5}, to write {6}")
+    @CsvSource({
+        "DONE, v2, 5, 9, true, DONE, false",
+        "DONE, v2, 5, 9, false, DONE, false",
+        "TAKEN_BACK, v2, 5, 9, true, TAKEN_BACK, false",
+        "DONE, v1, 5, 9, true, RUNNING, true",
+        "DONE, v2, 9, 5, true, RUNNING, true",
+        "RUNNING, v2, 5, 9, true, RUNNING, false"
+    })
+    void theWrittenOutcomeBindsInWhateverOrderTheRowsArrive(
+            MovePhase phase,
+            String version,
+            long ordered,
+            long written,
+            boolean outcomeFirst,
+            MovePhase expected,
+            boolean toWrite) {
+        MoveDesk desk = new MoveDesk(0);
+        MoveOutcome outcome = new MoveOutcome("shop", version, phase);
+        if (outcomeFirst) {
+            desk.published(outcome, written, 1);
+        }
+        desk.ordered(ORDER, ordered, 1);
+        if (!outcomeFirst) {
+            desk.published(outcome, written, 1);
+        }
+        assertEquals(expected, desk.states().get("shop").phase());
+        MoveDesk.Move move = desk.moves().iterator().next();
+        assertEquals(toWrite, move.unpublished().isPresent());
+        assertEquals(written, move.publishedRevision());
+    }
+}
