Explore silent endpoints, close idle callers before a stop ends, keep the product's statuses

Tests of the product failed because statuses had changed for its own interface as well; the mapping now belongs to the adapter.

--- a/core/src/main/java/org/mimosahinge/core/routing/ExpectedTime.java
+++ b/core/src/main/java/org/mimosahinge/core/routing/ExpectedTime.java
@@ -43,6 +43,12 @@
     /** Costs this close are drawn at random, so that nodes with the same reports do not all pick one endpoint. */
     private static final double CLOSE_MS = 3;
 
+    /** One call in this many may go to an endpoint about which nothing fresh is known. */
+    private static final int EXPLORED_ONE_IN = 40;
+
+    /** Larger responses are not worth exploring over a paid link. */
+    private static final double EXPLORED_KB = 20;
+
     private static final double SUSPECT_MS = 10_000;
 
     private ExpectedTime() {}
@@ -63,6 +69,11 @@
             for (int i = 0; i < load.length; i++) {
                 load[i] = loads.load(eligible.get(i));
             }
+            Optional<Endpoint> unknown = unknown(request, eligible, load, random);
+            if (unknown.isPresent()) {
+                return unknown.map(endpoint ->
+                        new Choice(endpoint, EndpointChoosers.proximity(request, endpoint), eligible.size()));
+            }
             double usualMs = usualServiceMs(load);
             int best = 0;
             double bestMs = Double.MAX_VALUE;
@@ -79,6 +90,25 @@
         };
     }
 
+    /** Sends a few calls to endpoints that have not reported for long, or new and recovered ones would stay unknown. */
+    private static Optional<Endpoint> unknown(
+            ChoiceRequest request, List<Endpoint> eligible, EndpointLoad[] loads, RandomSource random) {
+        if (random.nextInt(EXPLORED_ONE_IN) != 0) {
+            return Optional.empty();
+        }
+        int from = random.nextInt(loads.length);
+        for (int i = 0; i < loads.length; i++) {
+            int index = (from + i) % loads.length;
+            Endpoint endpoint = eligible.get(index);
+            boolean cheap = request.expectedKb() < EXPLORED_KB
+                    || EndpointChoosers.proximity(request, endpoint) == Proximity.SAME_ZONE;
+            if (cheap && !loads[index].suspect() && loads[index].reportAgeMs() > REPORT_LIFETIME_MS) {
+                return Optional.of(endpoint);
+            }
+        }
+        return Optional.empty();
+    }
+
     private static double usualServiceMs(EndpointLoad[] loads) {
         double sum = 0;
         int known = 0;
--- a/core/src/test/java/org/mimosahinge/core/routing/ExpectedTimeTest.java
+++ b/core/src/test/java/org/mimosahinge/core/routing/ExpectedTimeTest.java
@@ -85,6 +85,25 @@
         assertEquals(expected, choice.endpoint().id());
     }
 
+    @ParameterizedTest(name = "{0} KB, last report {1} ms ago: of 4,000 calls {2} to {3} explore the other zone")
+    @CsvSource({"5, 60000, 40, 200", "5, 100, 0, 0", "90, 60000, 0, 0"})
+    void newEndpointsElsewhereGetAFewCalls(double kilobytes, long ageMs, int least, int most) {
+        EndpointLoad stale = new EndpointLoad(0, 0, ageMs, 60_000, false, new EndpointPace(0, 0, 1, 0));
+        Random random = new Random(7);
+        int explored = 0;
+        for (int i = 0; i < 4_000; i++) {
+            Choice choice = ExpectedTime.chooser(CostModel.PAID_LINKS)
+                    .choose(
+                            new ChoiceRequest("shop", endpoint -> true, NEAR, Set.of(), kilobytes),
+                            snapshot(List.of(endpoint(NEAR), endpoint(NEXT))),
+                            endpoint -> endpoint.id().equals("near") ? load(300, 20, 0, 0.2) : stale,
+                            random::nextInt)
+                    .orElseThrow();
+            explored += choice.endpoint().id().equals("next") ? 1 : 0;
+        }
+        assertTrue(explored >= least && explored <= most, explored + " calls");
+    }
+
     /**
      * Six endpoints of speeds that differ by three, calls at nine tenths of what they can do together: the load that
      * the number of slots alone does not tell. Endpoints that were chosen in turn would leave the slow ones overloaded.
--- a/daemon/src/main/java/org/mimosahinge/daemon/traffic/CallProtocol.java
+++ b/daemon/src/main/java/org/mimosahinge/daemon/traffic/CallProtocol.java
@@ -2,6 +2,8 @@
 
 import java.util.function.LongFunction;
 import java.util.function.Supplier;
+import java.util.function.ToIntFunction;
+import org.mimosahinge.api.error.CallException;
 
 /**
  * How calls are marked on HTTP connections to callers and backend servers; names are in lower case.
@@ -13,6 +15,7 @@
  * @param callerService the service on this node's VM
  * @param refused whether a backend server states by its response that it has not run the call
  * @param genuine whether a response is one that the backend server made as a whole
+ * @param status HTTP status that tells a caller of a failure
  * @param retryAfter writes a time in milliseconds as the value of the Retry-After header
  */
 public record CallProtocol(
@@ -23,6 +26,7 @@
         Supplier<String> callerService,
         ResponseRule refused,
         ResponseRule genuine,
+        ToIntFunction<CallException> status,
         LongFunction<String> retryAfter) {
 
     /** The product's own marks. */
@@ -50,6 +54,7 @@
         private ResponseRule refused =
                 (status, headers) -> status == 503 && HeaderMaps.NOT_RUN.equals(headers.get(HeaderMaps.OUTCOME));
         private ResponseRule genuine = (status, headers) -> true;
+        private ToIntFunction<CallException> status = failure -> failure.code().httpStatus();
         private LongFunction<String> retryAfter = ms -> Long.toString((ms + MS_PER_SECOND - 1) / MS_PER_SECOND);
 
         private Builder() {}
@@ -105,12 +110,14 @@
         }
 
         /**
-         * Sets the form of the Retry-After header.
+         * Sets how callers are told of failures.
          *
-         * @param format writes milliseconds
+         * @param ofFailure HTTP status of a failure
+         * @param format writes the milliseconds of a Retry-After header
          * @return this builder
          */
-        public Builder retryAfter(LongFunction<String> format) {
+        public Builder failures(ToIntFunction<CallException> ofFailure, LongFunction<String> format) {
+            status = ofFailure;
             retryAfter = format;
             return this;
         }
@@ -129,6 +136,7 @@
                     callerService,
                     refused,
                     genuine,
+                    status,
                     retryAfter);
         }
     }
--- a/daemon/src/main/java/org/mimosahinge/daemon/traffic/CallerConnection.java
+++ b/daemon/src/main/java/org/mimosahinge/daemon/traffic/CallerConnection.java
@@ -67,11 +67,13 @@
         return turn != null;
     }
 
-    /** Closes the connection when its caller has sent nothing for too long. */
-    void closeIfIdle(long nowMs, long limitMs) {
-        if (turn == null && nowMs - idleSinceMs > limitMs) {
+    /** Closes the connection when its caller has sent nothing for too long, and tells whether it did. */
+    boolean closeIfIdle(long nowMs, long limitMs) {
+        boolean idle = turn == null && nowMs - idleSinceMs > limitMs;
+        if (idle) {
             channel.close();
         }
+        return idle;
     }
 
     @Override
--- a/daemon/src/main/java/org/mimosahinge/daemon/traffic/ErrorResponses.java
+++ b/daemon/src/main/java/org/mimosahinge/daemon/traffic/ErrorResponses.java
@@ -8,25 +8,19 @@
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
 import java.nio.charset.StandardCharsets;
-import java.util.Set;
 import org.mimosahinge.api.error.CallException;
 import org.mimosahinge.api.error.ErrorCode;
 
 /** Responses of the node itself. */
 final class ErrorResponses {
 
-    private static final int SERVER_ERRORS = 500;
-    private static final int BAD_GATEWAY = 502;
-    private static final int UNAVAILABLE = 503;
     private static final int PAYLOAD_TOO_LARGE = 413;
 
-    /** Request timeout, misdirected request, too many requests, unavailable. */
-    private static final Set<Integer> PROMISES = Set.of(408, 421, 429, UNAVAILABLE);
-
     private ErrorResponses() {}
 
     static FullHttpResponse of(CallException failure, CallProtocol protocol) {
-        FullHttpResponse response = json(status(failure), failure.code().code(), failure.getMessage());
+        FullHttpResponse response =
+                json(protocol.status().applyAsInt(failure), failure.code().code(), failure.getMessage());
         if (failure.retryAfterMs() > 0) {
             response.headers()
                     .set(HttpHeaderNames.RETRY_AFTER, protocol.retryAfter().apply(failure.retryAfterMs()));
@@ -35,15 +29,6 @@
         return response;
     }
 
-    /** Callers take some statuses as a promise that the call has not run, so they carry exactly such failures. */
-    private static int status(CallException failure) {
-        int status = failure.code().httpStatus();
-        if (failure.notRun()) {
-            return status >= SERVER_ERRORS ? UNAVAILABLE : status;
-        }
-        return PROMISES.contains(status) ? BAD_GATEWAY : status;
-    }
-
     /** Refuses a body beyond the limit of callers; nothing of it was forwarded. */
     static FullHttpResponse bodyTooLarge(long limit) {
         FullHttpResponse response =
--- a/daemon/src/main/java/org/mimosahinge/daemon/traffic/TrafficLoop.java
+++ b/daemon/src/main/java/org/mimosahinge/daemon/traffic/TrafficLoop.java
@@ -120,13 +120,21 @@
     }
 
     private void closeIdleCallers() {
+        closeIdle(snapshot().callerLimits().idleTimeout().toMillis());
+    }
+
+    /** Closes silent connections of callers and counts what a planned stop still has to wait for. */
+    int closeIdle(long silenceMs) {
         long now = nowMs();
-        long limit = snapshot().callerLimits().idleTimeout().toMillis();
+        int open = 0;
         for (Drainable connection : List.copyOf(connections)) {
             if (connection instanceof CallerConnection caller) {
-                caller.closeIfIdle(now, limit);
+                open += caller.closeIfIdle(now, silenceMs) ? 0 : 1;
+            } else {
+                open += connection.busy() ? 1 : 0;
             }
         }
+        return open;
     }
 
     long nextLink() {
--- a/daemon/src/main/java/org/mimosahinge/daemon/traffic/TrafficPlane.java
+++ b/daemon/src/main/java/org/mimosahinge/daemon/traffic/TrafficPlane.java
@@ -298,18 +298,20 @@
                 loop.eventLoop().execute(() -> List.copyOf(loop.connections()).forEach(Drainable::drain)));
     }
 
+    /** Takes no new connections of callers; the open ones stay. */
+    public void stopAccepting() {
+        server.close();
+    }
+
     /**
-     * Counts connections with calls in flight.
+     * Closes connections whose callers have been silent for a while.
      *
-     * @return the count
+     * @param silence least time without a request; one that is on its way must not meet a closed connection
+     * @return connections of callers that are still open, and of nodes with calls in flight
      */
-    public CompletionStage<Integer> busyConnections() {
+    public CompletionStage<Integer> closeIdle(Duration silence) {
         List<CompletableFuture<Integer>> counts = ordered.stream()
-                .map(loop -> CompletableFuture.supplyAsync(
-                        () -> (int) loop.connections().stream()
-                                .filter(Drainable::busy)
-                                .count(),
-                        loop.eventLoop()))
+                .map(loop -> CompletableFuture.supplyAsync(() -> loop.closeIdle(silence.toMillis()), loop.eventLoop()))
                 .toList();
         return CompletableFuture.allOf(counts.toArray(CompletableFuture[]::new))
                 .thenApply(done ->
--- /dev/null
+++ b/daemon/src/test/java/org/mimosahinge/daemon/fleet/PeersTest.java
@@ -0,0 +1,86 @@
+package org.mimosahinge.daemon.fleet;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.mimosahinge.api.world.AvailabilityZone;
+import org.mimosahinge.api.world.BackendServer;
+import org.mimosahinge.api.world.Endpoint;
+import org.mimosahinge.api.world.EndpointState;
+import org.mimosahinge.api.world.HostPort;
+import org.mimosahinge.api.world.Node;
+import org.mimosahinge.api.world.NodeId;
+import org.mimosahinge.api.world.Region;
+import org.mimosahinge.api.world.Stamp;
+import org.mimosahinge.core.membership.ServerReport;
+
+/** Guards against endpoints of nodes that are away, and against backend servers that stay after their reports end. */
+class PeersTest {
+
+    private static final AvailabilityZone ZONE = new AvailabilityZone("a", new Region("west"));
+
+    private static Node node(String id, long incarnation, int port) {
+        return new Node(new NodeId(id), incarnation, ZONE, new HostPort("10.0.0.1", port));
+    }
+
+    private static BackendServer server() {
+        return new BackendServer("shop", "v1", new HostPort("10.0.0.1", 2), 16, 130, Set.of());
+    }
+
+    private static Endpoint endpoint(Node node) {
+        return new Endpoint("e", server(), node, EndpointState.READY, new Stamp(1, 0));
+    }
+
+    @ParameterizedTest(name = "down for {0} ms: {1} endpoints")
+    @CsvSource({"0, 1", "400, 1", "600, 0"})
+    void aLostNodeKeepsItsEndpointOnlyWhileItsConnectionMayReturn(long downMs, int expected) {
+        Peers peers = new Peers(new NodeId("self"));
+        Node node = node("n", 1, 5);
+        assertTrue(peers.learned(node, 0));
+        peers.up(node, 0, 1);
+        assertTrue(peers.told(node, List.of(endpoint(node)), 1));
+        peers.down(node.address(), 1, 0);
+        assertEquals(
+                expected, peers.endpoints(TimeUnit.MILLISECONDS.toNanos(downMs)).size());
+    }
+
+    @ParameterizedTest(name = "incarnation {0} at port {1} after 5 at port 7: connections change {2}")
+    @CsvSource({"6, 8, true", "6, 7, false", "4, 8, false", "5, 8, false"})
+    void onlyALaterIncarnationMovesANode(long incarnation, int port, boolean changes) {
+        Peers peers = new Peers(new NodeId("self"));
+        assertTrue(peers.learned(node("n", 5, 7), 0));
+        assertEquals(changes, peers.learned(node("n", incarnation, port), 0));
+        assertFalse(peers.learned(node("self", 9, 9), 0));
+    }
+
+    @ParameterizedTest(name = "told on connection {0} after connection 4: taken {1}")
+    @CsvSource({"3, false", "4, true", "5, true"})
+    void anOldConnectionTellsNothingNew(long link, boolean taken) {
+        Peers peers = new Peers(new NodeId("self"));
+        Node node = node("n", 1, 5);
+        peers.learned(node, 0);
+        peers.up(node, 0, 4);
+        assertEquals(taken, peers.told(node, List.of(endpoint(node)), link));
+    }
+
+    @ParameterizedTest(name = "{0} ms after the last report: {1}")
+    @CsvSource({"3900, READY", "4100, GONE"})
+    void aBackendServerWithoutReportsIsGone(long silentMs, EndpointState expected) {
+        LocalServer local = new LocalServer(node("self", 1, 5));
+        assertTrue(local.reported(new ServerReport("e", server(), EndpointState.READY, new Stamp(9, 1), 0), 0));
+        local.expire(TimeUnit.MILLISECONDS.toNanos(silentMs), Duration.ofSeconds(1));
+        assertEquals(expected, local.endpoint().orElseThrow().state());
+        // Its next report brings it back; the same one again does not.
+        assertFalse(local.reported(new ServerReport("e", server(), EndpointState.READY, new Stamp(9, 1), 0), 1));
+        assertEquals(
+                expected == EndpointState.GONE,
+                local.reported(new ServerReport("e", server(), EndpointState.READY, new Stamp(9, 2), 0), 1));
+    }
+}
