--- a/core/src/main/java/org/mimosahinge/core/admission/AdmissionQueue.java
+++ b/core/src/main/java/org/mimosahinge/core/admission/AdmissionQueue.java
@@ -11,6 +11,9 @@
     /** Four calls in five take at most this multiple of the mean; with the mean alone half of those taken are late. */
     private static final double SERVICE_MARGIN = 1.4;
 
+    /** Bounds the estimate of a wait behind classes that take all slots for a moment. */
+    private static final double LEAST_SHARE = 0.2;
+
     private AdmissionQueue() {}
 
     /**
@@ -28,7 +31,8 @@
         if (ahead == 0 && view.running() < slots) {
             return new Run();
         }
-        double startMs = (ahead + 1) * view.serviceMs() / Math.max(1, slots);
+        double left = Math.max(LEAST_SHARE, 1 - view.shareAbove());
+        double startMs = (ahead + 1) * view.serviceMs() / (Math.max(1, slots) * left);
         double lateMs = view.nowMs() + startMs + SERVICE_MARGIN * view.ownServiceMs() - call.deadlineMs();
         if (lateMs > 0) {
             return new Refuse("Queue is too long for the deadline", (long) Math.min(lateMs, startMs));
--- a/core/src/main/java/org/mimosahinge/core/admission/AdmissionView.java
+++ b/core/src/main/java/org/mimosahinge/core/admission/AdmissionView.java
@@ -11,6 +11,7 @@
  * @param serviceMs recent mean time that a call holds its slot
  * @param nowMs the current time
  * @param ownServiceMs recent mean time that calls of the arriving one's class hold their slot
+ * @param shareAbove share of the slots' time that classes above it take, 0 to 1
  */
 public record AdmissionView(
         AdmissionLimits limits,
@@ -18,7 +19,8 @@
         SortedSet<Waiter> waiting,
         double serviceMs,
         long nowMs,
-        double ownServiceMs) {
+        double ownServiceMs,
+        double shareAbove) {
 
     /**
      * A view in which all classes hold their slots for the same time.
@@ -30,6 +32,6 @@
      * @param nowMs the current time
      */
     public AdmissionView(AdmissionLimits limits, int running, SortedSet<Waiter> waiting, double serviceMs, long nowMs) {
-        this(limits, running, waiting, serviceMs, nowMs, serviceMs);
+        this(limits, running, waiting, serviceMs, nowMs, serviceMs, 0);
     }
 }
--- a/core/src/main/java/org/mimosahinge/core/admission/FinishBy.java
+++ b/core/src/main/java/org/mimosahinge/core/admission/FinishBy.java
@@ -6,8 +6,11 @@
 @FunctionalInterface
 public interface FinishBy {
 
-    /** Time that a call which has missed its target may still take, so that a repeat after a refusal is served. */
-    long LATE_ALLOWANCE_MS = 300;
+    /**
+     * Time that a call which has missed its target may still wait. It has waited for as long as it was worth; with more
+     * time it would wait at one endpoint after the other until its caller leaves.
+     */
+    long LATE_ALLOWANCE_MS = 20;
 
     /**
      * Returns the time that a call may take from now on.
--- a/core/src/main/java/org/mimosahinge/core/admission/SlotTimes.java
+++ b/core/src/main/java/org/mimosahinge/core/admission/SlotTimes.java
@@ -9,6 +9,7 @@
     private static final double NEWEST_WEIGHT = 0.1;
 
     private final double[] ofClass = new double[CallClass.values().length];
+    private final double[] partOfClass = new double[CallClass.values().length];
     private double overall;
 
     /**
@@ -20,6 +21,9 @@
     public void observe(CallClass callClass, double heldMs) {
         overall = mean(overall, heldMs);
         ofClass[callClass.ordinal()] = mean(ofClass[callClass.ordinal()], heldMs);
+        for (int i = 0; i < partOfClass.length; i++) {
+            partOfClass[i] += NEWEST_WEIGHT * ((i == callClass.ordinal() ? heldMs : 0) - partOfClass[i]);
+        }
     }
 
     /**
@@ -42,6 +46,22 @@
         return known > 0 ? known : overall;
     }
 
+    /**
+     * Returns the share of the slots' time that classes above one take; their calls overtake those that wait.
+     *
+     * @param callClass the class
+     * @return 0 to 1
+     */
+    public double shareAbove(CallClass callClass) {
+        double above = 0;
+        double all = 0;
+        for (int i = 0; i < partOfClass.length; i++) {
+            above += i < callClass.ordinal() ? partOfClass[i] : 0;
+            all += partOfClass[i];
+        }
+        return all == 0 ? 0 : above / all;
+    }
+
     private static double mean(double known, double newest) {
         return known == 0 ? newest : known + NEWEST_WEIGHT * (newest - known);
     }
--- a/daemon/src/main/java/org/mimosahinge/daemon/fleet/FleetControl.java
+++ b/daemon/src/main/java/org/mimosahinge/daemon/fleet/FleetControl.java
@@ -453,10 +453,15 @@
         ready = next;
     }
 
-    /** Withdraws the endpoint before a planned stop; readiness ends at once. */
-    public void leave() {
+    /** Ends readiness before a planned stop; the endpoint goes on while callers leave. */
+    public void stopBeingReady() {
         stopping = true;
         ready = false;
+    }
+
+    /** Withdraws the endpoint before a planned stop. */
+    public void leave() {
+        stopBeingReady();
         local.leave();
         publishOwn();
         LOG.info("leaving", "node", self.id());
--- a/daemon/src/main/java/org/mimosahinge/daemon/traffic/BackendGate.java
+++ b/daemon/src/main/java/org/mimosahinge/daemon/traffic/BackendGate.java
@@ -88,7 +88,8 @@
                 waiting.navigableKeySet(),
                 slotTimes.overallMs(),
                 nowMs,
-                slotTimes.ofClassMs(callClass));
+                slotTimes.ofClassMs(callClass),
+                slotTimes.shareAbove(callClass));
     }
 
     private void run(BackendCall call) {
--- a/daemon/src/main/java/org/mimosahinge/daemon/traffic/CallerConnection.java
+++ b/daemon/src/main/java/org/mimosahinge/daemon/traffic/CallerConnection.java
@@ -305,14 +305,14 @@
         }
 
         private void prepare(HttpResponse response) {
-            if (!keepAlive || plane.draining()) {
+            if (!keepAlive || plane.callersLeaving()) {
                 response.headers().set(HttpHeaderNames.CONNECTION, "close");
             }
         }
 
         private void finish(ChannelFuture written) {
             answered = true;
-            if (!keepAlive || plane.draining()) {
+            if (!keepAlive || plane.callersLeaving()) {
                 channel.flush();
                 written.addListener(ChannelFutureListener.CLOSE);
             } else if (requestComplete) {
--- a/daemon/src/main/java/org/mimosahinge/daemon/traffic/TrafficPlane.java
+++ b/daemon/src/main/java/org/mimosahinge/daemon/traffic/TrafficPlane.java
@@ -53,6 +53,7 @@
     private final List<TrafficLoop> ordered = new ArrayList<>();
     private Channel server;
     private volatile boolean draining;
+    private volatile boolean callersLeaving;
     private volatile List<Frame> greeting = List.of();
     private volatile LongSupplier revision = () -> 0;
 
@@ -291,6 +292,15 @@
         return CompletableFuture.supplyAsync(() -> owner.callsAt(endpointId), owner.eventLoop());
     }
 
+    /** Asks callers to use other connections for their next requests. */
+    public void letCallersGo() {
+        callersLeaving = true;
+    }
+
+    boolean callersLeaving() {
+        return callersLeaving || draining;
+    }
+
     /** Asks other nodes for no more calls and callers to use other connections; connections stay open. */
     public void withdraw() {
         draining = true;
