Remember the backend server's last report across a restart

The report is kept in a table of its own, since a change of the fleet's table wakes every node. Ruled out: a health check at the start, because a call for another start of the backend server is refused by its instance anyway, and checks are paid for. A departure that comes before the kept report is read holds.

--- a/daemon/src/main/java/org/mimosahinge/daemon/fleet/FleetControl.java
+++ b/daemon/src/main/java/org/mimosahinge/daemon/fleet/FleetControl.java
@@ -68,6 +68,7 @@
     private final RowBook book = new RowBook();
     private final Map<String, Long> pushed = new HashMap<>();
     private final Set<Fingerprint> quarantined = new HashSet<>();
+    private final Set<String> departed = new HashSet<>();
     private final Peers peers;
     private final LocalServer local;
     private final MoveDesk moves;
@@ -79,6 +80,7 @@
     private boolean registering;
     private boolean stopping;
     private long lastTickNanos;
+    private volatile Optional<ServerReport> serverReport = Optional.empty();
     private volatile boolean ready;
     private volatile long newestRevision;
 
@@ -219,12 +221,48 @@
      * @param report the report
      */
     public void reported(ServerReport report) {
-        if (local.reported(report, now())) {
+        boolean changed = local.reported(report, now());
+        serverReport = local.newest();
+        if (changed) {
             logEndpoint("report");
             publishOwn();
+            outputs.remember(self, report);
+        }
+    }
+
+    /**
+     * Takes the report that an earlier process of this node has kept, so that a restart need not wait for the next one.
+     *
+     * <p>A call for a backend server that has gone meanwhile is refused by whatever listens at its address.
+     *
+     * @param report the report
+     */
+    public void remembered(ServerReport report) {
+        if (local.newest().isEmpty() && !departed.contains(report.id()) && local.reported(report, now())) {
+            serverReport = local.newest();
+            logEndpoint("remembered");
+            publishOwn();
         }
     }
 
+    /**
+     * Takes note that a backend server has left before its reports were known here.
+     *
+     * @param endpointId its endpoint
+     */
+    public void departed(String endpointId) {
+        departed.add(endpointId);
+    }
+
+    /**
+     * Returns the newest report of the backend server beside this node; may be asked on any thread.
+     *
+     * @return the report, empty before the first
+     */
+    public Optional<ServerReport> serverReport() {
+        return serverReport;
+    }
+
     private void logEndpoint(String cause) {
         local.endpoint()
                 .ifPresent(endpoint -> LOG.info(
--- a/daemon/src/main/java/org/mimosahinge/daemon/fleet/FleetOutputs.java
+++ b/daemon/src/main/java/org/mimosahinge/daemon/fleet/FleetOutputs.java
@@ -2,6 +2,7 @@
 
 import java.util.concurrent.CompletionStage;
 import org.mimosahinge.api.world.Node;
+import org.mimosahinge.core.membership.ServerReport;
 
 /** What the control state writes to the platform; results arrive on the control thread. */
 public interface FleetOutputs {
@@ -14,6 +15,15 @@
      */
     CompletionStage<Void> register(Node self);
 
+    /**
+     * Keeps the newest report of the backend server beside this node for the node's next start.
+     *
+     * @param self the node
+     * @param report the report
+     * @return fails when it may not have been kept
+     */
+    CompletionStage<Void> remember(Node self, ServerReport report);
+
     /**
      * Removes the row of a node that nobody can reach.
      *
