--- a/daemon/src/main/java/org/mimosahinge/daemon/fleet/Peers.java
+++ b/daemon/src/main/java/org/mimosahinge/daemon/fleet/Peers.java
@@ -7,7 +7,6 @@
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.stream.Collectors;
-import java.util.stream.Stream;
 import org.mimosahinge.api.world.Endpoint;
 import org.mimosahinge.api.world.HostPort;
 import org.mimosahinge.api.world.Node;
@@ -167,8 +166,4 @@
                 .map(peer -> Map.entry(peer.node, peer.rowRevision))
                 .findFirst();
     }
-
-    Stream<NodeId> ids() {
-        return peers.keySet().stream();
-    }
 }
--- a/daemon/src/main/java/org/mimosahinge/daemon/fleet/RowBook.java
+++ b/daemon/src/main/java/org/mimosahinge/daemon/fleet/RowBook.java
@@ -3,7 +3,6 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.Optional;
 
 /** The newest known rows that nodes pass on to each other. */
 final class RowBook {
@@ -26,10 +25,6 @@
         return true;
     }
 
-    Optional<StoredRow> row(String key) {
-        return Optional.ofNullable(rows.get(key));
-    }
-
     long newest() {
         return newest;
     }
--- a/daemon/src/main/java/org/mimosahinge/daemon/traffic/BackendGate.java
+++ b/daemon/src/main/java/org/mimosahinge/daemon/traffic/BackendGate.java
@@ -171,10 +171,6 @@
         return running == 0 && waiting.isEmpty() && pool.idle();
     }
 
-    int running() {
-        return running + waiting.size();
-    }
-
     /** Own measure of occupation, sent with responses as a hint for other nodes. */
     Frame.Load load() {
         int permille = WHOLE_PERMILLE * (running + waiting.size()) / limits.slots();
--- a/daemon/src/main/java/org/mimosahinge/daemon/traffic/TrafficLoop.java
+++ b/daemon/src/main/java/org/mimosahinge/daemon/traffic/TrafficLoop.java
@@ -356,12 +356,6 @@
         return tracker.load(nowMs(), reachable, peer == null ? 0 : peer.roundTripMs());
     }
 
-    /** Returns how many calls the backend server beside this node holds, running and waiting. */
-    int callsAt(String endpointId) {
-        BackendGate gate = gates.get(endpointId);
-        return gate == null ? 0 : gate.running();
-    }
-
     /** Tells the nodes to which this one is connected. */
     void tellDialed(Frame frame) {
         List.copyOf(peers.values()).forEach(peer -> peer.tell(frame));
--- a/daemon/src/main/java/org/mimosahinge/daemon/traffic/TrafficPlane.java
+++ b/daemon/src/main/java/org/mimosahinge/daemon/traffic/TrafficPlane.java
@@ -281,17 +281,6 @@
         ordered.forEach(loop -> loop.eventLoop().execute(() -> loop.tellDialed(frame)));
     }
 
-    /**
-     * Counts the calls that a backend server beside this node holds.
-     *
-     * @param endpointId its endpoint
-     * @return calls running and waiting
-     */
-    public CompletionStage<Integer> callsAt(String endpointId) {
-        TrafficLoop owner = owner(endpointId);
-        return CompletableFuture.supplyAsync(() -> owner.callsAt(endpointId), owner.eventLoop());
-    }
-
     /** Asks callers to use other connections for their next requests. */
     public void letCallersGo() {
         callersLeaving = true;
--- a/net/src/main/java/org/mimosahinge/net/platform/PlatformClient.java
+++ b/net/src/main/java/org/mimosahinge/net/platform/PlatformClient.java
@@ -2,7 +2,6 @@
 
 import com.fasterxml.jackson.core.JsonProcessingException;
 import java.util.Map;
-import java.util.concurrent.CompletionException;
 import java.util.concurrent.CompletionStage;
 import org.mimosahinge.api.error.PlatformException;
 import org.mimosahinge.api.platform.ObjectHash;
@@ -13,7 +12,6 @@
 import org.mimosahinge.api.platform.Transaction;
 import org.mimosahinge.api.platform.TransactionResult;
 import org.mimosahinge.api.world.HostPort;
-import org.mimosahinge.net.http.HttpExchangeException;
 import org.mimosahinge.net.http.HttpMessageClient;
 import org.mimosahinge.net.http.HttpMessageRequest;
 import org.mimosahinge.net.http.HttpMessageResponse;
@@ -100,7 +98,7 @@
     private CompletionStage<HttpMessageResponse> send(String operation, HttpMessageRequest request) {
         return http.send(address, request).handle((response, failure) -> {
             if (failure != null) {
-                throw classify(operation, failure);
+                throw PlatformFailures.classify(operation, failure);
             }
             if (response.status() == 429 || response.status() == 503) {
                 throw PlatformException.unavailable(operation, null);
@@ -109,14 +107,6 @@
         });
     }
 
-    private static PlatformException classify(String operation, Throwable failure) {
-        Throwable cause = failure instanceof CompletionException ? failure.getCause() : failure;
-        boolean notSent = cause instanceof HttpExchangeException exchange && !exchange.sent();
-        return notSent
-                ? PlatformException.unavailable(operation, cause)
-                : PlatformException.answerLost(operation, cause);
-    }
-
     private static HttpMessageResponse success(String operation, HttpMessageResponse response) {
         if (response.status() / 100 != 2) {
             throw unexpected(operation, response);
