Count the target latency from the caller's first attempt and remember refusals

Cause: under lasting overload half of the calls that were served came late. A refused caller waits for its Retry-After and comes back as a new call, so the queue gave it a whole target latency again and it took the slot of a call that could still be in time. Each refused call also visited up to four endpoints that had just refused the same.

What is left of the deadline that callers of a route usually state now tells how long a caller has waited (UsualDeadline). An endpoint that refused a call is not asked again by calls of the same or lower class until it expected room (RefusedCalls); when all have refused, the caller is refused at once. A call gives up its place when it can no longer end in time. Nine calls in ten take at most twice the mean, so the queue reckons with that instead of 1.4 times. Retry-After is short while an answer can still be in time and long otherwise.

Ruled out: a longer queue (more calls late), serving returning callers first (under lasting overload all slots go to late answers).

--- a/core/src/main/java/org/mimosahinge/core/admission/AdmissionQueue.java
+++ b/core/src/main/java/org/mimosahinge/core/admission/AdmissionQueue.java
@@ -1,6 +1,7 @@
 package org.mimosahinge.core.admission;
 
 import java.util.Optional;
+import org.mimosahinge.api.contract.CallClass;
 import org.mimosahinge.core.admission.AdmissionDecision.Refuse;
 import org.mimosahinge.core.admission.AdmissionDecision.Run;
 import org.mimosahinge.core.admission.AdmissionDecision.Wait;
@@ -8,8 +9,8 @@
 /** Admits calls to the slots of an endpoint by class and deadline. */
 public final class AdmissionQueue {
 
-    /** Four calls in five take at most this multiple of the mean; with the mean alone half of those taken are late. */
-    private static final double SERVICE_MARGIN = 1.4;
+    /** Nine calls in ten take at most this multiple of the mean; with the mean alone half of those taken are late. */
+    private static final double SERVICE_MARGIN = 2;
 
     /** Bounds the estimate of a wait behind classes that take all slots for a moment. */
     private static final double LEAST_SHARE = 0.2;
@@ -46,6 +47,20 @@
         return new Wait(Optional.of(view.waiting().last()));
     }
 
+    /**
+     * Returns the time until which a call may wait. A call that starts later ends too late more often than not, and its
+     * slot serves one that has just arrived better. Internal checks wait as long as the call that made them can use
+     * them.
+     *
+     * @param call the call
+     * @param ownServiceMs recent mean time that calls of its class hold their slot
+     * @return latest useful start on the clock of the call's deadline
+     */
+    public static long latestStartMs(Waiter call, double ownServiceMs) {
+        boolean check = call.callClass() == CallClass.INTERNAL_CHECK;
+        return call.deadlineMs() - (check ? 0 : Math.round(ownServiceMs));
+    }
+
     /**
      * Returns the waiting call that takes a slot next.
      *
--- a/core/src/main/java/org/mimosahinge/core/admission/RetryAdvice.java
+++ b/core/src/main/java/org/mimosahinge/core/admission/RetryAdvice.java
@@ -14,20 +14,30 @@
     /** Callers wait at most this part of the time that they have left. */
     private static final long CALLERS_PART = 3;
 
+    /** Part of the target latency that a caller may spend on waiting and still be answered in time. */
+    private static final double TIMELY_PART = 0.4;
+
     private RetryAdvice() {}
 
     /**
-     * Returns the advised wait; it is spread over its own length, so that callers refused together do not return
-     * together.
+     * Returns the advised wait.
+     *
+     * <p>A caller comes back as soon as room is likely while its answer can still be in time. Otherwise only an answer
+     * at all is left to gain, and the longest wait that callers follow gives the overload the most time to pass. The
+     * wait is spread over its own length, so that callers refused together do not return together.
      *
      * @param roomInMs time until room is expected, 0 when unknown
+     * @param targetMs time left until the answer loses part of its use, not positive when that has passed
      * @param remainingMs time that the caller has left
      * @param random source of the spread
      * @return milliseconds
      */
-    public static long waitMs(long roomInMs, long remainingMs, RandomSource random) {
+    public static long waitMs(long roomInMs, long targetMs, long remainingMs, RandomSource random) {
+        long longest = Math.max(1, remainingMs / CALLERS_PART);
         long room = roomInMs > 0 ? Math.max(LEAST_MS, roomInMs) : UNKNOWN_ROOM_MS;
-        long spread = room + random.nextInt((int) Math.min(room, Integer.MAX_VALUE - 1) + 1);
-        return Math.max(1, Math.min(spread, remainingMs / CALLERS_PART));
+        boolean timely = room <= TIMELY_PART * targetMs;
+        long least = timely ? Math.min(room, longest) : longest / 2;
+        long spread = timely ? least : longest - least;
+        return Math.max(1, Math.min(longest, least + random.nextInt((int) spread + 1)));
     }
 }
--- /dev/null
+++ b/core/src/main/java/org/mimosahinge/core/admission/UsualDeadline.java
@@ -0,0 +1,54 @@
+package org.mimosahinge.core.admission;
+
+/**
+ * The deadline that callers of a route usually state; what is missing from it tells how long a caller has waited.
+ *
+ * <p>A caller that was refused and comes back states what is left of its deadline. Its target latency counts from its
+ * first attempt, so the node must know how much of it has passed.
+ *
+ * @param usualMs longest deadline stated recently, in milliseconds; 0 before the first
+ * @param shareUsual recent share of calls that stated about this deadline, 0 to 1
+ */
+public record UsualDeadline(double usualMs, double shareUsual) {
+
+    /** Nothing is known before the first call. */
+    public static final UsualDeadline UNKNOWN = new UsualDeadline(0, 1);
+
+    /** Deadlines within this part of the usual one count as stated in full; time passes on the way to the node. */
+    private static final double FULL_PART = 0.95;
+
+    /** Weight of a new call in the share. */
+    private static final double NEWEST_WEIGHT = 0.02;
+
+    /** Part by which the usual deadline shrinks with each shorter one, so that it follows callers that change theirs. */
+    private static final double FADING = 0.002;
+
+    /**
+     * Below this share deadlines are taken to vary by themselves. Callers return three times at most, so a quarter of
+     * the calls of a route state their whole deadline even when every first attempt is refused.
+     */
+    private static final double LEAST_SHARE = 0.15;
+
+    /**
+     * Takes note of a call.
+     *
+     * @param statedMs deadline that the caller states, in milliseconds
+     * @return what is known afterwards
+     */
+    public UsualDeadline observed(long statedMs) {
+        double usual = Math.max(statedMs, usualMs - FADING * (usualMs - statedMs));
+        double full = statedMs >= FULL_PART * usual ? 1 : 0;
+        return new UsualDeadline(usual, shareUsual + NEWEST_WEIGHT * (full - shareUsual));
+    }
+
+    /**
+     * Returns how long a caller has waited before this attempt.
+     *
+     * @param statedMs deadline that it states, in milliseconds
+     * @return milliseconds, 0 for a first attempt and where deadlines tell nothing
+     */
+    public long waitedMs(long statedMs) {
+        boolean telling = shareUsual >= LEAST_SHARE && statedMs < FULL_PART * usualMs;
+        return telling ? Math.round(usualMs - statedMs) : 0;
+    }
+}
--- a/daemon/src/main/java/org/mimosahinge/daemon/traffic/Attempt.java
+++ b/daemon/src/main/java/org/mimosahinge/daemon/traffic/Attempt.java
@@ -34,6 +34,7 @@
     private boolean requestSent;
     private boolean responding;
     private int status;
+    private boolean late;
     private boolean ended;
 
     Attempt(EntryCall call, TrafficLoop loop, Endpoint endpoint, Route route) {
@@ -50,6 +51,7 @@
     /** Sends the call; a target may fail it before this method returns. */
     void begin(Frame.CallStart start) {
         requestSent = !start.hasBody();
+        late = start.targetMs() <= 0;
         Exchange begun = loop.target(endpoint).start(start, this);
         if (!ended) {
             exchange = begun;
@@ -184,6 +186,9 @@
             tracker.reported(failure.load(), TrafficLoop.nowMs());
         }
         if (failure.notRun()) {
+            if (code == ErrorCode.OVERLOADED && failure.roomInMs() > 0) {
+                tracker.refusedCalls().refused(route.callClass(), late, failure.roomInMs(), TrafficLoop.nowMs());
+            }
             // The queue of the node says nothing about how its backend server answers.
             finish(Optional.of(CallFailures.kind(failure)));
         } else {
--- a/daemon/src/main/java/org/mimosahinge/daemon/traffic/BackendCall.java
+++ b/daemon/src/main/java/org/mimosahinge/daemon/traffic/BackendCall.java
@@ -53,9 +53,9 @@
         this.observer = observer;
     }
 
-    /** Refuses the call as not run when it still waits shortly before it is of no use. */
-    void limitWait(EventLoop loop) {
-        long waitMs = Math.max(0, waiter.deadlineMs() - TrafficLoop.nowMs() - REFUSAL_LEAD_MS);
+    /** Refuses the call as not run when it still waits at the latest useful start. */
+    void limitWait(EventLoop loop, long latestStartMs) {
+        long waitMs = Math.max(0, latestStartMs - TrafficLoop.nowMs() - REFUSAL_LEAD_MS);
         waitLimit = loop.schedule(
                 () -> {
                     gate.leave(waiter);
--- a/daemon/src/main/java/org/mimosahinge/daemon/traffic/BackendGate.java
+++ b/daemon/src/main/java/org/mimosahinge/daemon/traffic/BackendGate.java
@@ -74,7 +74,8 @@
         } else if (decision instanceof AdmissionDecision.Wait wait) {
             wait.evicted().map(waiting::remove).ifPresent(evicted -> evicted.refuse("A call of higher class came", 0));
             waiting.put(waiter, call);
-            call.limitWait(loop.eventLoop());
+            call.limitWait(
+                    loop.eventLoop(), AdmissionQueue.latestStartMs(waiter, slotTimes.ofClassMs(start.callClass())));
         } else if (decision instanceof AdmissionDecision.Refuse refusal) {
             call.refuse(refusal.reason(), refusal.roomInMs());
         }
--- a/daemon/src/main/java/org/mimosahinge/daemon/traffic/CallPlan.java
+++ b/daemon/src/main/java/org/mimosahinge/daemon/traffic/CallPlan.java
@@ -1,6 +1,7 @@
 package org.mimosahinge.daemon.traffic;
 
 import java.util.HashSet;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
@@ -8,6 +9,7 @@
 import org.mimosahinge.api.config.Snapshot;
 import org.mimosahinge.api.contract.Route;
 import org.mimosahinge.api.contract.Service;
+import org.mimosahinge.api.world.Endpoint;
 import org.mimosahinge.core.retry.RetryView;
 import org.mimosahinge.core.routing.Choice;
 import org.mimosahinge.core.routing.ChoiceRequest;
@@ -24,15 +26,25 @@
     private final Service service;
     private final long deadlineNanos;
     private final long startedNanos = System.nanoTime();
+    private final long waitedMs;
     private final Set<String> tried = new HashSet<>();
     private int reached;
-
-    CallPlan(TrafficLoop loop, CallRequest request, RequestBody body, Route route, Service service, long timeoutMs) {
+    private long roomInMs;
+
+    CallPlan(
+            TrafficLoop loop,
+            CallRequest request,
+            RequestBody body,
+            Route route,
+            Service service,
+            long timeoutMs,
+            long waitedMs) {
         this.loop = loop;
         this.request = request;
         this.body = body;
         this.route = route;
         this.service = service;
+        this.waitedMs = waitedMs;
         deadlineNanos = startedNanos + TimeUnit.MILLISECONDS.toNanos(timeoutMs);
     }
 
@@ -48,16 +60,17 @@
         return tried.size();
     }
 
-    /** Chooses an endpoint that was not tried yet. */
+    /** Chooses an endpoint that was not tried yet and has not refused calls like this one a moment ago. */
     Optional<Choice> choose() {
         Snapshot snapshot = loop.snapshot();
+        Set<String> excluded = excluded(snapshot);
         TrafficPolicies policies = loop.context().policies();
         for (EndpointRule rule : policies.rules().pick(service, snapshot, policies.random())) {
             ChoiceRequest wanted = new ChoiceRequest(
                     service.name(),
                     rule,
                     loop.context().config().self().zone(),
-                    tried,
+                    excluded,
                     loop.sizes().expectedKb(route.name()));
             Optional<Choice> choice = policies.chooser().choose(wanted, snapshot, loop::load, policies.random());
             if (choice.isPresent()) {
@@ -67,6 +80,36 @@
         return Optional.empty();
     }
 
+    private Set<String> excluded(Snapshot snapshot) {
+        long now = TrafficLoop.nowMs();
+        roomInMs = 0;
+        Set<String> excluded = null;
+        for (Endpoint endpoint : snapshot.endpoints().getOrDefault(service.name(), List.of())) {
+            long room = loop.tracker(endpoint.id()).refusedCalls().roomInMs(route.callClass(), late(), now);
+            if (room > 0) {
+                excluded = excluded == null ? new HashSet<>(tried) : excluded;
+                excluded.add(endpoint.id());
+                roomInMs = roomInMs == 0 ? room : Math.min(roomInMs, room);
+            }
+        }
+        return excluded == null ? tried : excluded;
+    }
+
+    /** Returns the time after which an endpoint passed over by the last choice may have room, 0 without one. */
+    long roomInMs() {
+        return roomInMs;
+    }
+
+    /** Time that the caller waited in earlier attempts. */
+    long waitedMs() {
+        return waitedMs;
+    }
+
+    /** Tells whether the call has missed its target latency. */
+    boolean late() {
+        return targetMs() <= 0;
+    }
+
     /** Takes note that an attempt has reached its endpoint. */
     void reached() {
         reached++;
@@ -115,8 +158,9 @@
         }
     }
 
-    private long targetMs() {
-        return route.targetLatency().toMillis() - elapsedMs();
+    /** Returns what is left of the target latency, which counts from the caller's first attempt. */
+    long targetMs() {
+        return route.targetLatency().toMillis() - waitedMs - elapsedMs();
     }
 
     long elapsedMs() {
--- a/daemon/src/main/java/org/mimosahinge/daemon/traffic/EndpointTracker.java
+++ b/daemon/src/main/java/org/mimosahinge/daemon/traffic/EndpointTracker.java
@@ -1,5 +1,6 @@
 package org.mimosahinge.daemon.traffic;
 
+import org.mimosahinge.core.admission.RefusedCalls;
 import org.mimosahinge.core.routing.EndpointLoad;
 import org.mimosahinge.core.routing.EndpointPace;
 import org.mimosahinge.net.frame.Frame;
@@ -25,6 +26,7 @@
     private double failureShare;
     private long outcomeAtMs;
     private int sentSinceReport;
+    private final RefusedCalls refusedCalls = new RefusedCalls();
 
     EndpointTracker(long nowMs) {
         readySinceMs = nowMs;
@@ -40,6 +42,11 @@
         outstanding--;
     }
 
+    /** Calls that the endpoint refused a moment ago. */
+    RefusedCalls refusedCalls() {
+        return refusedCalls;
+    }
+
     boolean idle() {
         return outstanding == 0;
     }
--- a/daemon/src/main/java/org/mimosahinge/daemon/traffic/EntryCall.java
+++ b/daemon/src/main/java/org/mimosahinge/daemon/traffic/EntryCall.java
@@ -73,7 +73,9 @@
             refuse(ErrorCode.NO_ENDPOINT, "Service \"" + target + "\" is not known");
             return;
         }
-        plan = new CallPlan(loop, request, body, route, service, deadlineMs);
+        long statedMs = HeaderMaps.number(request.headers(), loop.protocol().deadlineHeader());
+        long waitedMs = loop.callerDeadlines().waitedMs(route, statedMs);
+        plan = new CallPlan(loop, request, body, route, service, deadlineMs, waitedMs);
         timer = loop.eventLoop().schedule(this::deadlinePassed, deadlineMs, TimeUnit.MILLISECONDS);
         if (route.atMostOnce()) {
             String key = request.headers().getOrDefault(OnceGuard.KEY_HEADER, "");
@@ -121,7 +123,10 @@
     private void firstAttempt() {
         loop.budgets().attempted(plan.service());
         Optional<Choice> choice = plan.choose();
-        if (choice.isEmpty()) {
+        if (choice.isEmpty() && plan.roomInMs() > 0) {
+            roomInMs = plan.roomInMs();
+            notRun(ErrorCode.OVERLOADED, "All endpoints have refused such calls a moment ago");
+        } else if (choice.isEmpty()) {
             notRun(
                     ErrorCode.NO_ENDPOINT,
                     "No endpoint of service \"" + plan.service().name() + "\" can take the call");
@@ -356,10 +361,14 @@
         CallException refusal = CallException.notRun(code, message);
         boolean mayComeBack = code.httpStatus() >= SERVER_ERRORS && code != ErrorCode.REQUEST_QUARANTINED;
         long remainingMs = plan == null ? UNKNOWN_REMAINING_MS : Math.max(0, deadlineMs - plan.elapsedMs());
+        long targetMs = plan == null ? 0 : plan.targetMs();
         fail(
                 mayComeBack
                         ? refusal.retryAfter(RetryAdvice.waitMs(
-                                roomInMs, remainingMs, loop.context().policies().random()))
+                                roomInMs,
+                                targetMs,
+                                remainingMs,
+                                loop.context().policies().random()))
                         : refusal);
     }
 
--- a/daemon/src/main/java/org/mimosahinge/daemon/traffic/TrafficLoop.java
+++ b/daemon/src/main/java/org/mimosahinge/daemon/traffic/TrafficLoop.java
@@ -62,6 +62,7 @@
     private final Budgets budgets = new Budgets();
     private final ServiceTurns turns = new ServiceTurns();
     private final ResponseSizes sizes = new ResponseSizes();
+    private final CallerDeadlines callerDeadlines = new CallerDeadlines();
     private final CallDecisions decisions;
     private RouteIndex routes = RouteIndex.of(List.of());
     private Set<HostPort> keptPeers = Set.of();
@@ -93,6 +94,10 @@
         return sizes;
     }
 
+    CallerDeadlines callerDeadlines() {
+        return callerDeadlines;
+    }
+
     CallDecisions decisions() {
         return decisions;
     }
