--- a/daemon/src/main/java/org/mimosahinge/daemon/traffic/BackendCall.java
+++ b/daemon/src/main/java/org/mimosahinge/daemon/traffic/BackendCall.java
@@ -21,6 +21,8 @@
     /** A cancelled call that waited this long without a byte casts doubt on its connection. */
     private static final long DOUBT_NANOS = TimeUnit.MILLISECONDS.toNanos(500);
 
+    private static final String NO_SLOT = "No slot became free in time";
+
     private enum State {
         WAITING,
         CONNECTING,
@@ -59,7 +61,8 @@
         waitLimit = loop.schedule(
                 () -> {
                     gate.leave(waiter);
-                    refuse(ErrorCode.OVERLOADED, "No slot became free in time", 0);
+                    gate.logRefusal(start, NO_SLOT, 0);
+                    refuse(ErrorCode.OVERLOADED, NO_SLOT, 0);
                 },
                 waitMs,
                 TimeUnit.MILLISECONDS);
@@ -218,6 +221,7 @@
             return;
         }
         end();
+        gate.logLost(start, crashed, System.nanoTime() - admittedNanos);
         gate.judged(
                 start.callClass(),
                 Optional.of(crashed ? FailureKind.CRASH : FailureKind.CONNECTION_LOSS),
--- a/daemon/src/main/java/org/mimosahinge/daemon/traffic/BackendGate.java
+++ b/daemon/src/main/java/org/mimosahinge/daemon/traffic/BackendGate.java
@@ -17,6 +17,7 @@
 import org.mimosahinge.core.move.EvidenceKey;
 import org.mimosahinge.core.move.FailureKind;
 import org.mimosahinge.net.frame.Frame;
+import org.mimosahinge.net.log.EventLog;
 
 /** Admits calls to one backend server beside this node and notices when it goes down. */
 final class BackendGate implements CallTarget {
@@ -26,6 +27,8 @@
 
     private static final int WHOLE_PERMILLE = 1_000;
 
+    private static final EventLog LOG = EventLog.of("gate");
+
     private final TrafficLoop loop;
     private final BackendPool pool;
     private final TreeMap<Waiter, BackendCall> waiting = new TreeMap<>();
@@ -77,11 +80,56 @@
             call.limitWait(
                     loop.eventLoop(), AdmissionQueue.latestStartMs(waiter, slotTimes.ofClassMs(start.callClass())));
         } else if (decision instanceof AdmissionDecision.Refuse refusal) {
+            logRefusal(start, refusal.reason(), refusal.roomInMs());
             call.refuse(refusal.reason(), refusal.roomInMs());
         }
         return call;
     }
 
+    /** Logs why a call does not run here; the line bears the numbers of the decision. */
+    void logRefusal(Frame.CallStart start, String reason, long roomInMs) {
+        LOG.info(
+                "not_admitted",
+                "request",
+                requestId(start),
+                "endpoint",
+                endpoint.id(),
+                "class",
+                start.callClass(),
+                "target_ms",
+                start.targetMs(),
+                "running",
+                running,
+                "waiting",
+                waiting.size(),
+                "slots",
+                limits.slots(),
+                "service_ms",
+                Math.round(slotTimes.ofClassMs(start.callClass())),
+                "room_in_ms",
+                roomInMs,
+                "reason",
+                reason);
+    }
+
+    /** Logs that a connection broke under a call and what a new connection has told of the backend server. */
+    void logLost(Frame.CallStart start, boolean crashed, long heldNanos) {
+        LOG.info(
+                "backend_lost",
+                "request",
+                requestId(start),
+                "endpoint",
+                endpoint.id(),
+                "crashed",
+                crashed,
+                "ms",
+                Math.round(heldNanos / 1e6));
+    }
+
+    private String requestId(Frame.CallStart start) {
+        return start.headers().getOrDefault(protocol().requestIdHeader(), "-");
+    }
+
     private AdmissionView view(long nowMs, CallClass callClass) {
         return new AdmissionView(
                 limits,
--- a/daemon/src/main/java/org/mimosahinge/daemon/traffic/CallDecisions.java
+++ b/daemon/src/main/java/org/mimosahinge/daemon/traffic/CallDecisions.java
@@ -91,6 +91,8 @@
                 plan == null ? 0 : plan.elapsedMs(),
                 "retry_after_ms",
                 failure.retryAfterMs(),
+                "waited_ms",
+                plan == null ? 0 : plan.waitedMs(),
                 "config",
                 loop.snapshot().version(),
                 "reason",
--- /dev/null
+++ b/daemon/src/main/java/org/mimosahinge/daemon/traffic/HeartbeatTimer.java
@@ -0,0 +1,38 @@
+package org.mimosahinge.daemon.traffic;
+
+import io.netty.channel.EventLoop;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+
+/**
+ * Beats for all connections of one event loop at the same moment.
+ *
+ * <p>A node has a connection to and from every other one; with a timer for each, an idle node would wake up several
+ * hundred times a second.
+ */
+final class HeartbeatTimer {
+
+    /** Two heartbeats may be lost before a connection is doubted. */
+    private static final long INTERVAL_MS = 500;
+
+    private final Set<Heartbeats> connections = new HashSet<>();
+
+    HeartbeatTimer(EventLoop eventLoop) {
+        eventLoop.scheduleAtFixedRate(this::beat, INTERVAL_MS, INTERVAL_MS, TimeUnit.MILLISECONDS);
+    }
+
+    void add(Heartbeats connection) {
+        connections.add(connection);
+    }
+
+    void remove(Heartbeats connection) {
+        connections.remove(connection);
+    }
+
+    /** A heartbeat that fails closes its connection, which leaves the set meanwhile. */
+    private void beat() {
+        List.copyOf(connections).forEach(Heartbeats::beat);
+    }
+}
--- a/daemon/src/main/java/org/mimosahinge/daemon/traffic/Heartbeats.java
+++ b/daemon/src/main/java/org/mimosahinge/daemon/traffic/Heartbeats.java
@@ -4,28 +4,31 @@
 import io.netty.channel.ChannelDuplexHandler;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelPromise;
-import java.util.concurrent.ScheduledFuture;
 import java.util.concurrent.TimeUnit;
 import org.mimosahinge.net.frame.Frame;
 
 /** Sends heartbeats on a connection for calls and closes it when no byte arrives; a dead path shows no other sign. */
 final class Heartbeats extends ChannelDuplexHandler {
 
-    private static final long INTERVAL_MS = 500;
     private static final long SILENCE_NANOS = TimeUnit.MILLISECONDS.toNanos(2_000);
 
     /** Heartbeats are overdue; new calls take another connection while this one may still come back. */
     private static final long DOUBT_NANOS = TimeUnit.MILLISECONDS.toNanos(1_100);
 
-    private ScheduledFuture<?> timer;
+    private final HeartbeatTimer timer;
+    private Channel channel;
     private long lastBeatNanos = System.nanoTime();
     private long lastReadNanos = System.nanoTime();
     private boolean wroteSinceBeat;
     private long sequence;
 
+    private Heartbeats(HeartbeatTimer timer) {
+        this.timer = timer;
+    }
+
     /** Starts heartbeats on a connection; must see raw bytes, so it goes before the frame decoder. */
-    static Heartbeats install(Channel channel) {
-        Heartbeats heartbeats = new Heartbeats();
+    static Heartbeats install(Channel channel, HeartbeatTimer timer) {
+        Heartbeats heartbeats = new Heartbeats(timer);
         channel.pipeline().addFirst(heartbeats);
         return heartbeats;
     }
@@ -37,11 +40,12 @@
 
     @Override
     public void handlerAdded(ChannelHandlerContext context) {
-        timer = context.executor()
-                .scheduleAtFixedRate(() -> beat(context.channel()), INTERVAL_MS, INTERVAL_MS, TimeUnit.MILLISECONDS);
+        channel = context.channel();
+        timer.add(this);
     }
 
-    private void beat(Channel channel) {
+    /** Closes the connection after too long a silence and sends a heartbeat where nothing else was sent. */
+    void beat() {
         long now = System.nanoTime();
         // After a pause of this process, bytes that came meanwhile are still unread.
         boolean paused = now - lastBeatNanos > SILENCE_NANOS;
@@ -71,7 +75,7 @@
 
     @Override
     public void channelInactive(ChannelHandlerContext context) {
-        timer.cancel(false);
+        timer.remove(this);
         context.fireChannelInactive();
     }
 }
--- a/daemon/src/main/java/org/mimosahinge/daemon/traffic/PeerConnection.java
+++ b/daemon/src/main/java/org/mimosahinge/daemon/traffic/PeerConnection.java
@@ -117,7 +117,7 @@
         }
         channel = future.channel();
         roundTripMs = (System.nanoTime() - openedNanos) / 1e6;
-        heartbeats = Heartbeats.install(channel);
+        heartbeats = Heartbeats.install(channel, loop.heartbeatTimer());
         if (!loop.context().policies().fleet().keepsPeers()) {
             channel.eventLoop().schedule(this::closeWhenIdle, IDLE_MS, TimeUnit.MILLISECONDS);
         }
--- a/daemon/src/main/java/org/mimosahinge/daemon/traffic/ServedConnection.java
+++ b/daemon/src/main/java/org/mimosahinge/daemon/traffic/ServedConnection.java
@@ -31,7 +31,7 @@
     public void handlerAdded(ChannelHandlerContext context) {
         channel = context.channel();
         loop = plane.loop(channel.eventLoop());
-        Heartbeats.install(channel);
+        Heartbeats.install(channel, loop.heartbeatTimer());
         channel.write(loop.hello());
         loop.plane().greeting().forEach(channel::write);
         channel.flush();
--- a/daemon/src/main/java/org/mimosahinge/daemon/traffic/TrafficLoop.java
+++ b/daemon/src/main/java/org/mimosahinge/daemon/traffic/TrafficLoop.java
@@ -62,6 +62,7 @@
     private final Budgets budgets = new Budgets();
     private final ServiceTurns turns = new ServiceTurns();
     private final ResponseSizes sizes = new ResponseSizes();
+    private final HeartbeatTimer heartbeatTimer;
     private final CallerDeadlines callerDeadlines = new CallerDeadlines();
     private final CallDecisions decisions;
     private RouteIndex routes = RouteIndex.of(List.of());
@@ -73,6 +74,7 @@
     TrafficLoop(TrafficPlane plane, EventLoop eventLoop) {
         this.plane = plane;
         this.eventLoop = eventLoop;
+        heartbeatTimer = new HeartbeatTimer(eventLoop);
         decisions = new CallDecisions(
                 this, plane.context().metrics(), plane.context().config().logEvery());
         eventLoop.scheduleWithFixedDelay(this::closeIdleCallers, IDLE_CHECK_MS, IDLE_CHECK_MS, TimeUnit.MILLISECONDS);
@@ -94,6 +96,10 @@
         return sizes;
     }
 
+    HeartbeatTimer heartbeatTimer() {
+        return heartbeatTimer;
+    }
+
     CallerDeadlines callerDeadlines() {
         return callerDeadlines;
     }
--- a/net/src/main/java/org/mimosahinge/net/log/BoundedLog.java
+++ b/net/src/main/java/org/mimosahinge/net/log/BoundedLog.java
@@ -48,9 +48,19 @@
         writer.start();
     }
 
+    /**
+     * Tells whether another line of an event may be written in this second, and counts it.
+     *
+     * @param event the event's name
+     * @return false when the line is to be left out
+     */
+    boolean admits(String event) {
+        return rates.admits(event);
+    }
+
     @Override
     public void publish(LogRecord entry) {
-        if (!isLoggable(entry) || !rates.admits(event(entry.getMessage()))) {
+        if (!isLoggable(entry) || !ofEvent(entry) && !rates.admits(firstWord(entry.getMessage()))) {
             return;
         }
         if (!queue.offer(entry)) {
@@ -58,8 +68,16 @@
         }
     }
 
-    /** Returns the name of a line's event, which leads the line. */
-    private static String event(String message) {
+    /** Tells whether a line comes from an {@link EventLog}, which asks before it builds the line. */
+    private static boolean ofEvent(LogRecord entry) {
+        return entry.getMessage() != null && entry.getMessage().startsWith(EventLog.PREFIX);
+    }
+
+    /** Lines of libraries are bounded by the words that lead them. */
+    private static String firstWord(String message) {
+        if (message == null) {
+            return "none";
+        }
         int end = message.indexOf(' ');
         return end < 0 ? message : message.substring(0, end);
     }
@@ -96,8 +114,7 @@
     }
 
     private static LogRecord line(String event, long count) {
-        LogRecord entry = new LogRecord(
-                Level.WARNING, EventLog.format("lines_left_out", "of", event.replace("event=", ""), "count", count));
+        LogRecord entry = new LogRecord(Level.WARNING, EventLog.format("lines_left_out", "of", event, "count", count));
         entry.setLoggerName("log");
         return entry;
     }
--- a/net/src/main/java/org/mimosahinge/net/log/EventLog.java
+++ b/net/src/main/java/org/mimosahinge/net/log/EventLog.java
@@ -2,10 +2,17 @@
 
 import java.lang.System.Logger;
 import java.lang.System.Logger.Level;
+import java.util.function.Predicate;
 
 /** Writes one line of key=value pairs for each event. */
 public final class EventLog {
 
+    /** Bounds the lines of each event; asked before a line is built, as building it costs more than counting it. */
+    private static volatile Predicate<String> bound = event -> true;
+
+    /** Leads each line. */
+    static final String PREFIX = "event=";
+
     private final Logger logger;
 
     private EventLog(Logger logger) {
@@ -22,6 +29,15 @@
         return new EventLog(System.getLogger("org.mimosahinge." + component));
     }
 
+    /**
+     * Sets what bounds the lines of all components.
+     *
+     * @param admits tells whether another line of an event may be written now
+     */
+    static void boundBy(Predicate<String> admits) {
+        bound = admits;
+    }
+
     /**
      * Tells whether events of a level are written, so that callers can skip the work of building them.
      *
@@ -60,13 +76,13 @@
      * @param pairs keys and values in turn
      */
     public void log(Level level, String event, Object... pairs) {
-        if (logger.isLoggable(level)) {
+        if (logger.isLoggable(level) && bound.test(event)) {
             logger.log(level, format(event, pairs));
         }
     }
 
     static String format(String event, Object... pairs) {
-        StringBuilder line = new StringBuilder("event=").append(event);
+        StringBuilder line = new StringBuilder(PREFIX).append(event);
         for (int i = 0; i + 1 < pairs.length; i += 2) {
             line.append(' ').append(pairs[i]).append('=').append(quote(String.valueOf(pairs[i + 1])));
         }
--- a/net/src/main/java/org/mimosahinge/net/log/KeyValueFormatter.java
+++ b/net/src/main/java/org/mimosahinge/net/log/KeyValueFormatter.java
@@ -33,6 +33,7 @@
         BoundedLog log =
                 new BoundedLog(new FileOutputStream(FileDescriptor.out), new KeyValueFormatter(), System::nanoTime);
         log.setLevel(level);
+        EventLog.boundBy(log::admits);
         root.addHandler(log);
         root.setLevel(level);
     }
