Add explain and timeline, which read logs from a request's id to its cause

Cause: an engineer on call had to search the outputs of all nodes by hand and to know what each code means.

explain streams any number of outputs, puts the lines of one request in order, names the cause and says which lines were left out; timeline does so for an endpoint, a configuration version or a move.

--- /dev/null
+++ b/cli/src/main/java/org/mimosahinge/cli/LogLine.java
@@ -0,0 +1,95 @@
+package org.mimosahinge.cli;
+
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.Optional;
+
+/**
+ * One log line of a node.
+ *
+ * @param source file that holds the line
+ * @param pairs its keys and values in their order
+ */
+record LogLine(String source, Map<String, String> pairs) {
+
+    private static final String EVENT = "event";
+    private static final String TIME = "time";
+
+    /**
+     * Reads a line.
+     *
+     * <p>Text before {@code time=} is skipped, as collectors of logs put names and times of their own there.
+     *
+     * @param source file that holds the line
+     * @param text the line
+     * @return the line, empty when it is none of a node
+     */
+    static Optional<LogLine> parse(String source, String text) {
+        int start = text.indexOf(TIME + '=');
+        if (start < 0) {
+            return Optional.empty();
+        }
+        Map<String, String> pairs = new LinkedHashMap<>();
+        int at = start;
+        while (at < text.length()) {
+            int equals = text.indexOf('=', at);
+            if (equals < 0) {
+                break;
+            }
+            int end = valueEnd(text, equals + 1);
+            pairs.put(text.substring(at, equals), unquoted(text.substring(equals + 1, end)));
+            at = end + 1;
+        }
+        return pairs.containsKey(EVENT) ? Optional.of(new LogLine(source, pairs)) : Optional.empty();
+    }
+
+    private static int valueEnd(String text, int from) {
+        if (from >= text.length() || text.charAt(from) != '"') {
+            int space = text.indexOf(' ', from);
+            return space < 0 ? text.length() : space;
+        }
+        int at = from + 1;
+        while (at < text.length() && text.charAt(at) != '"') {
+            at += text.charAt(at) == '\\' ? 2 : 1;
+        }
+        return Math.min(text.length(), at + 1);
+    }
+
+    private static String unquoted(String value) {
+        if (value.length() < 2 || value.charAt(0) != '"') {
+            return value;
+        }
+        return value.substring(1, value.length() - 1)
+                .replace("\\n", "\n")
+                .replace("\\r", "\r")
+                .replace("\\\"", "\"")
+                .replace("\\\\", "\\");
+    }
+
+    String event() {
+        return pairs.get(EVENT);
+    }
+
+    String time() {
+        return pairs.getOrDefault(TIME, "");
+    }
+
+    String value(String key) {
+        return pairs.getOrDefault(key, "");
+    }
+
+    boolean has(String key, String value) {
+        return value.equals(pairs.get(key));
+    }
+
+    /** Shows the line without time and event, which have columns of their own. */
+    String details() {
+        StringBuilder shown = new StringBuilder();
+        pairs.forEach((key, value) -> {
+            if (!key.equals(TIME) && !key.equals(EVENT) && !key.equals("level") && !key.equals("component")) {
+                shown.append(shown.isEmpty() ? "" : " ").append(key).append('=').append(value);
+            }
+        });
+        return shown.toString();
+    }
+}
--- /dev/null
+++ b/cli/src/main/java/org/mimosahinge/cli/LogViews.java
@@ -0,0 +1,108 @@
+package org.mimosahinge.cli;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.function.Predicate;
+
+/** The verbs that read logs of nodes. */
+final class LogViews {
+
+    private LogViews() {}
+
+    /**
+     * One line in JSON output.
+     *
+     * @param source file that holds it
+     * @param pairs its keys and values
+     */
+    record Decision(String source, Map<String, String> pairs) {}
+
+    /**
+     * Body of the report.
+     *
+     * @param subject what was asked for
+     * @param decisions the lines about it in order of time
+     * @param cause cause of the end, empty when no line tells it
+     * @param leftOut lines that nodes did not write, by event
+     * @param linesRead number of lines read
+     */
+    record Story(String subject, List<Decision> decisions, String cause, Map<String, Long> leftOut, long linesRead) {}
+
+    /** Shows the path of one request and why it ended as it did. */
+    static void explain(Invocation call) {
+        String request =
+                call.options().text("request").orElseThrow(() -> new UsageException("explain needs --request ID"));
+        LogFiles.Found found = LogFiles.read(call.arguments(), line -> line.has("request", request));
+        String cause = Causes.of(found.lines())
+                .orElse(
+                        found.lines().isEmpty()
+                                ? "no line names this request: it came to another node, was answered (one success in a"
+                                        + " number is written) or its lines were left out"
+                                : "no line tells how it ended: it was answered, or that line was left out");
+        call.output().accept(report("request " + request, found, cause));
+    }
+
+    /** Shows what happened to an endpoint, a configuration version or a move. */
+    static void timeline(Invocation call) {
+        List<String> subjects = new ArrayList<>();
+        Predicate<LogLine> wanted = line -> false;
+        for (Subject subject : Subject.values()) {
+            String value = call.options().text(subject.option).orElse("");
+            if (!value.isEmpty()) {
+                subjects.add(subject.option + ' ' + value);
+                wanted = wanted.or(line -> subject.concerns(line, value));
+            }
+        }
+        if (subjects.size() != 1) {
+            throw new UsageException("timeline needs one of --endpoint ID, --version NUMBER or --move SERVICE");
+        }
+        call.output().accept(report(subjects.get(0), LogFiles.read(call.arguments(), wanted), ""));
+    }
+
+    private enum Subject {
+        ENDPOINT(
+                "endpoint",
+                List.of("endpoint_state", "endpoint_told", "departure_ignored", "not_admitted"),
+                "endpoint"),
+        VERSION("version", List.of("update_applied", "update_ignored", "row_rejected", "rows_passed_on"), "version"),
+        MOVE("move", List.of("move_ordered", "move_decision", "move_published"), "service");
+
+        private final String option;
+        private final List<String> events;
+        private final String key;
+
+        Subject(String option, List<String> events, String key) {
+            this.option = option;
+            this.events = events;
+            this.key = key;
+        }
+
+        boolean concerns(LogLine line, String value) {
+            return events.contains(line.event()) && line.has(key, value);
+        }
+    }
+
+    private static Report report(String subject, LogFiles.Found found, String cause) {
+        List<String> lines = new ArrayList<>(Table.lines(
+                List.of("TIME", "NODE LOG", "EVENT", "DETAILS"),
+                found.lines(),
+                line -> List.of(line.time(), line.source(), line.event(), line.details())));
+        if (!cause.isEmpty()) {
+            lines.add("cause: " + cause);
+        }
+        found.leftOut()
+                .forEach((event, count) ->
+                        lines.add("left out: " + count + " lines of event " + event + " were not written"));
+        return new Report(
+                new Story(
+                        subject,
+                        found.lines().stream()
+                                .map(line -> new Decision(line.source(), line.pairs()))
+                                .toList(),
+                        cause,
+                        found.leftOut(),
+                        found.read()),
+                lines);
+    }
+}
--- a/cli/src/main/java/org/mimosahinge/cli/Options.java
+++ b/cli/src/main/java/org/mimosahinge/cli/Options.java
@@ -39,6 +39,10 @@
         parser.accepts("wait");
         parser.accepts("together");
         parser.accepts("settings");
+        parser.accepts("request").withRequiredArg();
+        parser.accepts("endpoint").withRequiredArg();
+        parser.accepts("version").withRequiredArg();
+        parser.accepts("move").withRequiredArg();
         try {
             return new Options(parser.parse(arguments));
         } catch (OptionException e) {
@@ -99,6 +103,11 @@
         return Long.parseLong(text);
     }
 
+    /** Returns an option's text. */
+    Optional<String> text(String name) {
+        return value(name);
+    }
+
     private Optional<String> value(String name) {
         List<?> values = set.valuesOf(name);
         if (values.size() > 1) {
--- a/cli/src/main/java/org/mimosahinge/cli/Verbs.java
+++ b/cli/src/main/java/org/mimosahinge/cli/Verbs.java
@@ -39,6 +39,22 @@
             new Verb("nodes", "", "show the nodes", 0, 0, Set.of(), Views::nodes),
             new Verb("endpoints", "", "show the endpoints", 0, 0, Set.of(), Views::endpoints),
             new Verb("drain", "ENDPOINT", "take an endpoint out of new choices", 1, 1, Set.of(), Views::drain),
+            new Verb(
+                    "explain",
+                    "--request ID [FILE...]",
+                    "show the path of a request through logs of nodes and why it failed; reads standard input without FILE",
+                    0,
+                    MANY,
+                    Set.of("request"),
+                    LogViews::explain),
+            new Verb(
+                    "timeline",
+                    "--endpoint ID | --version NUMBER | --move SERVICE [FILE...]",
+                    "show what logs of nodes tell of an endpoint, a configuration version or a move",
+                    0,
+                    MANY,
+                    Set.of("endpoint", "version", "move"),
+                    LogViews::timeline),
             new Verb("watch", "", "report changes of status and moves until stopped", 0, 0, Set.of(), Watch::watch));
 
     private Verbs() {}
