Measure overload on a model of one service, without a network

bin/measure overload plays the decisions of core (choice, admission, memory of refusals, advice to refused callers) on six endpoints of different speed with callers that return once, against attempts taken as first ones and against endpoints in turn with queues bounded by the deadline.

--- a/bench/src/main/java/org/mimosahinge/bench/Measure.java
+++ b/bench/src/main/java/org/mimosahinge/bench/Measure.java
@@ -10,6 +10,7 @@
 import org.mimosahinge.bench.footprint.Footprint;
 import org.mimosahinge.bench.latency.Latency;
 import org.mimosahinge.bench.move.MoveMeasurement;
+import org.mimosahinge.bench.overload.Overload;
 
 /** Dispatches {@code bin/measure NAME [--full]}. */
 public final class Measure {
@@ -21,6 +22,7 @@
             "link", LinkBytes::run,
             "capacity", CapacitySlopes::run,
             "calls", CallsMeasurement::run,
+            "overload", Overload::run,
             "moves", (full, figures) -> MoveMeasurement.main(full ? new String[] {"--full"} : new String[0])));
 
     private Measure() {}
--- /dev/null
+++ b/bench/src/main/java/org/mimosahinge/bench/overload/Load.java
@@ -0,0 +1,33 @@
+package org.mimosahinge.bench.overload;
+
+/**
+ * Load of a run.
+ *
+ * @param factor calls that arrive, as a multiple of what the slots carry
+ * @param burstFactor the same between two and five seconds after the start of the measured time
+ * @param slowFactor factor by which the first endpoint is slower than its usual speed
+ */
+record Load(double factor, double burstFactor, double slowFactor) {
+
+    /** Start of the burst, in milliseconds. */
+    static final double BURST_FROM_MS = 4_000;
+
+    /** End of the burst, in milliseconds. */
+    static final double BURST_TO_MS = 7_000;
+
+    static Load lasting(double factor) {
+        return new Load(factor, factor, 1);
+    }
+
+    static Load withOneSlow(double factor) {
+        return new Load(factor, factor, 5);
+    }
+
+    static Load burst(double factor, double burstFactor) {
+        return new Load(factor, burstFactor, 1);
+    }
+
+    double at(double ms) {
+        return ms >= BURST_FROM_MS && ms < BURST_TO_MS ? burstFactor : factor;
+    }
+}
