--- a/core/src/main/java/org/mimosahinge/core/admission/RetryAdvice.java
+++ b/core/src/main/java/org/mimosahinge/core/admission/RetryAdvice.java
@@ -14,7 +14,7 @@
     /** Callers wait at most this part of the time that they have left. */
     private static final long CALLERS_PART = 3;
 
-    /** Part of the target latency that a caller may spend on waiting and still be answered in time. */
+    /** Part of the target latency that a caller may wait; the rest is about the time that a call takes when not queued. */
     private static final double TIMELY_PART = 0.4;
 
     private RetryAdvice() {}
--- a/core/src/main/java/org/mimosahinge/core/admission/UsualDeadline.java
+++ b/core/src/main/java/org/mimosahinge/core/admission/UsualDeadline.java
@@ -24,8 +24,8 @@
     private static final double FADING = 0.002;
 
     /**
-     * Below this share deadlines are taken to vary by themselves. Callers return three times at most, so a quarter of
-     * the calls of a route state their whole deadline even when every first attempt is refused.
+     * Below this share deadlines are taken to vary by themselves. A caller that retries three times states its whole
+     * deadline in one of four calls, so the share stays above this when every call is refused.
      */
     private static final double LEAST_SHARE = 0.15;
 
--- a/daemon/src/main/java/org/mimosahinge/daemon/traffic/Attempt.java
+++ b/daemon/src/main/java/org/mimosahinge/daemon/traffic/Attempt.java
@@ -34,7 +34,10 @@
     private boolean requestSent;
     private boolean responding;
     private int status;
+
+    /** Whether the call had missed its target latency when this attempt was sent. */
     private boolean late;
+
     private boolean ended;
 
     Attempt(EntryCall call, TrafficLoop loop, Endpoint endpoint, Route route) {
--- a/daemon/src/main/java/org/mimosahinge/daemon/traffic/HeartbeatTimer.java
+++ b/daemon/src/main/java/org/mimosahinge/daemon/traffic/HeartbeatTimer.java
@@ -7,7 +7,7 @@
 import java.util.concurrent.TimeUnit;
 
 /**
- * Beats for all connections of one event loop at the same moment.
+ * Sends the heartbeats of all connections of one event loop from a single timer.
  *
  * <p>A node has a connection to and from every other one; with a timer for each, an idle node would wake up several
  * hundred times a second.
@@ -31,7 +31,7 @@
         connections.remove(connection);
     }
 
-    /** A heartbeat that fails closes its connection, which leaves the set meanwhile. */
+    /** Works on a copy, since a heartbeat may close its connection, which then leaves the set. */
     private void beat() {
         List.copyOf(connections).forEach(Heartbeats::beat);
     }
