--- a/daemon/src/main/java/org/mimosahinge/daemon/control/ControlLoop.java
+++ b/daemon/src/main/java/org/mimosahinge/daemon/control/ControlLoop.java
@@ -6,6 +6,7 @@
 import com.lmax.disruptor.dsl.ProducerType;
 import java.util.concurrent.Executor;
 import java.util.concurrent.RejectedExecutionException;
+import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
 import org.mimosahinge.net.log.EventLog;
 
@@ -20,13 +21,19 @@
     public static final String THREAD_NAME = "control";
 
     private static final int RING_SIZE = 4096;
+
+    /** A task that waits longer holds back a change by a noticeable part of the seconds it has to be in force. */
+    private static final long LONG_DELAY_NANOS = TimeUnit.MILLISECONDS.toNanos(250);
+
     private static final EventLog LOG = EventLog.of("control");
 
     private final Disruptor<Slot> disruptor;
     private final AtomicLong rejected = new AtomicLong();
+    private final AtomicLong longestDelayNanos = new AtomicLong();
 
     private static final class Slot {
         private Runnable task;
+        private long offeredNanos;
     }
 
     private ControlLoop() {
@@ -40,10 +47,20 @@
         disruptor.handleEventsWith((slot, sequence, endOfBatch) -> {
             Runnable task = slot.task;
             slot.task = null;
+            delayed(System.nanoTime() - slot.offeredNanos);
             task.run();
         });
     }
 
+    private void delayed(long nanos) {
+        if (nanos > longestDelayNanos.get()) {
+            longestDelayNanos.accumulateAndGet(nanos, Math::max);
+        }
+        if (nanos > LONG_DELAY_NANOS) {
+            LOG.info("control_behind", "delay_ms", TimeUnit.NANOSECONDS.toMillis(nanos));
+        }
+    }
+
     /**
      * Starts the control thread.
      *
@@ -62,7 +79,10 @@
      * @return false when the ring is full and the task was dropped
      */
     public boolean offer(Runnable task) {
-        boolean accepted = disruptor.getRingBuffer().tryPublishEvent((slot, sequence) -> slot.task = task);
+        boolean accepted = disruptor.getRingBuffer().tryPublishEvent((slot, sequence) -> {
+            slot.task = task;
+            slot.offeredNanos = System.nanoTime();
+        });
         if (!accepted) {
             rejected.incrementAndGet();
         }
@@ -85,6 +105,15 @@
         return rejected.get();
     }
 
+    /**
+     * Returns the longest time that a task has waited since the last question.
+     *
+     * @return milliseconds
+     */
+    public long takeLongestDelayMs() {
+        return TimeUnit.NANOSECONDS.toMillis(longestDelayNanos.getAndSet(0));
+    }
+
     @Override
     public void close() {
         disruptor.shutdown();
--- a/daemon/src/main/java/org/mimosahinge/daemon/fleet/FleetControl.java
+++ b/daemon/src/main/java/org/mimosahinge/daemon/fleet/FleetControl.java
@@ -135,11 +135,12 @@
     }
 
     /**
-     * Takes rows that were read on the platform.
+     * Takes rows that were read on the platform, by this node or by another one.
      *
      * @param rows the rows, in any order
+     * @param source where they come from, for the log
      */
-    public void rows(Collection<StoredRow> rows) {
+    public void rows(Collection<StoredRow> rows, String source) {
         long before = book.newest();
         boolean changed = false;
         boolean dial = false;
@@ -149,7 +150,7 @@
                 dial |= peers.learned(nodeRow.node(), now());
                 peers.registered(nodeRow.node(), row.revision());
             } else if (decoded.isPresent() && book.accept(row, now())) {
-                changed |= take(decoded.get(), row.revision());
+                changed |= take(decoded.get(), row.revision(), source);
             }
         }
         if (dial) {
@@ -179,9 +180,9 @@
         }
     }
 
-    private boolean take(FleetRow row, long revision) {
+    private boolean take(FleetRow row, long revision, String source) {
         if (row instanceof FleetRow.DocumentRow documentRow) {
-            return applied(documentRow.document(), revision);
+            return applied(documentRow.document(), revision, source);
         }
         if (row instanceof FleetRow.OrderRow orderRow) {
             moves.ordered(orderRow.order(), revision, now());
@@ -193,7 +194,7 @@
         return false;
     }
 
-    private boolean applied(Document next, long revision) {
+    private boolean applied(Document next, long revision, String source) {
         long held = document.map(Document::version).orElse(0L);
         if (next.version() <= held) {
             LOG.info("update_ignored", "version", next.version(), "held", held, "revision", revision);
@@ -213,7 +214,9 @@
                 "routes",
                 next.routes().size(),
                 "revision",
-                revision);
+                revision,
+                "source",
+                source);
         return true;
     }
 
@@ -370,7 +373,9 @@
         } else if (told.frame() instanceof Frame.HeadHint hint) {
             peers.atRevision(told.node().id(), hint.version());
         } else if (told.frame() instanceof Frame.OperatorRow row) {
-            rows(List.of(new StoredRow(row.key(), row.revision(), row.content(), false)));
+            rows(
+                    List.of(new StoredRow(row.key(), row.revision(), row.content(), false)),
+                    told.node().id().value());
         } else if (told.frame() instanceof Frame.Evidence evidence) {
             moves.peerCalls(told.node().id(), evidence.service(), EvidenceFrames.fromFrame(evidence));
         } else if (told.frame() instanceof Frame.Quarantine request) {
