Add a pure function that describes a content as changes of another

A change of the operators' document touches one or a few of its routes, so nodes that pass it on should send only the changed parts. ContentDelta matches blocks of 32 bytes by a rolling hash, extends the matches in both directions and carries a 64-bit checksum of the target, so that a wrong base or a damaged delta gives nothing instead of a mixed document. All parts are checked before anything is allocated, and the target is at most 1 MiB. It stands in the api module because net, which will carry it, does not depend on core.

Cause of the two passes: with the first equal block or the continuation of the last match alone, text that all routes share led the search to another route.

The test goes over all positions, because a few fixed ones had not shown this.

--- /dev/null
+++ b/api/src/main/java/org/mimosahinge/api/config/BlockMatcher.java
@@ -0,0 +1,178 @@
+package org.mimosahinge.api.config;
+
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.BitSet;
+import java.util.List;
+import java.util.function.IntConsumer;
+
+/** Finds the ranges of a target that also stand in a base, by a rolling hash over blocks of the base. */
+final class BlockMatcher {
+
+    /** A copy takes up to 11 bytes in a message, so much shorter matches would not save anything. */
+    private static final int BLOCK_BYTES = 32;
+
+    /** The FNV prime; it is odd, so no byte of a block is lost from the hash. */
+    private static final int MULTIPLIER = 0x01000193;
+
+    /** 2^32 divided by the golden ratio; spreads hashes over the upper bits, from which the bucket is taken. */
+    private static final int SPREAD = 0x9E3779B9;
+
+    /** Buckets per block; with four, about one block in eight is hidden by another one in its bucket. */
+    private static final int BUCKETS_PER_BLOCK = 4;
+
+    /** What the oldest byte of a block contributes to the hash, per unit. */
+    private static final int OLDEST_WEIGHT = power(MULTIPLIER, BLOCK_BYTES - 1);
+
+    private final byte[] base;
+    private final byte[] target;
+    /** First block of the base in each bucket, as its offset plus one; 0 without a block. */
+    private final int[] buckets;
+    /** Buckets whose block stands in the base more than once, at any offset. */
+    private final BitSet repeated = new BitSet();
+
+    private final int shift;
+    private final List<ContentDelta.Part> parts = new ArrayList<>();
+    /** End of the last part in the target. */
+    private int targetEnd;
+    /** Place in the base that corresponds to the end of the last part. */
+    private int baseEnd;
+
+    BlockMatcher(byte[] base, byte[] target) {
+        this.base = base;
+        this.target = target;
+        int blocks = Math.max(1, base.length / BLOCK_BYTES);
+        int bits = Integer.SIZE - Integer.numberOfLeadingZeros(blocks * BUCKETS_PER_BLOCK - 1);
+        buckets = new int[1 << bits];
+        shift = Integer.SIZE - bits;
+        index();
+        findRepeated();
+    }
+
+    /** Finds a place in the base that equals the block of the target at a position; negative without one. */
+    @FunctionalInterface
+    private interface Search {
+        int match(int position, int hash);
+    }
+
+    /** Keeps the first block only in each bucket, which bounds the work at each position of the target. */
+    private void index() {
+        for (int offset = 0; offset <= base.length - BLOCK_BYTES; offset += BLOCK_BYTES) {
+            int bucket = bucket(hash(base, offset));
+            if (buckets[bucket] == 0) {
+                buckets[bucket] = offset + 1;
+            }
+        }
+    }
+
+    private void findRepeated() {
+        int last = base.length - BLOCK_BYTES;
+        int hash = last >= 0 ? hash(base, 0) : 0;
+        for (int offset = 0; offset <= last; offset++) {
+            int bucket = bucket(hash);
+            int block = buckets[bucket] - 1;
+            if (block >= 0 && block != offset && blockEquals(block, base, offset)) {
+                repeated.set(bucket);
+            }
+            hash = offset < last ? roll(base, hash, offset) : 0;
+        }
+    }
+
+    /**
+     * Matches blocks that stand in the base once first, and other blocks only between them. Text that all routes of a
+     * document share would otherwise lead the search to another route, from which it does not find back for hundreds of
+     * routes: up to 4,934 bytes instead of 104 for one replaced route of 800.
+     */
+    List<ContentDelta.Part> parts() {
+        scan(target.length, this::uniqueMatch, gapEnd -> scan(gapEnd, this::anyMatch, this::insertUpTo));
+        return parts;
+    }
+
+    /** Adds parts up to an end in the target; what the search does not find is left to the filler. */
+    private void scan(int end, Search search, IntConsumer filler) {
+        int last = end - BLOCK_BYTES;
+        int position = targetEnd;
+        int hash = position <= last ? hash(target, position) : 0;
+        while (position <= last) {
+            int match = search.match(position, hash);
+            if (match >= 0) {
+                copy(match, position, end, filler);
+                position = targetEnd;
+                hash = position <= last ? hash(target, position) : 0;
+            } else {
+                hash = position < last ? roll(target, hash, position) : 0;
+                position++;
+            }
+        }
+        filler.accept(end);
+    }
+
+    private int uniqueMatch(int position, int hash) {
+        int bucket = bucket(hash);
+        int block = buckets[bucket] - 1;
+        return block >= 0 && !repeated.get(bucket) && blockEquals(block, target, position) ? block : -1;
+    }
+
+    /** Prefers what follows the last part at the same distance, since equal blocks may stand in many places. */
+    private int anyMatch(int position, int hash) {
+        int continuation = baseEnd + (position - targetEnd);
+        if (continuation <= base.length - BLOCK_BYTES && blockEquals(continuation, target, position)) {
+            return continuation;
+        }
+        int block = buckets[bucket(hash)] - 1;
+        return block >= 0 && blockEquals(block, target, position) ? block : -1;
+    }
+
+    private boolean blockEquals(int block, byte[] content, int position) {
+        return Arrays.equals(base, block, block + BLOCK_BYTES, content, position, position + BLOCK_BYTES);
+    }
+
+    /** Adds the copy that holds a match, extended as far as both contents agree. */
+    private void copy(int match, int position, int end, IntConsumer filler) {
+        int before = 0;
+        while (position - before > targetEnd
+                && match - before > 0
+                && base[match - before - 1] == target[position - before - 1]) {
+            before++;
+        }
+        int mismatch = Arrays.mismatch(base, match, base.length, target, position, end);
+        int length = mismatch < 0 ? end - position : mismatch;
+        filler.accept(position - before);
+        parts.add(new ContentDelta.Copy(match - before, before + length));
+        targetEnd = position + length;
+        baseEnd = match + length;
+    }
+
+    private void insertUpTo(int end) {
+        if (end > targetEnd) {
+            parts.add(new ContentDelta.Insert(Arrays.copyOfRange(target, targetEnd, end)));
+            baseEnd += end - targetEnd;
+            targetEnd = end;
+        }
+    }
+
+    private int bucket(int hash) {
+        return (hash * SPREAD) >>> shift;
+    }
+
+    /** Moves the hash of a block on by one byte. */
+    private static int roll(byte[] content, int hash, int offset) {
+        return (hash - content[offset] * OLDEST_WEIGHT) * MULTIPLIER + content[offset + BLOCK_BYTES];
+    }
+
+    private static int hash(byte[] content, int offset) {
+        int hash = 0;
+        for (int i = offset; i < offset + BLOCK_BYTES; i++) {
+            hash = hash * MULTIPLIER + content[i];
+        }
+        return hash;
+    }
+
+    private static int power(int factor, int exponent) {
+        int power = 1;
+        for (int i = 0; i < exponent; i++) {
+            power *= factor;
+        }
+        return power;
+    }
+}
--- /dev/null
+++ b/api/src/main/java/org/mimosahinge/api/config/ContentDelta.java
@@ -0,0 +1,185 @@
+package org.mimosahinge.api.config;
+
+import java.nio.ByteBuffer;
+import java.util.Arrays;
+import java.util.List;
+import java.util.Optional;
+import java.util.zip.CRC32;
+import java.util.zip.CRC32C;
+import java.util.zip.Checksum;
+
+/**
+ * A content as changes of another content, the base.
+ *
+ * @param length length of the target content in bytes
+ * @param checksum checksum of the target content, see {@link #checksumOf}
+ * @param parts the target content from its start to its end
+ */
+public record ContentDelta(int length, long checksum, List<Part> parts) {
+
+    /** Largest target in bytes, as for whole contents; bounds what a malformed delta can make the receiver allocate. */
+    public static final int MAX_LENGTH = 1 << 20;
+
+    /** Bytes for length, checksum and number of parts: integers of up to 5, 9 and 5 bytes in MessagePack. */
+    private static final int HEADER_BYTES = 19;
+
+    /** Bytes for kind, offset and length of a part: a flag and two integers of up to 5 bytes in MessagePack. */
+    private static final int PART_BYTES = 11;
+
+    /**
+     * Copies the parts.
+     *
+     * @param length length of the target content in bytes
+     * @param checksum checksum of the target content
+     * @param parts the target content from its start to its end
+     */
+    public ContentDelta {
+        parts = List.copyOf(parts);
+    }
+
+    /** A range of the target content. */
+    public sealed interface Part permits Copy, Insert {
+
+        /**
+         * Returns the length of the range.
+         *
+         * @return the length in bytes
+         */
+        int length();
+
+        /**
+         * Tells whether the range can be restored.
+         *
+         * @param baseLength length of the base in bytes
+         * @return whether the range is not empty and needs no byte outside of the base
+         */
+        boolean fits(int baseLength);
+
+        /**
+         * Appends the range to the target.
+         *
+         * @param base the base
+         * @param target the target
+         */
+        void appendTo(ByteBuffer target, byte[] base);
+    }
+
+    /**
+     * A range that also stands in the base.
+     *
+     * @param offset start of the range in the base
+     * @param length length in bytes
+     */
+    public record Copy(int offset, int length) implements Part {
+
+        @Override
+        public boolean fits(int baseLength) {
+            return length > 0 && offset >= 0 && offset <= baseLength - length;
+        }
+
+        @Override
+        public void appendTo(ByteBuffer target, byte[] base) {
+            target.put(base, offset, length);
+        }
+    }
+
+    /**
+     * A range that is sent as it is.
+     *
+     * @param bytes the range
+     */
+    public record Insert(byte[] bytes) implements Part {
+
+        @Override
+        public int length() {
+            return bytes.length;
+        }
+
+        @Override
+        public boolean fits(int baseLength) {
+            return bytes.length > 0;
+        }
+
+        @Override
+        public void appendTo(ByteBuffer target, byte[] base) {
+            target.put(bytes);
+        }
+
+        @Override
+        public boolean equals(Object other) {
+            return other instanceof Insert insert && Arrays.equals(bytes, insert.bytes);
+        }
+
+        @Override
+        public int hashCode() {
+            return Arrays.hashCode(bytes);
+        }
+    }
+
+    /**
+     * Finds what changed between two contents, in time linear in their lengths.
+     *
+     * @param base the content that the receiver holds
+     * @param target the content to send; one longer than {@link #MAX_LENGTH} gives a delta that applies to no base
+     * @return the delta
+     */
+    public static ContentDelta between(byte[] base, byte[] target) {
+        return new ContentDelta(target.length, checksumOf(target), new BlockMatcher(base, target).parts());
+    }
+
+    /**
+     * Restores the target content.
+     *
+     * @param base the content held
+     * @return the target, or empty when this is not the base of the delta or the delta is damaged
+     */
+    public Optional<byte[]> applyTo(byte[] base) {
+        if (length < 0 || length > MAX_LENGTH || !partsFit(base.length)) {
+            return Optional.empty();
+        }
+        ByteBuffer target = ByteBuffer.allocate(length);
+        parts.forEach(part -> part.appendTo(target, base));
+        return checksumOf(target.array()) == checksum ? Optional.of(target.array()) : Optional.empty();
+    }
+
+    /** Checks all parts before anything is allocated. */
+    private boolean partsFit(int baseLength) {
+        long total = 0;
+        for (Part part : parts) {
+            if (!part.fits(baseLength)) {
+                return false;
+            }
+            total += part.length();
+        }
+        return total == length;
+    }
+
+    /**
+     * Returns about how many bytes the delta takes in a message, at most; the whole content may take fewer.
+     *
+     * @return the bytes
+     */
+    public int bytes() {
+        int bytes = HEADER_BYTES;
+        for (Part part : parts) {
+            bytes += PART_BYTES + (part instanceof Insert insert ? insert.length() : 0);
+        }
+        return bytes;
+    }
+
+    /**
+     * Returns the checksum of a content: CRC-32C in the upper half and CRC-32 in the lower half. The JDK computes both
+     * with processor instructions, and together they tell apart what 32 bits do not.
+     *
+     * @param content the content
+     * @return its checksum
+     */
+    public static long checksumOf(byte[] content) {
+        return value(new CRC32C(), content) << Integer.SIZE | value(new CRC32(), content);
+    }
+
+    private static long value(Checksum checksum, byte[] content) {
+        checksum.update(content, 0, content.length);
+        return checksum.getValue();
+    }
+}
--- /dev/null
+++ b/api/src/test/java/org/mimosahinge/api/config/ContentDeltaTest.java
@@ -0,0 +1,284 @@
+package org.mimosahinge.api.config;
+
+import static org.junit.jupiter.api.Assertions.assertArrayEquals;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.Collections;
+import java.util.List;
+import java.util.Optional;
+import java.util.Random;
+import java.util.stream.Collectors;
+import java.util.stream.IntStream;
+import java.util.stream.Stream;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.IntRange;
+import net.jqwik.api.constraints.Size;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.Arguments;
+import org.junit.jupiter.params.provider.EnumSource;
+import org.junit.jupiter.params.provider.MethodSource;
+
+/** Guards against contents that differ from what was sent and against deltas that save nothing or harm the receiver. */
+class ContentDeltaTest {
+
+    private static final int ROUTES = 800;
+
+    /** A node may spend 3 KB a second; a change of one route of a document may cost this share of the document. */
+    private static final double ALLOWED_SHARE = 0.01;
+
+    /** Fills a content; few distinct values give many equal blocks. */
+    enum Filling {
+        ZEROS((random, i) -> 0),
+        PERIODIC((random, i) -> i % 7),
+        TWO_VALUES((random, i) -> random.nextInt(64) / 63),
+        ARBITRARY((random, i) -> random.nextInt(256));
+
+        private final ByteAt byteAt;
+
+        Filling(ByteAt byteAt) {
+            this.byteAt = byteAt;
+        }
+
+        byte[] bytes(int length, Random random) {
+            byte[] bytes = new byte[length];
+            for (int i = 0; i < length; i++) {
+                bytes[i] = (byte) byteAt.value(random, i);
+            }
+            return bytes;
+        }
+    }
+
+    @FunctionalInterface
+    private interface ByteAt {
+        int value(Random random, int index);
+    }
+
+    /** Changes a range of a content. */
+    enum Edit {
+        INSERT((random, head, range, tail) -> join(head, range, Filling.ARBITRARY.bytes(range.length, random), tail)),
+        DELETE((random, head, range, tail) -> join(head, tail)),
+        REPLACE((random, head, range, tail) -> join(head, Filling.ARBITRARY.bytes(range.length, random), tail)),
+        REPEAT((random, head, range, tail) -> join(head, range, range, tail)),
+        MOVE((random, head, range, tail) -> join(head, tail, range));
+
+        private final RangeEdit edit;
+
+        Edit(RangeEdit edit) {
+            this.edit = edit;
+        }
+
+        byte[] apply(byte[] content, Random random) {
+            int from = random.nextInt(content.length + 1);
+            int to = from + random.nextInt(Math.min(100, content.length - from) + 1);
+            return edit.apply(
+                    random,
+                    Arrays.copyOf(content, from),
+                    Arrays.copyOfRange(content, from, to),
+                    Arrays.copyOfRange(content, to, content.length));
+        }
+    }
+
+    @FunctionalInterface
+    private interface RangeEdit {
+        byte[] apply(Random random, byte[] head, byte[] range, byte[] tail);
+    }
+
+    // Guards against edits after which blocks are copied from a wrong place or bytes are lost between two parts.
+    @Property(tries = 2000, seed = "20270301")
+    void editedContentIsRestored(
+            @ForAll Filling filling,
+            @ForAll @IntRange(max = 3000) int length,
+            @ForAll @Size(max = 6) List<Edit> edits,
+            @ForAll long seed) {
+        Random random = new Random(seed);
+        byte[] base = filling.bytes(length, random);
+        byte[] target = base;
+        for (Edit edit : edits) {
+            target = edit.apply(target, random);
+        }
+        assertRestored(base, target);
+    }
+
+    // Guards against contents without anything in common, or shorter than a block, that are not sent whole.
+    @Property(tries = 500, seed = "20270302")
+    void unrelatedContentIsRestored(@ForAll byte[] base, @ForAll byte[] target) {
+        assertRestored(base, target);
+    }
+
+    static Stream<Arguments> lengths() {
+        return Stream.of(0, 1, 31, 32, 33, 64, 1000)
+                .flatMap(base -> Stream.of(0, 1, 31, 32, 33, 64, 5000).map(target -> Arguments.of(base, target)));
+    }
+
+    // Guards against reading past an end where all blocks are equal and matches end at the end of a content.
+    @ParameterizedTest
+    @MethodSource("lengths")
+    void repeatedContentOfAnyLengthIsRestored(int baseLength, int targetLength) {
+        assertRestored(new byte[baseLength], new byte[targetLength]);
+    }
+
+    // Guards against a limit that is off by one, and against a receiver that exhausts its memory.
+    @ParameterizedTest
+    @MethodSource("limits")
+    void targetIsBounded(int length, boolean accepted) {
+        byte[] base = new byte[4096];
+        byte[] target = new byte[length];
+        assertEquals(
+                accepted,
+                ContentDelta.between(base, target)
+                        .applyTo(base)
+                        .filter(bytes -> Arrays.equals(bytes, target))
+                        .isPresent());
+    }
+
+    static Stream<Arguments> limits() {
+        return Stream.of(Arguments.of(ContentDelta.MAX_LENGTH, true), Arguments.of(ContentDelta.MAX_LENGTH + 1, false));
+    }
+
+    // Guards against a document made of two versions when the receiver's base is not the sender's.
+    @Property(tries = 500, seed = "20270303")
+    void otherBaseIsRejected(
+            @ForAll @IntRange(max = 3999) int position, @ForAll @IntRange(min = 1, max = 255) int xor) {
+        byte[] base = Filling.ARBITRARY.bytes(4000, new Random(5));
+        byte[] target = join(new byte[50], base);
+        byte[] other = base.clone();
+        other[position] ^= (byte) xor;
+        assertEquals(Optional.empty(), ContentDelta.between(base, target).applyTo(other));
+    }
+
+    // Guards against a content that was never sent: whatever the base, the result is the target or nothing.
+    @Property(tries = 500, seed = "20270304")
+    void anyBaseGivesTheTargetOrNothing(@ForAll long seed, @ForAll @IntRange(max = 3000) int otherLength) {
+        Random random = new Random(seed);
+        byte[] base = Filling.TWO_VALUES.bytes(2000, random);
+        byte[] target = Edit.MOVE.apply(base, random);
+        byte[] other = Filling.TWO_VALUES.bytes(otherLength, random);
+        ContentDelta.between(base, target).applyTo(other).ifPresent(result -> assertArrayEquals(target, result));
+    }
+
+    static Stream<ContentDelta> malformed() {
+        byte[] target = {1, 2, 3, 4};
+        long checksum = ContentDelta.checksumOf(target);
+        ContentDelta.Part whole = new ContentDelta.Insert(target);
+        ContentDelta.Part none = new ContentDelta.Insert(new byte[0]);
+        Stream<ContentDelta> copies = Stream.of(
+                        new ContentDelta.Copy(-1, 4),
+                        new ContentDelta.Copy(0, 5),
+                        new ContentDelta.Copy(1, 4),
+                        new ContentDelta.Copy(4, 1),
+                        new ContentDelta.Copy(0, 0),
+                        new ContentDelta.Copy(0, -4),
+                        new ContentDelta.Copy(4, -4),
+                        new ContentDelta.Copy(Integer.MAX_VALUE, 4),
+                        new ContentDelta.Copy(4, Integer.MAX_VALUE),
+                        new ContentDelta.Copy(Integer.MAX_VALUE, Integer.MAX_VALUE),
+                        new ContentDelta.Copy(Integer.MIN_VALUE, Integer.MIN_VALUE),
+                        new ContentDelta.Copy(0, Integer.MIN_VALUE))
+                .flatMap(copy -> Stream.of(
+                        new ContentDelta(4, checksum, List.of(copy)),
+                        new ContentDelta(4, checksum, List.of(copy, whole)),
+                        new ContentDelta(copy.length(), checksum, List.of(copy)),
+                        new ContentDelta(copy.length() + 4, checksum, List.of(whole, copy))));
+        return Stream.concat(
+                copies,
+                Stream.of(
+                        new ContentDelta(4, checksum + 1, List.of(whole)),
+                        new ContentDelta(4, checksum ^ 1L << 63, List.of(whole)),
+                        new ContentDelta(3, checksum, List.of(whole)),
+                        new ContentDelta(5, checksum, List.of(whole)),
+                        new ContentDelta(-4, checksum, List.of(whole)),
+                        new ContentDelta(4, checksum, List.of()),
+                        new ContentDelta(4, checksum, List.of(whole, none)),
+                        new ContentDelta(4, checksum, List.of(whole, whole)),
+                        new ContentDelta(Integer.MAX_VALUE, checksum, List.of(whole)),
+                        new ContentDelta(4, checksum, Collections.nCopies(1 << 18, new ContentDelta.Copy(0, 4))),
+                        new ContentDelta(Integer.MIN_VALUE, checksum, List.of())));
+    }
+
+    // Guards against damaged or hostile deltas that fail the control thread or change the document.
+    @ParameterizedTest
+    @MethodSource("malformed")
+    void malformedDeltaIsRejected(ContentDelta delta) {
+        assertEquals(Optional.empty(), delta.applyTo(new byte[] {1, 2, 3, 4}));
+    }
+
+    /** Changes the routes of a document, beginning with the one at an index. */
+    enum RouteChange {
+        VERSION_ONLY(1, (routes, index) -> {}),
+        WEIGHT(1, RouteChange::changeWeight),
+        REPLACE(1, (routes, index) -> routes.set(index, route(9999))),
+        ADD(1, (routes, index) -> routes.add(index, route(9999))),
+        REMOVE(1, (routes, index) -> routes.remove(index)),
+        SWAP(1, (routes, index) -> Collections.swap(routes, index, (index + 2) % ROUTES)),
+        MOVE_TO_END(1, (routes, index) -> routes.add(routes.remove(index))),
+        THREE_WEIGHTS(3, (routes, index) -> {
+            changeWeight(routes, index);
+            changeWeight(routes, (index + 1) % ROUTES);
+            changeWeight(routes, (index + 100) % ROUTES);
+        });
+
+        private final int changes;
+        private final RouteListChange change;
+
+        RouteChange(int changes, RouteListChange change) {
+            this.changes = changes;
+            this.change = change;
+        }
+
+        private static void changeWeight(List<String> routes, int index) {
+            routes.set(index, routes.get(index).replace("\"weight\":1", "\"weight\":250"));
+        }
+    }
+
+    @FunctionalInterface
+    private interface RouteListChange {
+        void apply(List<String> routes, int index);
+    }
+
+    // Guards against a change of one route that costs a large part of the document, wherever the route stands in it.
+    @ParameterizedTest
+    @EnumSource
+    void changedRouteCostsASmallShareOfTheDocument(RouteChange change) {
+        List<String> routes =
+                IntStream.range(0, ROUTES).mapToObj(ContentDeltaTest::route).collect(Collectors.toUnmodifiableList());
+        byte[] base = document(1099, routes);
+        for (int index = 0; index < ROUTES; index++) {
+            List<String> changed = new ArrayList<>(routes);
+            change.change.apply(changed, index);
+            byte[] target = document(1100, changed);
+            ContentDelta delta = ContentDelta.between(base, target);
+            assertArrayEquals(target, delta.applyTo(base).orElseThrow());
+            assertTrue(
+                    delta.bytes() <= change.changes * ALLOWED_SHARE * base.length,
+                    "route " + index + ": " + delta.bytes() + " bytes of " + base.length);
+        }
+    }
+
+    private static byte[] document(int version, List<String> routes) {
+        return ("{\"version\":" + version + ",\"routes\":[" + String.join(",", routes) + "]}")
+                .getBytes(StandardCharsets.UTF_8);
+    }
+
+    private static String route(int number) {
+        return "{\"name\":\"r" + number + "\",\"prefix\":\"/s" + number % 130 + "/" + number
+                + "\",\"weight\":1,\"timeoutMs\":2000}";
+    }
+
+    private static void assertRestored(byte[] base, byte[] target) {
+        ContentDelta delta = ContentDelta.between(base, target);
+        assertArrayEquals(target, delta.applyTo(base).orElseThrow());
+    }
+
+    private static byte[] join(byte[]... pieces) {
+        ByteBuffer joined = ByteBuffer.allocate(
+                Arrays.stream(pieces).mapToInt(piece -> piece.length).sum());
+        Arrays.stream(pieces).forEach(joined::put);
+        return joined.array();
+    }
+}
