Add frames that pass on changed rows, and compress whole rows

RowsRequest (13) asks a node for the operators' rows, RowDelta (14) carries a row as a change of an earlier revision, and RowsCurrent (15) tells how long ago the sender's rows were the newest; a negative age is refused, since a receiver would take its rows for current for too long.

The encoding of OperatorRow (12) changed: its content is deflated. A content of more than 1 MiB is refused before it is sent, because it could now fit into a frame that the receiver refuses; a frame that expands past 1 MiB is refused while it expands, so memory stays bounded.

Found by the new cases: an empty content could not be decompressed, because the last step of the inflater gives no bytes and was taken for a truncated input.

--- a/net/src/main/java/org/mimosahinge/net/frame/Deflate.java
+++ b/net/src/main/java/org/mimosahinge/net/frame/Deflate.java
@@ -6,10 +6,10 @@
 import java.util.zip.Inflater;
 import org.mimosahinge.api.error.FrameException;
 
-/** Compresses section content for the wire. */
+/** Compresses sections and operators' rows for the wire. */
 public final class Deflate {
 
-    /** Largest section; bounds what a small malformed frame can make the receiver allocate. */
+    /** Largest content; bounds what a small malformed frame can make the receiver allocate. */
     private static final int MAX_CONTENT_BYTES = 1 << 20;
 
     private static final int CHUNK_BYTES = 4096;
@@ -19,10 +19,14 @@
     /**
      * Compresses content.
      *
-     * @param content the content
+     * @param content the content, at most 1 MiB
      * @return the compressed bytes
      */
     public static byte[] compress(byte[] content) {
+        // A longer content might fit into a frame, and the receiver would close the connection.
+        if (content.length > MAX_CONTENT_BYTES) {
+            throw new FrameException("Content of " + content.length + " bytes exceeds " + MAX_CONTENT_BYTES);
+        }
         Deflater deflater = new Deflater(Deflater.BEST_COMPRESSION, true);
         try {
             deflater.setInput(content);
@@ -52,17 +56,17 @@
             byte[] chunk = new byte[CHUNK_BYTES];
             while (!inflater.finished()) {
                 int count = inflater.inflate(chunk);
-                if (count == 0 && (inflater.needsInput() || inflater.needsDictionary())) {
-                    throw new FrameException("Compressed section ends early");
+                if (count == 0 && !inflater.finished()) {
+                    throw new FrameException("Compressed content ends early");
                 }
                 out.write(chunk, 0, count);
                 if (out.size() > MAX_CONTENT_BYTES) {
-                    throw new FrameException("Section exceeds " + MAX_CONTENT_BYTES + " bytes");
+                    throw new FrameException("Content exceeds " + MAX_CONTENT_BYTES + " bytes");
                 }
             }
             return out.toByteArray();
         } catch (DataFormatException e) {
-            throw new FrameException("Malformed compressed section: " + e.getMessage());
+            throw new FrameException("Malformed compressed content: " + e.getMessage());
         } finally {
             inflater.end();
         }
--- a/net/src/main/java/org/mimosahinge/net/frame/Frame.java
+++ b/net/src/main/java/org/mimosahinge/net/frame/Frame.java
@@ -1,10 +1,13 @@
 package org.mimosahinge.net.frame;
 
+import java.util.Arrays;
 import java.util.List;
 import java.util.Map;
+import java.util.Objects;
 import java.util.Set;
 import java.util.SortedMap;
 import org.mimosahinge.api.config.ConfigUpdate;
+import org.mimosahinge.api.config.ContentDelta;
 import org.mimosahinge.api.config.HaltMark;
 import org.mimosahinge.api.contract.CallClass;
 import org.mimosahinge.api.world.Endpoint;
@@ -128,7 +131,46 @@
      * @param revision revision of the row on the platform
      * @param content the row's value
      */
-    record OperatorRow(String key, long revision, byte[] content) implements Frame {}
+    record OperatorRow(String key, long revision, byte[] content) implements Frame {
+
+        @Override
+        public boolean equals(Object other) {
+            return other instanceof OperatorRow row
+                    && key.equals(row.key)
+                    && revision == row.revision
+                    && Arrays.equals(content, row.content);
+        }
+
+        @Override
+        public int hashCode() {
+            return Objects.hash(key, revision, Arrays.hashCode(content));
+        }
+    }
+
+    /**
+     * Asks a node to send the operators' rows now and as they change, for a limited time.
+     *
+     * @param held revisions of the rows that the sender holds, by key
+     */
+    record RowsRequest(Map<String, Long> held) implements Frame {}
+
+    /**
+     * A row as a change of an earlier revision of it.
+     *
+     * @param key table and key of the row
+     * @param baseRevision revision that the change applies to
+     * @param revision revision of the row on the platform
+     * @param delta the change
+     */
+    record RowDelta(String key, long baseRevision, long revision, ContentDelta delta) implements Frame {}
+
+    /**
+     * Tells that the sender's rows were the newest on the platform a moment ago.
+     *
+     * @param revision newest revision held
+     * @param ageMs time since the platform was last read, in milliseconds
+     */
+    record RowsCurrent(long revision, long ageMs) implements Frame {}
 
     /**
      * Starts a call.
--- a/net/src/main/java/org/mimosahinge/net/frame/FrameCodec.java
+++ b/net/src/main/java/org/mimosahinge/net/frame/FrameCodec.java
@@ -96,7 +96,13 @@
             out.text(request.route()).text(request.method()).text(request.uri()).text(request.bodyHash());
             out.integer(request.refusedForMs());
         } else if (frame instanceof Frame.OperatorRow row) {
-            out.text(row.key()).integer(row.revision()).bytes(row.content());
+            RowFields.packRow(out, row);
+        } else if (frame instanceof Frame.RowsRequest request) {
+            RowFields.packRequest(out, request);
+        } else if (frame instanceof Frame.RowDelta row) {
+            RowFields.packDelta(out, row);
+        } else if (frame instanceof Frame.RowsCurrent current) {
+            out.integer(current.revision()).integer(current.ageMs());
         } else if (frame instanceof Frame.Report report) {
             out.list(report.versions().entrySet(), (packer, entry) -> packer.integer(entry.getKey())
                     .integer(entry.getValue()));
@@ -152,7 +158,10 @@
             case DRAIN -> new Frame.Drain(in.text());
             case EVIDENCE -> new Frame.Evidence(in.text(), in.list(ConfigFields::unpackTally));
             case QUARANTINE -> new Frame.Quarantine(in.text(), in.text(), in.text(), in.text(), in.integer());
-            case OPERATOR_ROW -> new Frame.OperatorRow(in.text(), in.integer(), in.bytes());
+            case OPERATOR_ROW -> RowFields.unpackRow(in);
+            case ROWS_REQUEST -> RowFields.unpackRequest(in);
+            case ROW_DELTA -> RowFields.unpackDelta(in);
+            case ROWS_CURRENT -> RowFields.unpackCurrent(in);
             case REPORT -> new Frame.Report(unpackVersions(in));
         };
     }
--- /dev/null
+++ b/net/src/main/java/org/mimosahinge/net/frame/RowFields.java
@@ -0,0 +1,68 @@
+package org.mimosahinge.net.frame;
+
+import java.util.HashMap;
+import java.util.Map;
+import org.mimosahinge.api.config.ContentDelta;
+import org.mimosahinge.api.error.FrameException;
+
+/** Packs and unpacks operators' rows and their changes. */
+final class RowFields {
+
+    private RowFields() {}
+
+    static void packRow(Packer out, Frame.OperatorRow row) {
+        out.text(row.key()).integer(row.revision()).bytes(Deflate.compress(row.content()));
+    }
+
+    static Frame.OperatorRow unpackRow(Unpacker in) {
+        return new Frame.OperatorRow(in.text(), in.integer(), Deflate.decompress(in.bytes()));
+    }
+
+    static void packRequest(Packer out, Frame.RowsRequest request) {
+        out.list(request.held().entrySet(), (packer, row) -> packer.text(row.getKey())
+                .integer(row.getValue()));
+    }
+
+    static Frame.RowsRequest unpackRequest(Unpacker in) {
+        Map<String, Long> held = new HashMap<>();
+        in.list(row -> held.put(row.text(), row.integer()));
+        return new Frame.RowsRequest(held);
+    }
+
+    static void packDelta(Packer out, Frame.RowDelta row) {
+        ContentDelta delta = row.delta();
+        out.text(row.key()).integer(row.baseRevision()).integer(row.revision());
+        out.integer(delta.length()).integer(delta.checksum()).list(delta.parts(), RowFields::packPart);
+    }
+
+    static Frame.RowDelta unpackDelta(Unpacker in) {
+        return new Frame.RowDelta(
+                in.text(),
+                in.integer(),
+                in.integer(),
+                new ContentDelta(in.smallInteger(), in.integer(), in.list(RowFields::unpackPart)));
+    }
+
+    private static void packPart(Packer out, ContentDelta.Part part) {
+        if (part instanceof ContentDelta.Copy copy) {
+            out.flag(true).integer(copy.offset()).integer(copy.length());
+        } else if (part instanceof ContentDelta.Insert insert) {
+            out.flag(false).bytes(insert.bytes());
+        }
+    }
+
+    private static ContentDelta.Part unpackPart(Unpacker in) {
+        return in.flag()
+                ? new ContentDelta.Copy(in.smallInteger(), in.smallInteger())
+                : new ContentDelta.Insert(in.bytes());
+    }
+
+    static Frame.RowsCurrent unpackCurrent(Unpacker in) {
+        Frame.RowsCurrent current = new Frame.RowsCurrent(in.integer(), in.integer());
+        if (current.ageMs() < 0) {
+            // A receiver that adds the age to its own clock would take the rows for current for too long.
+            throw new FrameException("Malformed frame: age of " + current.ageMs() + " ms");
+        }
+        return current;
+    }
+}
--- a/net/src/test/java/org/mimosahinge/net/frame/FrameCodecTest.java
+++ b/net/src/test/java/org/mimosahinge/net/frame/FrameCodecTest.java
@@ -4,24 +4,34 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import io.netty.buffer.Unpooled;
 import io.netty.channel.embedded.EmbeddedChannel;
 import io.netty.handler.codec.DecoderException;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
 import java.time.Duration;
 import java.time.Instant;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Random;
 import java.util.Set;
 import java.util.TreeMap;
+import java.util.function.Consumer;
 import java.util.stream.Stream;
+import java.util.zip.Deflater;
+import java.util.zip.DeflaterOutputStream;
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
+import net.jqwik.api.constraints.IntRange;
 import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.MethodSource;
 import org.junit.jupiter.params.provider.ValueSource;
 import org.mimosahinge.api.config.ConfigUpdate;
+import org.mimosahinge.api.config.ContentDelta;
 import org.mimosahinge.api.config.HaltMark;
 import org.mimosahinge.api.config.MovePhase;
 import org.mimosahinge.api.config.MoveState;
@@ -52,6 +62,11 @@
             new AvailabilityZone("ch-west-1", new Region("ch-west")),
             new HostPort("127.0.0.1", 9));
 
+    private static final ContentDelta DELTA = new ContentDelta(
+            70_003,
+            Long.MIN_VALUE,
+            List.of(new ContentDelta.Copy(200_000, 70_000), new ContentDelta.Insert(new byte[] {1, -1, 0})));
+
     static Stream<Frame> frames() {
         BackendServer server =
                 new BackendServer("listings", "v1", new HostPort("127.0.0.1", 80), 20, 130, Set.of("index"));
@@ -95,6 +110,11 @@
                 new Frame.Evidence(
                         "listings",
                         List.of(new Frame.Tally("v2", "browse", "ch-west-1", 9, List.of(0L, 2L), List.of(7L)))),
+                new Frame.OperatorRow("operator/document", 17, new byte[3000]),
+                new Frame.OperatorRow("operator/document", 18, new byte[0]),
+                new Frame.RowsRequest(Map.of("operator/document", 17L, "fleet/moves", Long.MAX_VALUE)),
+                new Frame.RowDelta("operator/document", 17, 18, DELTA),
+                new Frame.RowsCurrent(18, 350),
                 new Frame.CallStart(
                         1, "n1/a", "ledger", CallClass.CONFIRMATION, 500, -20, "POST", "/c", Map.of("a", "b"), true),
                 new Frame.Credit(1, 65_536),
@@ -146,6 +166,114 @@
         assertFalse(receiver.finish());
     }
 
+    // Guards against rows that the sender can encode and the receiver refuses, which would close each connection.
+    @ParameterizedTest
+    @CsvSource({"1048576, true", "1048577, false"})
+    void rowIsBoundedBeforeItIsSent(int length, boolean accepted) {
+        Frame row = new Frame.OperatorRow("operator/document", 17, new byte[length]);
+        if (accepted) {
+            assertEquals(row, FrameCodec.decode(FrameCodec.encode(row)));
+        } else {
+            assertThrows(FrameException.class, () -> FrameCodec.encode(row));
+        }
+    }
+
+    // Guards against contents that end with a chunk of the decompression, where the last step gives no bytes.
+    @Property(tries = 500, seed = "43")
+    void rowOfAnyLengthIsRestored(
+            @ForAll @IntRange(max = 9000) int length, @ForAll @IntRange(min = 1, max = 256) int values) {
+        byte[] content = new byte[length];
+        Random random = new Random(length);
+        for (int i = 0; i < length; i++) {
+            content[i] = (byte) random.nextInt(values);
+        }
+        assertArrayEquals(content, Deflate.decompress(Deflate.compress(content)));
+    }
+
+    // Guards against chunks and contents that end together, which random lengths seldom hit.
+    @ParameterizedTest
+    @ValueSource(ints = {0, 1, 4095, 4096, 4097, 8192, 65_536})
+    void rowThatEndsWithAChunkIsRestored(int length) {
+        for (int values = 1; values <= 256; values++) {
+            byte[] content = new byte[length];
+            for (int i = 0; i < length; i++) {
+                content[i] = (byte) (i * 31 % values);
+            }
+            assertArrayEquals(content, Deflate.decompress(Deflate.compress(content)));
+        }
+    }
+
+    // Guards against a frame of a few hundred bytes that expands until the receiver's memory is exhausted.
+    @ParameterizedTest
+    @ValueSource(ints = {(1 << 20) + 1, 1 << 26})
+    void rowThatExpandsPastTheLimitIsRejected(int length) throws IOException {
+        ByteArrayOutputStream compressed = new ByteArrayOutputStream();
+        try (DeflaterOutputStream out = new DeflaterOutputStream(compressed, new Deflater(9, true))) {
+            out.write(new byte[length]);
+        }
+        assertRejected(packer ->
+                packer.integer(12).text("operator/document").integer(17).bytes(compressed.toByteArray()));
+    }
+
+    static Stream<Consumer<Packer>> malformedRows() {
+        return Stream.of(
+                packer -> packer.integer(12).text("k").integer(17).bytes(new byte[0]),
+                packer -> packer.integer(12).text("k").integer(17).bytes(new byte[] {-1, -1, -1}),
+                packer -> packer.integer(13).integer(-1),
+                packer -> packer.integer(13).integer(1 << 30),
+                packer -> packer.integer(13).integer(1).text("k").text("17"),
+                packer -> delta(packer, 1L << 31).integer(0),
+                packer -> delta(packer, 4).integer(-1),
+                packer -> delta(packer, 4).integer(Integer.MAX_VALUE),
+                packer -> delta(packer, 4).integer(1).integer(1),
+                packer ->
+                        delta(packer, 4).integer(1).flag(true).integer(1L << 31).integer(4),
+                packer -> delta(packer, 4).integer(1).flag(true).integer(0).integer(-(1L << 32)),
+                packer -> delta(packer, 4).integer(1).flag(false).integer(4),
+                packer -> packer.integer(15).integer(18).integer(-1));
+    }
+
+    private static Packer delta(Packer packer, long length) {
+        return packer.integer(14)
+                .text("k")
+                .integer(17)
+                .integer(18)
+                .integer(length)
+                .integer(99);
+    }
+
+    // Guards against malformed rows that fail the receiver with anything but a typed failure, or pass for valid ones.
+    @ParameterizedTest
+    @MethodSource("malformedRows")
+    void malformedRowIsRejected(Consumer<Packer> fields) {
+        assertRejected(fields);
+    }
+
+    private static void assertRejected(Consumer<Packer> fields) {
+        try (Packer packer = new Packer()) {
+            fields.accept(packer);
+            byte[] content = packer.toBytes();
+            assertThrows(FrameException.class, () -> FrameCodec.decode(content));
+        }
+    }
+
+    // Guards against an estimate that lets a sender choose a delta although the whole content takes less.
+    @ParameterizedTest
+    @ValueSource(ints = {0, 40, 1000, 70_000, 1 << 20})
+    void deltaTakesAtMostItsEstimate(int length) {
+        Random random = new Random(3);
+        byte[] base = new byte[length];
+        random.nextBytes(base);
+        byte[] target = base.clone();
+        for (int i = 0; i < length; i += 100 + random.nextInt(100)) {
+            target[i]++;
+        }
+        ContentDelta delta = ContentDelta.between(base, target);
+        int empty = FrameCodec.encode(new Frame.RowsCurrent(17, 18)).length + 2;
+        int encoded = FrameCodec.encode(new Frame.RowDelta("k", 17, 18, delta)).length;
+        assertTrue(encoded <= delta.bytes() + empty, encoded + " bytes, estimated " + delta.bytes());
+    }
+
     @Property(tries = 2000, seed = "42")
     void arbitraryBytesAreDecodedOrRejectedWithATypedFailure(@ForAll byte[] garbage) {
         try {
