Let two nodes of a region read the configuration and pass changes on

Cause: each node read each version from the store as a whole document of about 85 KB in an answer, up to 32 of them over one link of 42 Mbit/s; each node also told 63 others of each new revision, and passed the whole document on to those whose answer had not arrived. What the link had to carry grew with the number of nodes.

Two readers a region (RowSources, a pure rule over connected nodes) follow the operators' rows. The others take them from two parents in a tree, as changes of the content that they hold (RowExchange). The store's clock at a reader's last answer travels with the rows: it proves to a node that its rows are current, and where it stands still for 1.5 s the node reads the store itself. Readers take rows from each other and from the next region's, so nodes that the store turns away are served as before. Each node still reads the rows once at its start.

Ranks, troubles of readers, series of changes and lost frames at 14 to 1,200 nodes: RowSourcesTest and RowSpreadTest, in virtual time.

--- a/cli/src/main/java/org/mimosahinge/cli/LogViews.java
+++ b/cli/src/main/java/org/mimosahinge/cli/LogViews.java
@@ -65,7 +65,7 @@
                 "endpoint",
                 List.of("endpoint_state", "endpoint_told", "departure_ignored", "not_admitted"),
                 "endpoint"),
-        VERSION("version", List.of("update_applied", "update_ignored", "row_rejected", "rows_passed_on"), "version"),
+        VERSION("version", List.of("update_applied", "update_ignored", "row_rejected", "row_passed_on"), "version"),
         MOVE("move", List.of("move_ordered", "move_decision", "move_published"), "service");
 
         private final String option;
--- a/daemon/src/main/java/org/mimosahinge/daemon/fleet/FleetControl.java
+++ b/daemon/src/main/java/org/mimosahinge/daemon/fleet/FleetControl.java
@@ -23,6 +23,7 @@
 import org.mimosahinge.api.world.Node;
 import org.mimosahinge.api.world.NodeId;
 import org.mimosahinge.core.admission.InternalChecks;
+import org.mimosahinge.core.fanout.RowSources;
 import org.mimosahinge.core.membership.ServerReport;
 import org.mimosahinge.core.poison.Fingerprint;
 import org.mimosahinge.daemon.control.EvidenceFrames;
@@ -46,9 +47,6 @@
     /** Part of the fleet's bound on repeats that is used, since windows slide and calls are counted elsewhere. */
     private static final double BUDGET_PART = 0.6;
 
-    /** A node that reads the platform itself has a row after this time; one without it is told by others. */
-    private static final long PUSH_AFTER_NANOS = TimeUnit.MILLISECONDS.toNanos(600);
-
     /** Time by which the next node waits longer before it does what all could do. */
     private static final long RANK_STEP_NANOS = TimeUnit.MILLISECONDS.toNanos(300);
 
@@ -65,14 +63,14 @@
     private final FleetOutputs outputs;
     private final RowDecoder decoder;
     private final LongSupplier nanoTime;
-    private final RowBook book = new RowBook();
-    private final Map<String, Long> pushed = new HashMap<>();
+    private final RowExchange exchange;
     private final Set<Fingerprint> quarantined = new HashSet<>();
     private final Set<String> departed = new HashSet<>();
     private final Peers peers;
     private final LocalServer local;
     private final MoveDesk moves;
     private TrafficPlane traffic;
+    private RowReading reading;
     private Optional<Document> document = Optional.empty();
     private List<Route> routes = List.of();
     private long documentNanos;
@@ -92,7 +90,8 @@
      * @param settings bounds of the fleet
      * @param snapshots receives each new snapshot
      * @param outputs writes to the platform
-     * @param decoder decodes rows that other nodes pass on
+     * @param decoder decodes rows
+     * @param sources decides which nodes read rows on the platform
      * @param nanoTime monotonic clock
      */
     public FleetControl(
@@ -101,6 +100,7 @@
             SnapshotReference snapshots,
             FleetOutputs outputs,
             RowDecoder decoder,
+            RowSources sources,
             LongSupplier nanoTime) {
         this.self = self;
         this.settings = settings;
@@ -109,6 +109,7 @@
         this.decoder = decoder;
         this.nanoTime = nanoTime;
         peers = new Peers(self.id());
+        exchange = new RowExchange(self, sources, new PeerRows(), nanoTime.getAsLong());
         local = new LocalServer(self);
         moves = new MoveDesk(nanoTime.getAsLong());
         registerAtNanos = nanoTime.getAsLong();
@@ -125,6 +126,34 @@
         plane.revisionFrom(() -> newestRevision);
     }
 
+    /**
+     * Sets what follows the operators' rows on the platform; must be called before any event. It follows them at first.
+     *
+     * @param rows follows the rows
+     */
+    public void use(RowReading rows) {
+        reading = rows;
+    }
+
+    /** Carries rows over the connections between nodes. */
+    private final class PeerRows implements RowLinks {
+
+        @Override
+        public void ask(Node parent, Frame.RowsRequest request) {
+            traffic.tellDialed(parent.address(), request);
+        }
+
+        @Override
+        public void tell(NodeId child, Frame frame) {
+            traffic.tellServed(child, List.of(frame));
+        }
+
+        @Override
+        public void read(boolean wanted) {
+            reading.follow(wanted);
+        }
+    }
+
     /**
      * Tells whether callers should be sent to this node; may be asked on any thread.
      *
@@ -135,13 +164,26 @@
     }
 
     /**
-     * Takes rows that were read on the platform, by this node or by another one.
+     * Takes the operators' rows that this node has read on the platform.
      *
      * @param rows the rows, in any order
-     * @param source where they come from, for the log
+     * @param platformMs the platform's clock at its answer, in milliseconds
      */
-    public void rows(Collection<StoredRow> rows, String source) {
-        long before = book.newest();
+    public void operatorRows(Collection<StoredRow> rows, long platformMs) {
+        rows(rows);
+        exchange.read(platformMs, now());
+    }
+
+    /**
+     * Takes rows that this node has read on the platform.
+     *
+     * @param rows the rows, in any order
+     */
+    public void rows(Collection<StoredRow> rows) {
+        rows(rows, Optional.empty());
+    }
+
+    private void rows(Collection<StoredRow> rows, Optional<NodeId> from) {
         boolean changed = false;
         boolean dial = false;
         for (StoredRow row : rows) {
@@ -149,8 +191,9 @@
             if (decoded.isPresent() && decoded.get() instanceof FleetRow.NodeRow nodeRow) {
                 dial |= peers.learned(nodeRow.node(), now());
                 peers.registered(nodeRow.node(), row.revision());
-            } else if (decoded.isPresent() && book.accept(row, now())) {
-                changed |= take(decoded.get(), row.revision(), source);
+            } else if (decoded.isPresent() && exchange.accept(row, from, now())) {
+                changed |= take(
+                        decoded.get(), row.revision(), from.map(NodeId::value).orElse("platform"));
             }
         }
         if (dial) {
@@ -159,10 +202,7 @@
         if (changed) {
             publish();
         }
-        if (book.newest() > before) {
-            newestRevision = book.newest();
-            traffic.tellDialed(new Frame.HeadHint(book.newest()));
-        }
+        newestRevision = exchange.newest();
     }
 
     /**
@@ -337,7 +377,8 @@
 
     private void peerUp(TrafficEvent.PeerUp up) {
         boolean dial = peers.learned(up.node(), now());
-        peers.up(up.node(), up.revision(), up.link());
+        peers.up(up.node(), up.link());
+        exchange.connected(up.node().id(), now());
         LOG.info("peer_up", "node", up.node().id(), "revision", up.revision(), "link", up.link());
         if (dial) {
             traffic.keepPeers(peers.addresses());
@@ -349,7 +390,6 @@
         if (peers.learned(arrived.node(), now())) {
             traffic.keepPeers(peers.addresses());
         }
-        peers.atRevision(arrived.node().id(), arrived.revision());
     }
 
     private void peerTold(TrafficEvent.PeerTold told) {
@@ -370,12 +410,17 @@
                         told.node().id()));
                 publish();
             }
-        } else if (told.frame() instanceof Frame.HeadHint hint) {
-            peers.atRevision(told.node().id(), hint.version());
+        } else if (told.frame() instanceof Frame.RowsRequest request) {
+            exchange.requested(told.node().id(), request, now());
+        } else if (told.frame() instanceof Frame.RowsCurrent current) {
+            exchange.current(told.node().id(), current, now());
+        } else if (told.frame() instanceof Frame.RowDelta change) {
+            exchange.restore(change, told.node())
+                    .ifPresent(row -> rows(List.of(row), Optional.of(told.node().id())));
         } else if (told.frame() instanceof Frame.OperatorRow row) {
             rows(
                     List.of(new StoredRow(row.key(), row.revision(), row.content(), false)),
-                    told.node().id().value());
+                    Optional.of(told.node().id()));
         } else if (told.frame() instanceof Frame.Evidence evidence) {
             moves.peerCalls(told.node().id(), evidence.service(), EvidenceFrames.fromFrame(evidence));
         } else if (told.frame() instanceof Frame.Quarantine request) {
@@ -413,7 +458,7 @@
         }
         lastTickNanos = now;
         publishOutcomes(now);
-        pushRows(now);
+        exchange.tick(peers.connected(), peers.connections(), now);
         removeUnreachable(now);
         updateReady(now);
     }
@@ -460,27 +505,6 @@
         }
     }
 
-    /** Gives rows to nodes that seem cut off from the platform; each node waits longer than the one before it. */
-    private void pushRows(long now) {
-        long newest = book.newest();
-        if (newest == 0 || now - book.newestSinceNanos() < PUSH_AFTER_NANOS) {
-            return;
-        }
-        for (Node node : peers.behind(newest)) {
-            long due = book.newestSinceNanos()
-                    + PUSH_AFTER_NANOS
-                    + peers.rank(node.id().value()) * RANK_STEP_NANOS;
-            if (now - due >= 0
-                    && !Long.valueOf(newest).equals(pushed.put(node.id().value(), newest))) {
-                List<Frame> rows = new ArrayList<>();
-                book.since(peers.revisionOf(node.id()))
-                        .forEach(row -> rows.add(new Frame.OperatorRow(row.key(), row.revision(), row.content())));
-                LOG.info("rows_passed_on", "node", node.id(), "rows", rows.size(), "revision", newest);
-                traffic.tellServed(node.id(), rows);
-            }
-        }
-    }
-
     private void removeUnreachable(long now) {
         peers.unreachable(now).filter(entry -> peers.rank("remove") == 0).ifPresent(entry -> {
             LOG.info("node_unreachable", "node", entry.getKey().id());
--- a/daemon/src/main/java/org/mimosahinge/daemon/fleet/Peers.java
+++ b/daemon/src/main/java/org/mimosahinge/daemon/fleet/Peers.java
@@ -23,6 +23,7 @@
 
     private final NodeId self;
     private final Map<NodeId, Peer> peers = new HashMap<>();
+    private long connections;
 
     Peers(NodeId self) {
         this.self = self;
@@ -32,7 +33,6 @@
 
         private Node node;
         private long rowRevision;
-        private long revision;
         private long link;
         private boolean up;
         private long downSinceNanos;
@@ -55,6 +55,7 @@
             peers.put(node.id(), peer);
         }
         peer.node = node;
+        connections++;
         return moved;
     }
 
@@ -66,15 +67,16 @@
     }
 
     boolean removed(NodeId node) {
+        connections++;
         return peers.remove(node) != null;
     }
 
-    void up(Node node, long revision, long link) {
+    void up(Node node, long link) {
         Peer peer = peers.get(node.id());
         if (peer != null && link >= peer.link) {
             peer.link = link;
             peer.up = true;
-            peer.revision = revision;
+            connections++;
         }
     }
 
@@ -82,6 +84,7 @@
         for (Peer peer : peers.values()) {
             if (peer.up && peer.link == link && peer.node.address().equals(address)) {
                 peer.up = false;
+                connections++;
                 peer.downSinceNanos = nowNanos;
             }
         }
@@ -96,24 +99,17 @@
         return true;
     }
 
-    void atRevision(NodeId node, long revision) {
-        Peer peer = peers.get(node);
-        if (peer != null) {
-            peer.revision = Math.max(peer.revision, revision);
-        }
-    }
-
-    /** Returns nodes that are connected and lack rows of this revision. */
-    List<Node> behind(long revision) {
+    /** Returns the nodes to which this one is connected. */
+    List<Node> connected() {
         return peers.values().stream()
-                .filter(peer -> peer.up && peer.revision < revision)
+                .filter(peer -> peer.up)
                 .map(peer -> peer.node)
                 .toList();
     }
 
-    long revisionOf(NodeId node) {
-        Peer peer = peers.get(node);
-        return peer == null ? 0 : peer.revision;
+    /** Returns a number that is another one after each change of {@link #connected()}. */
+    long connections() {
+        return connections;
     }
 
     Set<HostPort> addresses() {
--- a/daemon/src/main/java/org/mimosahinge/daemon/traffic/ServedConnection.java
+++ b/daemon/src/main/java/org/mimosahinge/daemon/traffic/ServedConnection.java
@@ -92,7 +92,7 @@
         } else if (frame instanceof Frame.Hello hello) {
             node = hello.node();
             loop.context().listener().on(new TrafficEvent.PeerArrived(node, hello.version()));
-        } else if (frame instanceof Frame.HeadHint && node != null) {
+        } else if (frame instanceof Frame.RowsRequest && node != null) {
             loop.context().listener().on(new TrafficEvent.PeerTold(node, frame, 0));
         } else if (!(frame instanceof Frame.Heartbeat)) {
             // Frames of the control connection have no place here.
--- a/daemon/src/main/java/org/mimosahinge/daemon/traffic/TrafficLoop.java
+++ b/daemon/src/main/java/org/mimosahinge/daemon/traffic/TrafficLoop.java
@@ -367,8 +367,11 @@
         return tracker.load(nowMs(), reachable, peer == null ? 0 : peer.roundTripMs());
     }
 
-    /** Tells the nodes to which this one is connected. */
-    void tellDialed(Frame frame) {
-        List.copyOf(peers.values()).forEach(peer -> peer.tell(frame));
+    /** Tells a node to which this one is connected; without a connection it is told nothing. */
+    void tellDialed(HostPort address, Frame frame) {
+        PeerConnection peer = peers.get(address);
+        if (peer != null) {
+            peer.tell(frame);
+        }
     }
 }
--- a/daemon/src/main/java/org/mimosahinge/daemon/traffic/TrafficPlane.java
+++ b/daemon/src/main/java/org/mimosahinge/daemon/traffic/TrafficPlane.java
@@ -273,12 +273,13 @@
     }
 
     /**
-     * Tells all nodes to which this one has connected.
+     * Tells a node to which this one has connected.
      *
-     * @param frame what is told
+     * @param address the node's address
+     * @param frame what it is told
      */
-    public void tellDialed(Frame frame) {
-        ordered.forEach(loop -> loop.eventLoop().execute(() -> loop.tellDialed(frame)));
+    public void tellDialed(HostPort address, Frame frame) {
+        ordered.forEach(loop -> loop.eventLoop().execute(() -> loop.tellDialed(address, frame)));
     }
 
     /** Asks callers to use other connections for their next requests. */
--- a/daemon/src/test/java/org/mimosahinge/daemon/fleet/PeersTest.java
+++ b/daemon/src/test/java/org/mimosahinge/daemon/fleet/PeersTest.java
@@ -44,7 +44,7 @@
         Peers peers = new Peers(new NodeId("self"));
         Node node = node("n", 1, 5);
         assertTrue(peers.learned(node, 0));
-        peers.up(node, 0, 1);
+        peers.up(node, 1);
         assertTrue(peers.told(node, List.of(endpoint(node)), 1));
         peers.down(node.address(), 1, 0);
         assertEquals(
@@ -66,7 +66,7 @@
         Peers peers = new Peers(new NodeId("self"));
         Node node = node("n", 1, 5);
         peers.learned(node, 0);
-        peers.up(node, 0, 4);
+        peers.up(node, 4);
         assertEquals(taken, peers.told(node, List.of(endpoint(node)), link));
     }
 
--- a/net/src/main/java/org/mimosahinge/net/frame/Frame.java
+++ b/net/src/main/java/org/mimosahinge/net/frame/Frame.java
@@ -168,9 +168,9 @@
      * Tells that the sender's rows were the newest on the platform a moment ago.
      *
      * @param revision newest revision held
-     * @param ageMs time since the platform was last read, in milliseconds
+     * @param platformMs the platform's clock when it was last read, in milliseconds; it tells progress without clocks of nodes
      */
-    record RowsCurrent(long revision, long ageMs) implements Frame {}
+    record RowsCurrent(long revision, long platformMs) implements Frame {}
 
     /**
      * Starts a call.
