Tell a node's own answers with 3xx and 4xx apart

Requests that were malformed (400), too long in the head (431) or too long in the body (413) left no line and no count, so a report of proper requests that were turned away could not be traced to one of them. A 404 was counted, but its line held the whole path and neither the host nor the age of the version that decided, so a missing route and a late configuration looked alike, and under overload it shared the bounded lines of all refusals. Redirects and callers' errors of backend servers could not be told from the node's own.

Now request_rejected and mimosahinge_requests_rejected_total name the cause, no_route names host, first path segment, version and its age on this node, and answer_passed_on and mimosahinge_answers_passed_on_total show what came from backend servers. SnapshotReference keeps the monotonic time at which the version last changed; changes of endpoints leave it as it is.

Before: no line and no counter for 400, 413 and 431. After: OwnAnswersTest finds one count for each cause, and none for a success.

--- a/core/src/main/java/org/mimosahinge/core/routing/RouteIndex.java
+++ b/core/src/main/java/org/mimosahinge/core/routing/RouteIndex.java
@@ -71,6 +71,18 @@
         return query < 0 ? uri : uri.substring(0, query);
     }
 
+    /**
+     * Returns the first segment of a request target's path, which tells most routes apart.
+     *
+     * @param uri path and query
+     * @return the path up to its second slash
+     */
+    public static String firstSegment(String uri) {
+        String path = path(uri);
+        int slash = path.indexOf('/', 1);
+        return slash < 0 ? path : path.substring(0, slash + 1);
+    }
+
     private static String hostName(String host) {
         int colon = host.lastIndexOf(':');
         boolean port = colon > host.lastIndexOf(']');
--- a/daemon/src/main/java/org/mimosahinge/daemon/control/SnapshotReference.java
+++ b/daemon/src/main/java/org/mimosahinge/daemon/control/SnapshotReference.java
@@ -1,16 +1,50 @@
 package org.mimosahinge.daemon.control;
 
-import java.util.function.Supplier;
+import java.util.concurrent.TimeUnit;
+import java.util.function.LongSupplier;
 import org.mimosahinge.api.config.Snapshot;
+import org.mimosahinge.daemon.traffic.SnapshotSource;
 
 /** The snapshot in force; the control thread replaces it and traffic threads read it. */
-public final class SnapshotReference implements Supplier<Snapshot> {
+public final class SnapshotReference implements SnapshotSource {
 
-    private volatile Snapshot current = Snapshot.EMPTY;
+    private final LongSupplier nanoTime;
+    private volatile InForce current;
+
+    /** Starts with the empty snapshot and the machine's monotonic clock. */
+    public SnapshotReference() {
+        this(System::nanoTime);
+    }
+
+    /**
+     * Starts with the empty snapshot.
+     *
+     * @param nanoTime monotonic clock
+     */
+    public SnapshotReference(LongSupplier nanoTime) {
+        this.nanoTime = nanoTime;
+        current = new InForce(Snapshot.EMPTY, nanoTime.getAsLong());
+    }
+
+    /**
+     * A snapshot and the time at which its version came into force.
+     *
+     * @param snapshot the snapshot
+     * @param sinceNanos time of the first snapshot with this version
+     */
+    private record InForce(Snapshot snapshot, long sinceNanos) {}
 
     @Override
     public Snapshot get() {
-        return current;
+        return current.snapshot();
+    }
+
+    @Override
+    public long ageMs(Snapshot decided) {
+        InForce now = current;
+        return now.snapshot().version() == decided.version()
+                ? TimeUnit.NANOSECONDS.toMillis(nanoTime.getAsLong() - now.sinceNanos())
+                : UNKNOWN_AGE_MS;
     }
 
     /**
@@ -19,6 +53,8 @@
      * @param next the snapshot
      */
     public void replace(Snapshot next) {
-        current = next;
+        InForce before = current;
+        boolean sameVersion = before.snapshot().version() == next.version();
+        current = new InForce(next, sameVersion ? before.sinceNanos() : nanoTime.getAsLong());
     }
 }
--- a/daemon/src/main/java/org/mimosahinge/daemon/traffic/CallDecisions.java
+++ b/daemon/src/main/java/org/mimosahinge/daemon/traffic/CallDecisions.java
@@ -1,6 +1,8 @@
 package org.mimosahinge.daemon.traffic;
 
+import org.mimosahinge.api.config.Snapshot;
 import org.mimosahinge.api.error.CallException;
+import org.mimosahinge.core.routing.RouteIndex;
 import org.mimosahinge.net.frame.Frame;
 import org.mimosahinge.net.log.EventLog;
 
@@ -14,6 +16,12 @@
     private static final EventLog LOG = EventLog.of("call");
     private static final String NONE = "-";
 
+    /** Enough to tell hosts and routes apart, and short enough that callers cannot fill the log. */
+    private static final int MAX_TEXT = 60;
+
+    /** Longer than usual texts of the decoder's failures. */
+    private static final int MAX_REASON = 120;
+
     private final TrafficLoop loop;
     private final CallMetrics metrics;
     private final int every;
@@ -69,7 +77,75 @@
                 failure.message());
     }
 
-    void failed(CallRequest request, CallPlan plan, CallException failure) {
+    /** No route of the version that decided matches; the line tells how old that version was here. */
+    void noRoute(CallRequest request, Snapshot decided) {
+        LOG.info(
+                "no_route",
+                "request",
+                id(request),
+                "host",
+                bounded(request.host(), MAX_TEXT),
+                "prefix",
+                bounded(RouteIndex.firstSegment(request.uri()), MAX_TEXT),
+                "config",
+                decided.version(),
+                "config_age_ms",
+                ageMs(decided),
+                "routes",
+                decided.routes().size());
+    }
+
+    /** A request was rejected before it was routed. */
+    void rejected(Rejection rejection, Snapshot decided) {
+        metrics.rejected(rejection.cause());
+        LOG.info(
+                "request_rejected",
+                "request",
+                bounded(rejection.requestId(), MAX_TEXT),
+                "status",
+                rejection.cause().status(),
+                "cause",
+                rejection.cause().label(),
+                "earlier",
+                rejection.earlier(),
+                "max_header_bytes",
+                decided.callerLimits().maxHeaderBytes(),
+                "max_body_bytes",
+                decided.callerLimits().maxBodyBytes(),
+                "config",
+                decided.version(),
+                "config_age_ms",
+                ageMs(decided),
+                "reason",
+                bounded(rejection.reason(), MAX_REASON));
+    }
+
+    /** A backend server's answer that tells of no success is passed on. */
+    void passedOn(CallRequest request, CallPlan plan, Attempt from, int status) {
+        metrics.passedOn(status);
+        LOG.info(
+                "answer_passed_on",
+                "request",
+                id(request),
+                "route",
+                plan.route().name(),
+                "endpoint",
+                from.endpoint().id(),
+                "status",
+                status,
+                "config",
+                loop.snapshot().version());
+    }
+
+    private long ageMs(Snapshot decided) {
+        return loop.context().snapshots().ageMs(decided);
+    }
+
+    private static String bounded(String text, int limit) {
+        return text.length() <= limit ? text : text.substring(0, limit);
+    }
+
+    void failed(CallRequest request, CallPlan plan, Snapshot decided, CallException failure) {
         if (failure.notRun()) {
             metrics.refused(failure.code());
         } else {
@@ -94,7 +170,7 @@
                 "waited_ms",
                 plan == null ? 0 : plan.waitedMs(),
                 "config",
-                loop.snapshot().version(),
+                decided.version(),
                 "reason",
                 failure.getMessage());
     }
--- a/daemon/src/main/java/org/mimosahinge/daemon/traffic/CallMetrics.java
+++ b/daemon/src/main/java/org/mimosahinge/daemon/traffic/CallMetrics.java
@@ -18,10 +18,15 @@
     /** Upper bounds of the latency buckets in milliseconds; each doubles, from a local answer to a long download. */
     private static final long[] BUCKETS_MS = {5, 10, 20, 40, 80, 160, 320, 640, 1_280, 2_560, 5_120};
 
+    private static final int CALLER_ERRORS = 400;
+
     private final MetricRegistry registry;
     private final Map<CallClass, Latencies> latencies = new EnumMap<>(CallClass.class);
     private final Map<ErrorCode, Counter> refused = new EnumMap<>(ErrorCode.class);
     private final Map<ErrorCode, Counter> failed = new EnumMap<>(ErrorCode.class);
+    private final Map<RejectCause, Counter> rejected = new EnumMap<>(RejectCause.class);
+    private final Counter redirectsPassedOn;
+    private final Counter callerErrorsPassedOn;
     private final Counter callersLeft;
     private final Counter cut;
     private final Counter attemptsFailed;
@@ -40,6 +45,11 @@
             refused.put(code, counter("mimosahinge_calls_refused_total", "code", code.code()));
             failed.put(code, counter("mimosahinge_calls_failed_total", "code", code.code()));
         }
+        for (RejectCause cause : RejectCause.values()) {
+            rejected.put(cause, counter("mimosahinge_requests_rejected_total", "cause", cause.label()));
+        }
+        redirectsPassedOn = counter("mimosahinge_answers_passed_on_total", "status", "3xx");
+        callerErrorsPassedOn = counter("mimosahinge_answers_passed_on_total", "status", "4xx");
         callersLeft = registry.counter("mimosahinge_callers_left_total");
         cut = registry.counter("mimosahinge_responses_cut_total");
         attemptsFailed = registry.counter("mimosahinge_attempts_failed_total");
@@ -85,6 +95,15 @@
         failed.get(code).inc();
     }
 
+    void rejected(RejectCause cause) {
+        rejected.get(cause).inc();
+    }
+
+    /** Counts an answer of a backend server that tells its caller of no success. */
+    void passedOn(int status) {
+        (status < CALLER_ERRORS ? redirectsPassedOn : callerErrorsPassedOn).inc();
+    }
+
     void callerLeft() {
         callersLeft.inc();
     }
--- a/daemon/src/main/java/org/mimosahinge/daemon/traffic/CallerConnection.java
+++ b/daemon/src/main/java/org/mimosahinge/daemon/traffic/CallerConnection.java
@@ -7,8 +7,6 @@
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.SimpleChannelInboundHandler;
-import io.netty.handler.codec.CorruptedFrameException;
-import io.netty.handler.codec.TooLongFrameException;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.DefaultHttpContent;
 import io.netty.handler.codec.http.DefaultHttpResponse;
@@ -27,6 +25,7 @@
 import java.util.ArrayDeque;
 import java.util.Queue;
 import java.util.concurrent.TimeUnit;
+import org.mimosahinge.api.config.Snapshot;
 import org.mimosahinge.api.error.CallException;
 import org.mimosahinge.net.frame.Frame;
 
@@ -45,6 +44,7 @@
     private Channel channel;
     private Turn turn;
     private long idleSinceMs;
+    private long requests;
 
     CallerConnection(TrafficPlane plane, TrafficLoop loop) {
         super(false);
@@ -108,12 +108,13 @@
     private void take(HttpObject message) {
         try {
             if (message.decoderResult().isFailure()) {
-                malformed(message.decoderResult().cause());
+                Throwable failure = message.decoderResult().cause();
+                reject(RejectCause.of(failure), String.valueOf(failure.getMessage()));
                 return;
             }
             if (message instanceof HttpRequest request) {
                 if (ambiguous(request)) {
-                    malformed(new CorruptedFrameException("Both Content-Length and Transfer-Encoding"));
+                    reject(RejectCause.AMBIGUOUS_LENGTH, RejectCause.AMBIGUOUS_LENGTH.message());
                     return;
                 }
                 turn = new Turn(request);
@@ -133,7 +134,9 @@
                 && request.headers().contains(HttpHeaderNames.CONTENT_LENGTH);
     }
 
-    private void malformed(Throwable cause) {
+    private void reject(RejectCause cause, String reason) {
+        String requestId = turn == null ? "-" : turn.requestId();
+        loop.decisions().rejected(new Rejection(cause, requestId, requests, reason), loop.snapshot());
         if (turn != null) {
             turn.call.callerLeft();
         }
@@ -141,8 +144,7 @@
             channel.close();
             return;
         }
-        boolean tooLong = cause instanceof TooLongFrameException;
-        channel.writeAndFlush(ErrorResponses.malformed(tooLong)).addListener(ChannelFutureListener.CLOSE);
+        channel.writeAndFlush(ErrorResponses.rejected(cause)).addListener(ChannelFutureListener.CLOSE);
         channel.config().setAutoRead(false);
     }
 
@@ -176,6 +178,7 @@
 
     private void next() {
         turn = null;
+        requests++;
         idleSinceMs = TrafficLoop.nowMs();
         while (!pipelined.isEmpty() && (turn == null || !turn.requestComplete)) {
             take(pipelined.poll());
@@ -190,9 +193,11 @@
     private final class Turn implements CallerSink {
 
         private final EntryCall call;
+        private final CallRequest callRequest;
         private final boolean keepAlive;
         private final boolean head;
         private final FlowWindow requestWindow = new FlowWindow();
+        private final Snapshot snapshot;
         private final long bodyLimit;
         private long bodyBytes;
         private boolean oversized;
@@ -204,20 +209,20 @@
             keepAlive = HttpUtil.isKeepAlive(request);
             head = request.method().name().equals("HEAD");
             boolean hasBody = HttpUtil.isTransferEncodingChunked(request) || HttpUtil.getContentLength(request, 0L) > 0;
-            bodyLimit = loop.snapshot().callerLimits().maxBodyBytes();
+            snapshot = loop.snapshot();
+            bodyLimit = snapshot.callerLimits().maxBodyBytes();
             oversized = HttpUtil.getContentLength(request, 0L) > bodyLimit;
             if (HttpUtil.is100ContinueExpected(request) && !oversized) {
                 channel.writeAndFlush(new DefaultFullHttpResponse(
                         HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE, Unpooled.EMPTY_BUFFER));
             }
-            call = new EntryCall(
-                    loop,
-                    new CallRequest(
-                            request.method().name(),
-                            request.uri(),
-                            loop.marked(HeaderMaps.from(request.headers())),
-                            hasBody),
-                    this);
+            callRequest = new CallRequest(
+                    request.method().name(), request.uri(), loop.marked(HeaderMaps.from(request.headers())), hasBody);
+            call = new EntryCall(loop, callRequest, this);
+        }
+
+        String requestId() {
+            return callRequest.headers().getOrDefault(loop.protocol().requestIdHeader(), "-");
         }
 
         void begin() {
@@ -232,7 +237,11 @@
             oversized = true;
             responseStarted = true;
             answered = true;
-            channel.writeAndFlush(ErrorResponses.bodyTooLarge(bodyLimit)).addListener(ChannelFutureListener.CLOSE);
+            RejectCause cause = RejectCause.BODY_TOO_LONG;
+            loop.decisions()
+                    .rejected(
+                            new Rejection(cause, requestId(), requests, "More than " + bodyLimit + " bytes"), snapshot);
+            channel.writeAndFlush(ErrorResponses.rejected(cause)).addListener(ChannelFutureListener.CLOSE);
         }
 
         void content(HttpContent content) {
--- a/daemon/src/main/java/org/mimosahinge/daemon/traffic/EntryCall.java
+++ b/daemon/src/main/java/org/mimosahinge/daemon/traffic/EntryCall.java
@@ -13,7 +13,6 @@
 import org.mimosahinge.core.admission.RetryAdvice;
 import org.mimosahinge.core.once.ClaimStep;
 import org.mimosahinge.core.routing.Choice;
-import org.mimosahinge.core.routing.RouteIndex;
 import org.mimosahinge.net.frame.Frame;
 
 /** A caller's call at the node that the caller is connected to. */
@@ -29,6 +28,7 @@
     private final CallerSink sink;
     private final RequestBody body = new RequestBody();
     private final ResponseProgress progress;
+    private Snapshot decided;
     private CallPlan plan;
     private PoisonGuard poison;
     private OnceGuard once;
@@ -51,15 +51,15 @@
     /** Routes the call. */
     void begin() {
         Snapshot snapshot = loop.snapshot();
+        decided = snapshot;
         if (!snapshot.provenCurrent()) {
             refuse(ErrorCode.NOT_READY, "The node has no proof that its configuration is current");
             return;
         }
         Optional<Route> matched = loop.routes().match(request.host(), request.uri());
         if (matched.isEmpty()) {
-            refuse(
-                    ErrorCode.NO_ROUTE,
-                    "No route of version " + snapshot.version() + " matches " + RouteIndex.path(request.uri()));
+            loop.decisions().noRoute(request, snapshot);
+            refuse(ErrorCode.NO_ROUTE, "No route of version " + snapshot.version() + " matches host and path");
             return;
         }
         Route route = matched.get();
@@ -191,14 +191,17 @@
             heldResponse = new HeldResponse(start);
             return;
         }
-        deliverStart(start);
+        deliverStart(from, start);
     }
 
-    private void deliverStart(Frame.ResponseStart start) {
+    private void deliverStart(Attempt from, Frame.ResponseStart start) {
         progress.begin(start);
         if (once != null) {
             once.started(start);
         }
+        if (start.status() / 100 == 3 || start.status() / 100 == 4) {
+            loop.decisions().passedOn(request, plan, from, start.status());
+        }
         sink.started(start);
     }
 
@@ -221,7 +224,7 @@
             attemptFailed(from, CallFailures.mayHaveRun(0, ErrorCode.ANSWER_TRUNCATED, "The response is too short"));
             return;
         }
-        deliverStart(whole.start());
+        deliverStart(from, whole.start());
         whole.parts().forEach(part -> deliverBody(from, part, false));
         if (last) {
             deliverBody(from, new byte[0], true);
@@ -373,7 +376,7 @@
     }
 
     private void fail(CallException failure) {
-        loop.decisions().failed(request, plan, failure);
+        loop.decisions().failed(request, plan, decided, failure);
         end();
         sink.failed(failure);
     }
--- a/daemon/src/main/java/org/mimosahinge/daemon/traffic/ErrorResponses.java
+++ b/daemon/src/main/java/org/mimosahinge/daemon/traffic/ErrorResponses.java
@@ -9,13 +9,10 @@
 import io.netty.handler.codec.http.HttpVersion;
 import java.nio.charset.StandardCharsets;
 import org.mimosahinge.api.error.CallException;
-import org.mimosahinge.api.error.ErrorCode;
 
 /** Responses of the node itself. */
 final class ErrorResponses {
 
-    private static final int PAYLOAD_TOO_LARGE = 413;
-
     private ErrorResponses() {}
 
     static FullHttpResponse of(CallException failure, CallProtocol protocol) {
@@ -29,20 +26,9 @@
         return response;
     }
 
-    /** Refuses a body beyond the limit of callers; nothing of it was forwarded. */
-    static FullHttpResponse bodyTooLarge(long limit) {
-        FullHttpResponse response =
-                json(PAYLOAD_TOO_LARGE, ErrorCode.TOO_LARGE.code(), "Body is longer than " + limit + " bytes");
-        response.headers().set(HeaderMaps.OUTCOME, HeaderMaps.NOT_RUN);
-        response.headers().set(HttpHeaderNames.CONNECTION, "close");
-        return response;
-    }
-
-    /** Answers a request that could not be parsed and was therefore not forwarded. */
-    static FullHttpResponse malformed(boolean tooLong) {
-        FullHttpResponse response = tooLong
-                ? json(431, ErrorCode.TOO_LARGE.code(), "Request line or headers are too long")
-                : json(400, ErrorCode.SYNTAX.code(), "Request is not valid HTTP/1.1");
+    /** Answers a request that was rejected before it was routed, and whose connection ends. */
+    static FullHttpResponse rejected(RejectCause cause) {
+        FullHttpResponse response = json(cause.status(), cause.code().code(), cause.message());
         response.headers().set(HeaderMaps.OUTCOME, HeaderMaps.NOT_RUN);
         response.headers().set(HttpHeaderNames.CONNECTION, "close");
         return response;
--- /dev/null
+++ b/daemon/src/main/java/org/mimosahinge/daemon/traffic/Rejection.java
@@ -0,0 +1,11 @@
+package org.mimosahinge.daemon.traffic;
+
+/**
+ * A request that was rejected before it was routed.
+ *
+ * @param cause why
+ * @param requestId id of the request, {@code -} when its head was not understood
+ * @param earlier requests that the connection had carried before
+ * @param reason what the decoder or the limit says
+ */
+record Rejection(RejectCause cause, String requestId, long earlier, String reason) {}
--- a/daemon/src/main/java/org/mimosahinge/daemon/traffic/TrafficContext.java
+++ b/daemon/src/main/java/org/mimosahinge/daemon/traffic/TrafficContext.java
@@ -1,8 +1,6 @@
 package org.mimosahinge.daemon.traffic;
 
 import java.util.concurrent.atomic.AtomicReference;
-import java.util.function.Supplier;
-import org.mimosahinge.api.config.Snapshot;
 import org.mimosahinge.api.platform.TableService;
 import org.mimosahinge.core.poison.CrashRegistry;
 
@@ -19,7 +17,7 @@
  */
 record TrafficContext(
         TrafficConfig config,
-        Supplier<Snapshot> snapshots,
+        SnapshotSource snapshots,
         TableService table,
         TrafficListener listener,
         TrafficPolicies policies,
--- a/daemon/src/main/java/org/mimosahinge/daemon/traffic/TrafficPlane.java
+++ b/daemon/src/main/java/org/mimosahinge/daemon/traffic/TrafficPlane.java
@@ -25,8 +25,6 @@
 import java.util.concurrent.atomic.AtomicReference;
 import java.util.function.Consumer;
 import java.util.function.LongSupplier;
-import java.util.function.Supplier;
-import org.mimosahinge.api.config.Snapshot;
 import org.mimosahinge.api.platform.TableService;
 import org.mimosahinge.api.world.HostPort;
 import org.mimosahinge.api.world.NodeId;
@@ -73,7 +71,7 @@
      * @return the running traffic plane
      */
     public static TrafficPlane start(
-            TrafficConfig config, Supplier<Snapshot> snapshots, TableService table, TrafficListener listener) {
+            TrafficConfig config, SnapshotSource snapshots, TableService table, TrafficListener listener) {
         return start(config, snapshots, table, listener, TrafficPolicies.standard());
     }
 
@@ -89,7 +87,7 @@
      */
     public static TrafficPlane start(
             TrafficConfig config,
-            Supplier<Snapshot> snapshots,
+            SnapshotSource snapshots,
             TableService table,
             TrafficListener listener,
             TrafficPolicies policies) {
--- /dev/null
+++ b/daemon/src/test/java/org/mimosahinge/daemon/traffic/OwnAnswersTest.java
@@ -0,0 +1,115 @@
+package org.mimosahinge.daemon.traffic;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import com.codahale.metrics.MetricRegistry;
+import java.util.List;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.stream.Stream;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.Arguments;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.MethodSource;
+import org.mimosahinge.api.config.Snapshot;
+import org.mimosahinge.api.contract.CallClass;
+import org.mimosahinge.api.contract.CallerLimits;
+import org.mimosahinge.api.contract.Route;
+import org.mimosahinge.api.contract.ServiceShare;
+import org.mimosahinge.daemon.control.SnapshotReference;
+
+/** Guards against proper requests that a node turns away with a 3xx or 4xx of its own. */
+class OwnAnswersTest {
+
+    private static final String LAST = "GET /x/2 HTTP/1.1\r\nhost: a\r\nconnection: close\r\n\r\n";
+
+    private static final Route OF_HOST = Route.builder("of-host")
+            .matching("h.example", "/h/")
+            .shares(List.of(new ServiceShare("svc", 1)))
+            .callClass(CallClass.INTERACTIVE)
+            .times(
+                    TestMesh.route("/x", true, false).timeout(),
+                    TestMesh.route("/x", true, false).targetLatency())
+            .attempts(Route.DEFAULT_MAX_ATTEMPTS, true)
+            .build();
+
+    private static TestMesh mesh(ScriptedBackend backend) {
+        return new TestMesh(1, null)
+                .route(TestMesh.route("/x", true, false))
+                .route(OF_HOST)
+                .endpoint(0, "svc", backend.address(), 10);
+    }
+
+    private static String request(String target, int headerBytes) {
+        return "GET " + target + " HTTP/1.1\r\nhost: a\r\nfill: " + "x".repeat(headerBytes) + "\r\n\r\n";
+    }
+
+    private static long count(TestMesh mesh, String counter) {
+        MetricRegistry registry = mesh.planes.get(0).context().config().registry();
+        return registry.counter(counter).getCount();
+    }
+
+    static Stream<Arguments> rejected() {
+        return Stream.of(
+                Arguments.of("malformed", "GET /x HTTP/x\r\n\r\n", "400"),
+                Arguments.of("head_too_long", request("/x", 20_000), "431"),
+                Arguments.of("head_too_long", request("/x/" + "y".repeat(20_000), 1), "431"),
+                Arguments.of("body_too_long", "POST /x HTTP/1.1\r\nhost: a\r\ncontent-length: 200\r\n\r\n", "413"),
+                Arguments.of(
+                        "body_too_long",
+                        "POST /x HTTP/1.1\r\nhost: a\r\ntransfer-encoding: chunked\r\n\r\nc8\r\n" + "x".repeat(200),
+                        "413"));
+    }
+
+    // Guards against rejections before the routing that no counter tells apart.
+    @ParameterizedTest(name = "{0}")
+    @MethodSource("rejected")
+    void eachRejectionIsCountedByItsCause(String cause, String text, String statuses) throws Exception {
+        try (ScriptedBackend backend = ScriptedBackend.echo("b");
+                TestMesh mesh = mesh(backend).limits(16_384, 100);
+                TestCaller caller = new TestCaller(mesh.planes.get(0).callers())) {
+            assertEquals(statuses, caller.send(text).statuses());
+            assertEquals(1, count(mesh, "mimosahinge_requests_rejected_total{cause=\"" + cause + "\"}"));
+        }
+    }
+
+    // Guards against callers' errors of backend servers that look like the node's own.
+    @ParameterizedTest(name = "status {0}")
+    @CsvSource({"302, 3xx, 1", "404, 4xx, 1", "200, 4xx, 0"})
+    void answersPassedOnAreCountedApart(int status, String label, int count) throws Exception {
+        try (ScriptedBackend backend =
+                        ScriptedBackend.start((request, out) -> ScriptedBackend.respond(out, status + " A", "body"));
+                TestMesh mesh = mesh(backend)) {
+            assertEquals(status, mesh.get("/x").statusCode());
+            assertEquals(count, count(mesh, "mimosahinge_answers_passed_on_total{status=\"" + label + "\"}"));
+        }
+    }
+
+    // Guards against an age that starts anew when endpoints change, and against one of a version that is superseded.
+    @ParameterizedTest(name = "version {0} after version 1, asked for version {1}")
+    @CsvSource({"1, 1, 70", "2, 2, 30", "2, 1, -1"})
+    void theAgeOfAVersionCountsFromItsFirstSnapshot(long version, long asked, long ageMs) {
+        AtomicLong nanos = new AtomicLong();
+        SnapshotReference snapshots = new SnapshotReference(nanos::get);
+        nanos.addAndGet(50_000_000);
+        snapshots.replace(snapshot(1));
+        nanos.addAndGet(40_000_000);
+        snapshots.replace(snapshot(version));
+        nanos.addAndGet(30_000_000);
+        assertEquals(ageMs, snapshots.ageMs(snapshot(asked)));
+    }
+
+    private static Snapshot snapshot(long version) {
+        Snapshot empty = Snapshot.EMPTY;
+        return new Snapshot(
+                version,
+                empty.sections(),
+                empty.services(),
+                empty.serviceRevisions(),
+                empty.routes(),
+                empty.moves(),
+                empty.endpoints(),
+                empty.halts(),
+                true,
+                CallerLimits.DEFAULT);
+    }
+}
--- a/daemon/src/test/java/org/mimosahinge/daemon/traffic/TestMesh.java
+++ b/daemon/src/test/java/org/mimosahinge/daemon/traffic/TestMesh.java
@@ -56,6 +56,7 @@
     private final Map<String, List<Endpoint>> endpoints = new HashMap<>();
     private final Map<String, Service> services = new HashMap<>();
     private final List<Route> routes = new ArrayList<>();
+    private CallerLimits callerLimits = CallerLimits.DEFAULT;
     /** Snapshots of nodes that differ from the others. */
     final Map<NodeId, Snapshot> overrides = new ConcurrentHashMap<>();
 
@@ -109,21 +110,19 @@
         return publish(current -> current);
     }
 
+    /** Puts other limits of callers in force on all nodes. */
+    TestMesh limits(int headerBytes, long bodyBytes) {
+        callerLimits = new CallerLimits(
+                headerBytes, bodyBytes, CallerLimits.DEFAULT.headerTimeout(), CallerLimits.DEFAULT.idleTimeout());
+        return publish(current -> current);
+    }
+
     /** Puts a changed snapshot in force on all nodes. */
     TestMesh publish(UnaryOperator<Snapshot> change) {
         Map<String, Long> revisions = new HashMap<>();
         services.keySet().forEach(service -> revisions.put(service, 1L));
         snapshot = change.apply(new Snapshot(
-                1,
-                new TreeMap<>(),
-                services,
-                revisions,
-                routes,
-                Map.of(),
-                endpoints,
-                Set.of(),
-                true,
-                CallerLimits.DEFAULT));
+                1, new TreeMap<>(), services, revisions, routes, Map.of(), endpoints, Set.of(), true, callerLimits));
         return this;
     }
 
