Judge a request's head by the limit in force when it is taken

Callers saw 431 for requests that the configuration allows. The HTTP decoder of a connection was built with the header limit of the moment at which the connection was opened and kept it until the connection ended.

The measure is the decoder's: request line and headers each, without line ends. A rejected head leaves the decoder in step, so the connection now takes nothing more once a request on it was rejected, and its end no longer counts as a caller that left.

Evidence, on real sockets: before, OwnAnswersTest.theHeaderLimitInForceDecides failed for the rows "1000, 50000, 20000", "-1, 50000, 20000" (431 instead of 200) and "50000, 1000, 5000" (200 instead of 431), and aNodeWithoutAConfigurationPromisesThatNothingRan for 20,000 and 100,000 bytes (431 instead of 503). After, they pass. The suspicion that a rejection overtakes earlier responses or lets pipelined requests run was wrong: aRejectionEndsTheConnectionInItsTurn passed before, and stays as cover.

--- a/daemon/src/main/java/org/mimosahinge/daemon/traffic/CallerConnection.java
+++ b/daemon/src/main/java/org/mimosahinge/daemon/traffic/CallerConnection.java
@@ -45,6 +45,7 @@
     private Turn turn;
     private long idleSinceMs;
     private long requests;
+    private boolean rejected;
 
     CallerConnection(TrafficPlane plane, TrafficLoop loop) {
         super(false);
@@ -107,6 +108,10 @@
 
     private void take(HttpObject message) {
         try {
+            if (rejected) {
+                // The connection ends with the response that was written last.
+                return;
+            }
             if (message.decoderResult().isFailure()) {
                 Throwable failure = message.decoderResult().cause();
                 reject(RejectCause.of(failure), String.valueOf(failure.getMessage()));
@@ -117,6 +122,13 @@
                     reject(RejectCause.AMBIGUOUS_LENGTH, RejectCause.AMBIGUOUS_LENGTH.message());
                     return;
                 }
+                Snapshot snapshot = loop.snapshot();
+                int headLimit = snapshot.callerLimits().maxHeaderBytes();
+                // A node without a proven configuration knows no limits; it refuses the request as not run.
+                if (snapshot.provenCurrent() && HeadSize.exceeds(request, headLimit)) {
+                    reject(RejectCause.HEAD_TOO_LONG, "More than " + headLimit + " bytes");
+                    return;
+                }
                 turn = new Turn(request);
                 turn.begin();
             }
@@ -135,6 +147,7 @@
     }
 
     private void reject(RejectCause cause, String reason) {
+        rejected = true;
         String requestId = turn == null ? "-" : turn.requestId();
         loop.decisions().rejected(new Rejection(cause, requestId, requests, reason), loop.snapshot());
         if (turn != null) {
@@ -166,7 +179,7 @@
         pipelined.forEach(ReferenceCountUtil::release);
         pipelined.clear();
         loop.connections().remove(this);
-        if (turn != null) {
+        if (turn != null && !rejected) {
             turn.call.callerLeft();
         }
     }
@@ -234,6 +247,7 @@
         }
 
         private void refuseBody() {
+            rejected = true;
             oversized = true;
             responseStarted = true;
             answered = true;
--- /dev/null
+++ b/daemon/src/main/java/org/mimosahinge/daemon/traffic/HeadSize.java
@@ -0,0 +1,29 @@
+package org.mimosahinge.daemon.traffic;
+
+import io.netty.handler.codec.http.HttpRequest;
+
+/** Measures the head of a request as Netty's HTTP decoder does: request line and headers each, without line ends. */
+final class HeadSize {
+
+    /** Two spaces and the version of a request line. */
+    private static final int LINE_EXTRA = "  HTTP/1.1".length();
+
+    /** Colon and space between a header's name and its value. */
+    private static final int SEPARATOR = ": ".length();
+
+    private HeadSize() {}
+
+    static boolean exceeds(HttpRequest request, int limit) {
+        int line = request.method().name().length() + request.uri().length() + LINE_EXTRA;
+        if (line > limit) {
+            return true;
+        }
+        long size = 0;
+        var headers = request.headers().iteratorCharSequence();
+        while (headers.hasNext()) {
+            var header = headers.next();
+            size += header.getKey().length() + SEPARATOR + header.getValue().length();
+        }
+        return size > limit;
+    }
+}
--- a/daemon/src/main/java/org/mimosahinge/daemon/traffic/TrafficPlane.java
+++ b/daemon/src/main/java/org/mimosahinge/daemon/traffic/TrafficPlane.java
@@ -42,6 +42,12 @@
     /** Bodies are handed on in parts of at most this size, Netty's default. */
     private static final int CHUNK_BYTES = 8_192;
 
+    /**
+     * Bounds the memory of a head that is not complete. It is far above the limits that configurations set, because the
+     * limit in force is known only when the request is taken, and a connection outlives configurations.
+     */
+    private static final int MAX_HEAD_BYTES = 128 << 10;
+
     /** Connections of callers that wait to be accepted; a burst must not lose opening packets. */
     private static final int BACKLOG = 1_024;
 
@@ -104,13 +110,10 @@
     }
 
     private void bind() {
-        server = listen(context.config().callers(), caller -> {
-            int headerBytes = context.snapshots().get().callerLimits().maxHeaderBytes();
-            caller.pipeline()
-                    .addLast(
-                            new HttpServerCodec(headerBytes, headerBytes, CHUNK_BYTES),
-                            new CallerConnection(this, loop(caller.eventLoop())));
-        });
+        server = listen(context.config().callers(), caller -> caller.pipeline()
+                .addLast(
+                        new HttpServerCodec(MAX_HEAD_BYTES, MAX_HEAD_BYTES, CHUNK_BYTES),
+                        new CallerConnection(this, loop(caller.eventLoop()))));
     }
 
     /**
--- a/daemon/src/test/java/org/mimosahinge/daemon/traffic/OwnAnswersTest.java
+++ b/daemon/src/test/java/org/mimosahinge/daemon/traffic/OwnAnswersTest.java
@@ -10,6 +10,7 @@
 import org.junit.jupiter.params.provider.Arguments;
 import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.MethodSource;
+import org.junit.jupiter.params.provider.ValueSource;
 import org.mimosahinge.api.config.Snapshot;
 import org.mimosahinge.api.contract.CallClass;
 import org.mimosahinge.api.contract.CallerLimits;
@@ -112,4 +113,72 @@
                 true,
                 CallerLimits.DEFAULT);
     }
+
+    // Guards against a kept connection on which the header limit of its opening decides later requests.
+    @ParameterizedTest(name = "opened under a limit of {0}, limit {1} in force, headers of {2} bytes")
+    @CsvSource({
+        "1000, 50000, 20000, 200",
+        "-1, 50000, 20000, 200",
+        "50000, 1000, 5000, 431",
+        "1000, 50000, 60000, 431",
+        "50000, -1, 20000, 503"
+    })
+    void theHeaderLimitInForceDecides(int opened, int inForce, int headerBytes, int status) throws Exception {
+        try (ScriptedBackend backend = ScriptedBackend.echo("b");
+                TestMesh mesh = mesh(backend)) {
+            limit(mesh, opened);
+            try (TestCaller caller = new TestCaller(mesh.planes.get(0).callers())) {
+                assertEquals(
+                        opened < 0 ? 503 : 200, caller.send(request("/x", 10)).status());
+                limit(mesh, inForce);
+                assertEquals(status, caller.send(request("/x", headerBytes)).status());
+            }
+        }
+    }
+
+    /** Puts a limit in force, or takes every configuration away. */
+    private static void limit(TestMesh mesh, int headerBytes) {
+        if (headerBytes < 0) {
+            mesh.overrides.put(mesh.node(0).id(), Snapshot.EMPTY);
+        } else {
+            mesh.overrides.clear();
+            mesh.limits(headerBytes, Long.MAX_VALUE);
+        }
+    }
+
+    // Guards against a node without a configuration that judges requests by its built-in limits or by no routes.
+    @ParameterizedTest(name = "headers of {0} bytes")
+    @ValueSource(ints = {1, 20_000, 100_000})
+    void aNodeWithoutAConfigurationPromisesThatNothingRan(int headerBytes) throws Exception {
+        try (TestMesh mesh = new TestMesh(1, null);
+                TestCaller caller = new TestCaller(mesh.planes.get(0).callers())) {
+            assertEquals(503, caller.send(request("/x", headerBytes)).status());
+        }
+    }
+
+    static Stream<Arguments> pipelined() {
+        String first = "GET /x/1 HTTP/1.1\r\nhost: a\r\n\r\n";
+        String tooLong = "POST /x/1 HTTP/1.1\r\nhost: a\r\ncontent-length: 200\r\n\r\n" + "x".repeat(200);
+        return Stream.of(
+                Arguments.of("garbage", first + "GET /x HTTP/x\r\n\r\n" + LAST, "200 400", 1),
+                Arguments.of("a head that is too long", first + request("/x/1", 20_000) + LAST, "200 431", 1),
+                Arguments.of("a body that is too long", first + tooLong + LAST, "200 413", 1),
+                Arguments.of("a body that is too long, first", tooLong + LAST, "413", 0));
+    }
+
+    // Guards against a rejection that overtakes earlier responses, and against requests that run behind one.
+    @ParameterizedTest(name = "{0}")
+    @MethodSource("pipelined")
+    void aRejectionEndsTheConnectionInItsTurn(String name, String text, String statuses, int run) throws Exception {
+        try (ScriptedBackend backend = ScriptedBackend.start((request, out) -> {
+                    // Long against the time in which the node reads what is pipelined behind the request.
+                    Thread.sleep(200);
+                    ScriptedBackend.respond(out, "200 OK", "body");
+                });
+                TestMesh mesh = mesh(backend).limits(16_384, 100);
+                TestCaller caller = new TestCaller(mesh.planes.get(0).callers())) {
+            assertEquals(statuses, caller.send(text).statuses());
+            assertEquals(run, backend.received.size());
+        }
+    }
 }
