Decide a request by one version of the configuration

A version that came into force in between gave a refusal that named the wrong version ("No route of version 1" for a path that version 1 routes), or a 503 because the service of a new route was looked up in the old version. A 4xx was in each case one that some version in force gives, so this did not turn away requests that all versions allow, but it made the version and the age in the lines unreliable.

Evidence: OwnAnswersTest.oneVersionDecidesARequest, with versions that alternate at each read, failed before with "No route of version 1" and passes after.

--- a/daemon/src/main/java/org/mimosahinge/daemon/traffic/CallerConnection.java
+++ b/daemon/src/main/java/org/mimosahinge/daemon/traffic/CallerConnection.java
@@ -114,22 +114,22 @@
             }
             if (message.decoderResult().isFailure()) {
                 Throwable failure = message.decoderResult().cause();
-                reject(RejectCause.of(failure), String.valueOf(failure.getMessage()));
+                reject(RejectCause.of(failure), String.valueOf(failure.getMessage()), loop.snapshot());
                 return;
             }
             if (message instanceof HttpRequest request) {
                 if (ambiguous(request)) {
-                    reject(RejectCause.AMBIGUOUS_LENGTH, RejectCause.AMBIGUOUS_LENGTH.message());
+                    reject(RejectCause.AMBIGUOUS_LENGTH, RejectCause.AMBIGUOUS_LENGTH.message(), loop.snapshot());
                     return;
                 }
                 Snapshot snapshot = loop.snapshot();
                 int headLimit = snapshot.callerLimits().maxHeaderBytes();
                 // A node without a proven configuration knows no limits; it refuses the request as not run.
                 if (snapshot.provenCurrent() && HeadSize.exceeds(request, headLimit)) {
-                    reject(RejectCause.HEAD_TOO_LONG, "More than " + headLimit + " bytes");
+                    reject(RejectCause.HEAD_TOO_LONG, "More than " + headLimit + " bytes", snapshot);
                     return;
                 }
-                turn = new Turn(request);
+                turn = new Turn(request, snapshot);
                 turn.begin();
             }
             if (message instanceof HttpContent content && turn != null) {
@@ -146,10 +146,10 @@
                 && request.headers().contains(HttpHeaderNames.CONTENT_LENGTH);
     }
 
-    private void reject(RejectCause cause, String reason) {
+    private void reject(RejectCause cause, String reason, Snapshot decided) {
         rejected = true;
         String requestId = turn == null ? "-" : turn.requestId();
-        loop.decisions().rejected(new Rejection(cause, requestId, requests, reason), loop.snapshot());
+        loop.decisions().rejected(new Rejection(cause, requestId, requests, reason), decided);
         if (turn != null) {
             turn.call.callerLeft();
         }
@@ -218,11 +218,11 @@
         private boolean responseStarted;
         private boolean answered;
 
-        Turn(HttpRequest request) {
+        Turn(HttpRequest request, Snapshot snapshot) {
+            this.snapshot = snapshot;
             keepAlive = HttpUtil.isKeepAlive(request);
             head = request.method().name().equals("HEAD");
             boolean hasBody = HttpUtil.isTransferEncodingChunked(request) || HttpUtil.getContentLength(request, 0L) > 0;
-            snapshot = loop.snapshot();
             bodyLimit = snapshot.callerLimits().maxBodyBytes();
             oversized = HttpUtil.getContentLength(request, 0L) > bodyLimit;
             if (HttpUtil.is100ContinueExpected(request) && !oversized) {
@@ -231,7 +231,7 @@
             }
             callRequest = new CallRequest(
                     request.method().name(), request.uri(), loop.marked(HeaderMaps.from(request.headers())), hasBody);
-            call = new EntryCall(loop, callRequest, this);
+            call = new EntryCall(loop, callRequest, snapshot, this);
         }
 
         String requestId() {
--- a/daemon/src/main/java/org/mimosahinge/daemon/traffic/EntryCall.java
+++ b/daemon/src/main/java/org/mimosahinge/daemon/traffic/EntryCall.java
@@ -28,7 +28,7 @@
     private final CallerSink sink;
     private final RequestBody body = new RequestBody();
     private final ResponseProgress progress;
-    private Snapshot decided;
+    private final Snapshot decided;
     private CallPlan plan;
     private PoisonGuard poison;
     private OnceGuard once;
@@ -41,30 +41,29 @@
     private boolean mayHaveRun;
     private boolean ended;
 
-    EntryCall(TrafficLoop loop, CallRequest request, CallerSink sink) {
+    EntryCall(TrafficLoop loop, CallRequest request, Snapshot decided, CallerSink sink) {
         this.loop = loop;
         this.request = request;
+        this.decided = decided;
         this.sink = sink;
         progress = new ResponseProgress(request);
     }
 
     /** Routes the call. */
     void begin() {
-        Snapshot snapshot = loop.snapshot();
-        decided = snapshot;
-        if (!snapshot.provenCurrent()) {
+        if (!decided.provenCurrent()) {
             refuse(ErrorCode.NOT_READY, "The node has no proof that its configuration is current");
             return;
         }
-        Optional<Route> matched = loop.routes().match(request.host(), request.uri());
+        Optional<Route> matched = loop.routes(decided).match(request.host(), request.uri());
         if (matched.isEmpty()) {
-            loop.decisions().noRoute(request, snapshot);
-            refuse(ErrorCode.NO_ROUTE, "No route of version " + snapshot.version() + " matches host and path");
+            loop.decisions().noRoute(request, decided);
+            refuse(ErrorCode.NO_ROUTE, "No route of version " + decided.version() + " matches host and path");
             return;
         }
         Route route = matched.get();
         String target = loop.turns().next(route);
-        Service service = snapshot.services().get(target);
+        Service service = decided.services().get(target);
         deadlineMs = HeaderMaps.deadlineMs(
                 request.headers(),
                 loop.protocol().deadlineHeader(),
--- a/daemon/src/main/java/org/mimosahinge/daemon/traffic/TrafficLoop.java
+++ b/daemon/src/main/java/org/mimosahinge/daemon/traffic/TrafficLoop.java
@@ -113,9 +113,9 @@
         return served;
     }
 
-    /** Returns the index of the routes in force. */
-    RouteIndex routes() {
-        List<Route> inForce = snapshot().routes();
+    /** Returns the index of a snapshot's routes. */
+    RouteIndex routes(Snapshot decided) {
+        List<Route> inForce = decided.routes();
         if (!routes.covers(inForce)) {
             routes = RouteIndex.of(inForce);
         }
--- a/daemon/src/test/java/org/mimosahinge/daemon/traffic/OwnAnswersTest.java
+++ b/daemon/src/test/java/org/mimosahinge/daemon/traffic/OwnAnswersTest.java
@@ -1,8 +1,10 @@
 package org.mimosahinge.daemon.traffic;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import com.codahale.metrics.MetricRegistry;
+import java.util.Iterator;
 import java.util.List;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.stream.Stream;
@@ -181,4 +183,30 @@
             assertEquals(run, backend.received.size());
         }
     }
+
+    // Guards against a request whose route, service and limits are read from different versions.
+    @ParameterizedTest(name = "{0} requests while versions alternate")
+    @ValueSource(ints = {40})
+    void oneVersionDecidesARequest(int requests) throws Exception {
+        try (TestMesh mesh = new TestMesh(1, null)) {
+            Snapshot first = mesh.route(TestMesh.route("/x", true, false)).snapshot();
+            Snapshot second = snapshot(2);
+            Iterator<Snapshot> versions = Stream.generate(() -> List.of(first, second))
+                    .flatMap(List::stream)
+                    .iterator();
+            SnapshotSource alternating = () -> {
+                synchronized (versions) {
+                    return versions.next();
+                }
+            };
+            try (TrafficPlane plane = TrafficPlane.start(
+                            new TrafficConfig(mesh.node(0), TestMesh.ANY, 1, 0), alternating, null, event -> {});
+                    TestCaller caller = new TestCaller(plane.callers())) {
+                for (int i = 0; i < requests; i++) {
+                    String body = caller.send(request("/x", 1)).body();
+                    assertTrue(body.contains("can take the call") || body.contains("No route of version 2"), body);
+                }
+            }
+        }
+    }
 }
