Route requests whose target is in absolute form

Callers saw 404 for "GET http://host/path", because the whole target was taken for a path. A server must accept this form, and the target's host takes precedence over the Host header (RFC 9112, section 3.2.2).

The target is now split into host and path when the request is taken. The backend server gets the path alone, the form for origin servers, with the target's host in the Host header.

Evidence, on real sockets: the two rows of OwnAnswersTest.properRequestsAreUnderstood with an absolute target failed before with 404 instead of 200 and pass after. The other rows passed before: line ends between requests, HEAD, a body of a GET, chunk extensions and trailers, bodies behind an early refusal, 100-continue, and a host in upper case with a port. They stay as cover.

--- a/daemon/src/main/java/org/mimosahinge/daemon/traffic/CallerConnection.java
+++ b/daemon/src/main/java/org/mimosahinge/daemon/traffic/CallerConnection.java
@@ -23,6 +23,7 @@
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
 import java.util.ArrayDeque;
+import java.util.Map;
 import java.util.Queue;
 import java.util.concurrent.TimeUnit;
 import org.mimosahinge.api.config.Snapshot;
@@ -38,6 +39,8 @@
     /** Pipelined messages that may wait; a caller that sends more is not read until some are served. */
     private static final int MAX_PIPELINED = 64;
 
+    private static final String HOST = "host";
+
     private final TrafficLoop loop;
     private final TrafficPlane plane;
     private final Queue<HttpObject> pipelined = new ArrayDeque<>();
@@ -229,8 +232,10 @@
                 channel.writeAndFlush(new DefaultFullHttpResponse(
                         HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE, Unpooled.EMPTY_BUFFER));
             }
-            callRequest = new CallRequest(
-                    request.method().name(), request.uri(), loop.marked(HeaderMaps.from(request.headers())), hasBody);
+            Map<String, String> headers = loop.marked(HeaderMaps.from(request.headers()));
+            RequestTarget target = RequestTarget.of(request.uri(), headers.getOrDefault(HOST, ""));
+            headers.put(HOST, target.host());
+            callRequest = new CallRequest(request.method().name(), target.uri(), headers, hasBody);
             call = new EntryCall(loop, callRequest, snapshot, this);
         }
 
--- a/daemon/src/test/java/org/mimosahinge/daemon/traffic/OwnAnswersTest.java
+++ b/daemon/src/test/java/org/mimosahinge/daemon/traffic/OwnAnswersTest.java
@@ -116,6 +116,61 @@
                 CallerLimits.DEFAULT);
     }
 
+    static Stream<Arguments> proper() {
+        String post = "POST %s HTTP/1.1\r\nhost: a\r\n%s\r\n%s";
+        String chunked = "transfer-encoding: chunked\r\n";
+        String chunks = "3;a=b\r\nabc\r\n0\r\nt: u\r\n\r\n";
+        String ofHost = "%s HTTP/1.1\r\nhost: %s\r\nconnection: close\r\n\r\n";
+        return Stream.of(
+                Arguments.of(
+                        "line ends between requests",
+                        String.format(post, "/x", "content-length: 2\r\n", "ab\r\n\r\n") + LAST,
+                        "200 200"),
+                Arguments.of("HEAD", "HEAD /x HTTP/1.1\r\nhost: a\r\n\r\n" + LAST, "200 200"),
+                Arguments.of(
+                        "GET with a body",
+                        "GET /x HTTP/1.1\r\nhost: a\r\ncontent-length: 3\r\n\r\nabc" + LAST,
+                        "200 200"),
+                Arguments.of(
+                        "chunk extensions and trailers", String.format(post, "/x", chunked, chunks) + LAST, "200 200"),
+                Arguments.of(
+                        "a body behind an early refusal",
+                        String.format(post, "/none", "content-length: 5\r\n", "GET /") + LAST,
+                        "404 200"),
+                Arguments.of(
+                        "chunks behind an early refusal",
+                        String.format(post, "/none", chunked, chunks) + LAST,
+                        "404 200"),
+                Arguments.of(
+                        "a continued body",
+                        String.format(post, "/x", "expect: 100-continue\r\ncontent-length: 2\r\n", "ab") + LAST,
+                        "100 200 200"),
+                Arguments.of("a host with a port", String.format(ofHost, "GET /h/1", "H.Example:8080"), "200"),
+                Arguments.of(
+                        "an absolute target", String.format(ofHost, "GET http://h.example/h/1", "h.example"), "200"),
+                Arguments.of(
+                        "an absolute target and another host",
+                        String.format(ofHost, "GET http://H.Example:80/h/1?q=/x/", "a"),
+                        "200"),
+                Arguments.of(
+                        "an absolute target without a route",
+                        String.format(ofHost, "GET http://h.example", "h.example"),
+                        "404"));
+    }
+
+    // Guards against what one request leaves on a kept connection, and against forms of a target that RFC 9112 allows.
+    @ParameterizedTest(name = "{0}")
+    @MethodSource("proper")
+    void properRequestsAreUnderstood(String name, String text, String statuses) throws Exception {
+        try (ScriptedBackend backend = ScriptedBackend.echo("b");
+                TestMesh mesh = mesh(backend);
+                TestCaller caller = new TestCaller(mesh.planes.get(0).callers())) {
+            assertEquals(statuses, caller.send(text).statuses());
+            assertTrue(
+                    backend.received.stream().allMatch(request -> request.uri().startsWith("/")));
+        }
+    }
+
     // Guards against a kept connection on which the header limit of its opening decides later requests.
     @ParameterizedTest(name = "opened under a limit of {0}, limit {1} in force, headers of {2} bytes")
     @CsvSource({
