--- a/daemon/src/main/java/org/mimosahinge/daemon/traffic/CallerConnection.java
+++ b/daemon/src/main/java/org/mimosahinge/daemon/traffic/CallerConnection.java
@@ -7,8 +7,6 @@
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.SimpleChannelInboundHandler;
-import io.netty.handler.codec.CorruptedFrameException;
-import io.netty.handler.codec.TooLongFrameException;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.DefaultHttpContent;
 import io.netty.handler.codec.http.DefaultHttpResponse;
@@ -25,8 +23,10 @@
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
 import java.util.ArrayDeque;
+import java.util.Map;
 import java.util.Queue;
 import java.util.concurrent.TimeUnit;
+import org.mimosahinge.api.config.Snapshot;
 import org.mimosahinge.api.error.CallException;
 import org.mimosahinge.net.frame.Frame;
 
@@ -39,12 +39,16 @@
     /** Pipelined messages that may wait; a caller that sends more is not read until some are served. */
     private static final int MAX_PIPELINED = 64;
 
+    private static final String HOST = "host";
+
     private final TrafficLoop loop;
     private final TrafficPlane plane;
     private final Queue<HttpObject> pipelined = new ArrayDeque<>();
     private Channel channel;
     private Turn turn;
     private long idleSinceMs;
+    private long requests;
+    private boolean rejected;
 
     CallerConnection(TrafficPlane plane, TrafficLoop loop) {
         super(false);
@@ -107,16 +111,28 @@
 
     private void take(HttpObject message) {
         try {
+            if (rejected) {
+                // The connection ends with the response that was written last.
+                return;
+            }
             if (message.decoderResult().isFailure()) {
-                malformed(message.decoderResult().cause());
+                Throwable failure = message.decoderResult().cause();
+                reject(RejectCause.of(failure), String.valueOf(failure.getMessage()), loop.snapshot());
                 return;
             }
             if (message instanceof HttpRequest request) {
                 if (ambiguous(request)) {
-                    malformed(new CorruptedFrameException("Both Content-Length and Transfer-Encoding"));
+                    reject(RejectCause.AMBIGUOUS_LENGTH, RejectCause.AMBIGUOUS_LENGTH.message(), loop.snapshot());
+                    return;
+                }
+                Snapshot snapshot = loop.snapshot();
+                int headLimit = snapshot.callerLimits().maxHeaderBytes();
+                // A node without a proven configuration knows no limits; it refuses the request as not run.
+                if (snapshot.provenCurrent() && HeadSize.exceeds(request, headLimit)) {
+                    reject(RejectCause.HEAD_TOO_LONG, "More than " + headLimit + " bytes", snapshot);
                     return;
                 }
-                turn = new Turn(request);
+                turn = new Turn(request, snapshot);
                 turn.begin();
             }
             if (message instanceof HttpContent content && turn != null) {
@@ -133,7 +149,10 @@
                 && request.headers().contains(HttpHeaderNames.CONTENT_LENGTH);
     }
 
-    private void malformed(Throwable cause) {
+    private void reject(RejectCause cause, String reason, Snapshot decided) {
+        rejected = true;
+        String requestId = turn == null ? "-" : turn.requestId();
+        loop.decisions().rejected(new Rejection(cause, requestId, requests, reason), decided);
         if (turn != null) {
             turn.call.callerLeft();
         }
@@ -141,8 +160,7 @@
             channel.close();
             return;
         }
-        boolean tooLong = cause instanceof TooLongFrameException;
-        channel.writeAndFlush(ErrorResponses.malformed(tooLong)).addListener(ChannelFutureListener.CLOSE);
+        channel.writeAndFlush(ErrorResponses.rejected(cause)).addListener(ChannelFutureListener.CLOSE);
         channel.config().setAutoRead(false);
     }
 
@@ -164,7 +182,7 @@
         pipelined.forEach(ReferenceCountUtil::release);
         pipelined.clear();
         loop.connections().remove(this);
-        if (turn != null) {
+        if (turn != null && !rejected) {
             turn.call.callerLeft();
         }
     }
@@ -176,6 +194,7 @@
 
     private void next() {
         turn = null;
+        requests++;
         idleSinceMs = TrafficLoop.nowMs();
         while (!pipelined.isEmpty() && (turn == null || !turn.requestComplete)) {
             take(pipelined.poll());
@@ -190,9 +209,11 @@
     private final class Turn implements CallerSink {
 
         private final EntryCall call;
+        private final CallRequest callRequest;
         private final boolean keepAlive;
         private final boolean head;
         private final FlowWindow requestWindow = new FlowWindow();
+        private final Snapshot snapshot;
         private final long bodyLimit;
         private long bodyBytes;
         private boolean oversized;
@@ -200,24 +221,26 @@
         private boolean responseStarted;
         private boolean answered;
 
-        Turn(HttpRequest request) {
+        Turn(HttpRequest request, Snapshot snapshot) {
+            this.snapshot = snapshot;
             keepAlive = HttpUtil.isKeepAlive(request);
             head = request.method().name().equals("HEAD");
             boolean hasBody = HttpUtil.isTransferEncodingChunked(request) || HttpUtil.getContentLength(request, 0L) > 0;
-            bodyLimit = loop.snapshot().callerLimits().maxBodyBytes();
+            bodyLimit = snapshot.callerLimits().maxBodyBytes();
             oversized = HttpUtil.getContentLength(request, 0L) > bodyLimit;
             if (HttpUtil.is100ContinueExpected(request) && !oversized) {
                 channel.writeAndFlush(new DefaultFullHttpResponse(
                         HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE, Unpooled.EMPTY_BUFFER));
             }
-            call = new EntryCall(
-                    loop,
-                    new CallRequest(
-                            request.method().name(),
-                            request.uri(),
-                            loop.marked(HeaderMaps.from(request.headers())),
-                            hasBody),
-                    this);
+            Map<String, String> headers = loop.marked(HeaderMaps.from(request.headers()));
+            RequestTarget target = RequestTarget.of(request.uri(), headers.getOrDefault(HOST, ""));
+            headers.put(HOST, target.host());
+            callRequest = new CallRequest(request.method().name(), target.uri(), headers, hasBody);
+            call = new EntryCall(loop, callRequest, snapshot, this);
+        }
+
+        String requestId() {
+            return callRequest.headers().getOrDefault(loop.protocol().requestIdHeader(), "-");
         }
 
         void begin() {
@@ -229,10 +252,15 @@
         }
 
         private void refuseBody() {
+            rejected = true;
             oversized = true;
             responseStarted = true;
             answered = true;
-            channel.writeAndFlush(ErrorResponses.bodyTooLarge(bodyLimit)).addListener(ChannelFutureListener.CLOSE);
+            RejectCause cause = RejectCause.BODY_TOO_LONG;
+            loop.decisions()
+                    .rejected(
+                            new Rejection(cause, requestId(), requests, "More than " + bodyLimit + " bytes"), snapshot);
+            channel.writeAndFlush(ErrorResponses.rejected(cause)).addListener(ChannelFutureListener.CLOSE);
         }
 
         void content(HttpContent content) {
--- a/daemon/src/main/java/org/mimosahinge/daemon/traffic/TrafficPlane.java
+++ b/daemon/src/main/java/org/mimosahinge/daemon/traffic/TrafficPlane.java
@@ -25,8 +25,6 @@
 import java.util.concurrent.atomic.AtomicReference;
 import java.util.function.Consumer;
 import java.util.function.LongSupplier;
-import java.util.function.Supplier;
-import org.mimosahinge.api.config.Snapshot;
 import org.mimosahinge.api.platform.TableService;
 import org.mimosahinge.api.world.HostPort;
 import org.mimosahinge.api.world.NodeId;
@@ -44,6 +42,12 @@
     /** Bodies are handed on in parts of at most this size, Netty's default. */
     private static final int CHUNK_BYTES = 8_192;
 
+    /**
+     * Bounds the memory of a head that is not complete. It is far above the limits that configurations set, because the
+     * limit in force is known only when the request is taken, and a connection outlives configurations.
+     */
+    private static final int MAX_HEAD_BYTES = 128 << 10;
+
     /** Connections of callers that wait to be accepted; a burst must not lose opening packets. */
     private static final int BACKLOG = 1_024;
 
@@ -73,7 +77,7 @@
      * @return the running traffic plane
      */
     public static TrafficPlane start(
-            TrafficConfig config, Supplier<Snapshot> snapshots, TableService table, TrafficListener listener) {
+            TrafficConfig config, SnapshotSource snapshots, TableService table, TrafficListener listener) {
         return start(config, snapshots, table, listener, TrafficPolicies.standard());
     }
 
@@ -89,7 +93,7 @@
      */
     public static TrafficPlane start(
             TrafficConfig config,
-            Supplier<Snapshot> snapshots,
+            SnapshotSource snapshots,
             TableService table,
             TrafficListener listener,
             TrafficPolicies policies) {
@@ -106,13 +110,10 @@
     }
 
     private void bind() {
-        server = listen(context.config().callers(), caller -> {
-            int headerBytes = context.snapshots().get().callerLimits().maxHeaderBytes();
-            caller.pipeline()
-                    .addLast(
-                            new HttpServerCodec(headerBytes, headerBytes, CHUNK_BYTES),
-                            new CallerConnection(this, loop(caller.eventLoop())));
-        });
+        server = listen(context.config().callers(), caller -> caller.pipeline()
+                .addLast(
+                        new HttpServerCodec(MAX_HEAD_BYTES, MAX_HEAD_BYTES, CHUNK_BYTES),
+                        new CallerConnection(this, loop(caller.eventLoop()))));
     }
 
     /**
