Test backend servers that send bytes without end

The users' pages say that a backend server in trouble may send bytes that are no answer until its connection is closed, in a head or a body. Nothing played that. EndlessAnswerTest repeats a unit of bytes on real sockets until the node closes the connection: in place of a head, in a status line, a header, many headers, a chunk's size or extension, one chunk, many chunks, trailers, bodies with and without a length, informational and foreign responses, behind a whole response and on an idle connection; beside the caller's node and another one.

Each checks that the caller gets no status that promises "not run" and nothing that looks complete, that the connection is closed and the one slot given back, that other calls are served meanwhile, and for bodies that no more bytes are taken than the window, the held start, one read and the kernel's socket buffers allow. Informational and foreign responses are dropped as they come, so only the deadline ends them.

--- /dev/null
+++ b/daemon/src/test/java/org/mimosahinge/daemon/traffic/EndlessAnswerTest.java
@@ -0,0 +1,331 @@
+package org.mimosahinge.daemon.traffic;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.OutputStream;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.net.SocketException;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.Set;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.stream.Stream;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.MethodSource;
+import org.junit.jupiter.params.provider.ValueSource;
+import org.mimosahinge.api.contract.CallClass;
+import org.mimosahinge.api.contract.Route;
+import org.mimosahinge.api.contract.ServiceShare;
+import org.mimosahinge.core.admission.FinishBy;
+import org.mimosahinge.core.routing.RulePicker;
+
+/** Guards against backend servers that send bytes without end, until their connection is closed. */
+@Timeout(60)
+class EndlessAnswerTest {
+
+    /** Long enough for a call over two nodes on a busy machine, short because many calls wait for it. */
+    private static final int DEADLINE_MS = 500;
+
+    private static final String REQUEST_ID = "x-test-request";
+
+    /** Statuses by which a node states that a call has not run and will not. */
+    private static final Set<Integer> PROMISES = Set.of(408, 421, 429, 503);
+
+    /** A read takes at most this much beyond the window before reading stops; Netty's largest receive buffer. */
+    private static final int READ_BYTES = 64 * 1024;
+
+    /** Buffers of the sockets that the test owns are small, so that the nodes' limits decide. */
+    private static final int SOCKET_BYTES = 64 * 1024;
+
+    private static final int BLOCK_BYTES = 1024;
+
+    private static final String OK = "HTTP/1.1 200 OK\r\n";
+
+    private static final String WHOLE = OK + "content-length: 2\r\n\r\nok";
+
+    private static final String FOREIGN = OK + REQUEST_ID + ": other\r\n";
+
+    private static final String BLOCK = "x".repeat(BLOCK_BYTES);
+
+    /** What the caller of the endless response is told. */
+    private enum Outcome {
+        /** A failure of which the node knows no outcome, or an incomplete response and the connection's end. */
+        NO_WHOLE_ANSWER,
+        /** The response that ended before the endless bytes. */
+        ANSWERED
+    }
+
+    /** Bytes that a backend server sends once, and others that it repeats until its connection is closed. */
+    private record Endless(String name, String head, String unit, Outcome outcome) {
+        @Override
+        public String toString() {
+            return name;
+        }
+    }
+
+    /** A backend server that answers one path without end and any other with a small page. */
+    private static final class EndlessBackend implements AutoCloseable {
+
+        private final AtomicLong sent = new AtomicLong();
+        private final CountDownLatch begun = new CountDownLatch(1);
+        private final CountDownLatch closed = new CountDownLatch(1);
+        private final ScriptedBackend server;
+        private final Endless endless;
+
+        EndlessBackend(Endless endless) throws IOException {
+            this.endless = endless;
+            server = ScriptedBackend.start(this::answer);
+        }
+
+        private void answer(ScriptedBackend.Received request, OutputStream out) throws IOException {
+            if (request.uri().endsWith("/endless")) {
+                server.sockets.get(request.connection() - 1).setSendBufferSize(SOCKET_BYTES);
+                repeat(out);
+            } else {
+                ScriptedBackend.respond(out, "200 OK", "small", REQUEST_ID + ": " + request.header(REQUEST_ID));
+            }
+        }
+
+        private void repeat(OutputStream out) throws IOException {
+            int times = Math.max(1, BLOCK_BYTES / endless.unit().length());
+            byte[] block = endless.unit().repeat(times).getBytes(StandardCharsets.ISO_8859_1);
+            begun.countDown();
+            try {
+                // In one segment with the first repetitions, so that one read brings both.
+                ScriptedBackend.write(out, endless.head() + endless.unit().repeat(times));
+                while (true) {
+                    out.write(block);
+                    sent.addAndGet(block.length);
+                }
+            } finally {
+                closed.countDown();
+            }
+        }
+
+        @Override
+        public void close() throws IOException {
+            server.close();
+        }
+    }
+
+    private static Stream<Endless> endless() {
+        String chunked = OK + "transfer-encoding: chunked\r\n\r\n";
+        return Stream.of(
+                new Endless("no head", "", BLOCK, Outcome.NO_WHOLE_ANSWER),
+                new Endless("blank lines", "", "\r\n", Outcome.NO_WHOLE_ANSWER),
+                new Endless("status line", "HTTP/1.1 200 ", BLOCK, Outcome.NO_WHOLE_ANSWER),
+                new Endless("one header", OK + "x-a: ", BLOCK, Outcome.NO_WHOLE_ANSWER),
+                new Endless("headers", OK, "x-a: b\r\n", Outcome.NO_WHOLE_ANSWER),
+                new Endless("chunk size", chunked, "0", Outcome.NO_WHOLE_ANSWER),
+                new Endless("chunk extension", chunked + "5;", BLOCK, Outcome.NO_WHOLE_ANSWER),
+                new Endless("one chunk", chunked + "7fffffff\r\n", BLOCK, Outcome.NO_WHOLE_ANSWER),
+                new Endless("chunks", chunked, "400\r\n" + BLOCK + "\r\n", Outcome.NO_WHOLE_ANSWER),
+                new Endless("trailers", chunked + "2\r\nok\r\n0\r\n", "x-a: b\r\n", Outcome.NO_WHOLE_ANSWER),
+                new Endless(
+                        "announced body",
+                        OK + "content-length: " + Long.MAX_VALUE + "\r\n\r\n",
+                        BLOCK,
+                        Outcome.NO_WHOLE_ANSWER),
+                new Endless("body without length", OK + "\r\n", BLOCK, Outcome.NO_WHOLE_ANSWER),
+                new Endless(
+                        "informational responses",
+                        "",
+                        "HTTP/1.1 103 Early Hints\r\nlink: a\r\n\r\n",
+                        Outcome.NO_WHOLE_ANSWER),
+                new Endless(
+                        "another protocol", "HTTP/1.1 101 Switching Protocols\r\n\r\n", BLOCK, Outcome.NO_WHOLE_ANSWER),
+                new Endless("foreign responses", "", FOREIGN + "content-length: 2\r\n\r\nno", Outcome.NO_WHOLE_ANSWER),
+                new Endless("foreign body", FOREIGN + "\r\n", BLOCK, Outcome.NO_WHOLE_ANSWER),
+                new Endless("bytes behind the answer", WHOLE, BLOCK, Outcome.ANSWERED),
+                new Endless("blank lines behind the answer", WHOLE, "\r\n", Outcome.ANSWERED),
+                new Endless("responses behind the answer", WHOLE, WHOLE, Outcome.ANSWERED));
+    }
+
+    /** Guards against a node that collects endless bytes, waits for their end or keeps their slot. */
+    @ParameterizedTest(name = "{0}, endpoint beside the caller''s node")
+    @MethodSource("endless")
+    void endlessBytesEndWithTheCallBesideTheNode(Endless endless) throws Exception {
+        // The start of an idempotent call's response is held back here.
+        serves(endless, 0, true, new FleetRole(false, false, 64 * 1024));
+    }
+
+    /** Guards against the same where another node and another event loop pass the bytes on. */
+    @ParameterizedTest(name = "{0}, endpoint beside another node")
+    @MethodSource("endless")
+    void endlessBytesEndWithTheCallBesideAnotherNode(Endless endless) throws Exception {
+        serves(endless, 1, false, FleetRole.TREE);
+    }
+
+    private static void serves(Endless endless, int node, boolean idempotent, FleetRole role) throws Exception {
+        try (EndlessBackend backend = new EndlessBackend(endless);
+                ScriptedBackend other = ScriptedBackend.echo("other");
+                TestMesh mesh = mesh(1 + node, role)
+                        .route(TestMesh.route("/x", idempotent, false))
+                        .route(otherRoute())
+                        .endpoint(node, "svc", backend.server.address(), 1)
+                        .endpoint(node, "other", other.address(), 1)) {
+            // Opens the connections between the nodes, so that the deadline is spent on the endless bytes.
+            assertEquals("small", mesh.get("/x").body());
+            try (Socket caller = caller(mesh)) {
+                backend.begun.await();
+                do {
+                    assertEquals("other /other ", mesh.get("/other").body());
+                } while (backend.closed.getCount() > 0);
+                check(endless, rest(caller));
+            }
+            if (endless.outcome() == Outcome.NO_WHOLE_ANSWER && passedOn(endless)) {
+                long bound = mostAccepted(1 + node, role);
+                assertTrue(backend.sent.get() <= bound, backend.sent + " bytes taken, at most " + bound);
+            }
+            assertEquals("small", mesh.get("/x").body());
+        }
+    }
+
+    /** Tells whether the bytes are part of a response's body that the caller does not read. */
+    private static boolean passedOn(Endless endless) {
+        return !endless.name().startsWith("foreign") && endless.head().endsWith("\r\n");
+    }
+
+    /** Returns the bytes that may be on their way to a caller that reads nothing. */
+    private static long mostAccepted(int nodes, FleetRole role) throws IOException {
+        // Linux doubles the sizes that a socket states; the sockets of the nodes state none and have the kernel's
+        // limit.
+        long kernel = 4 * SOCKET_BYTES + nodes * (kernelBytes("tcp_rmem") + kernelBytes("tcp_wmem"));
+        return kernel + FlowWindow.BYTES + role.heldBytes() + READ_BYTES;
+    }
+
+    private static long kernelBytes(String setting) throws IOException {
+        try (InputStream in = Files.newInputStream(Path.of("/proc/sys/net/ipv4", setting))) {
+            // These files show their content to the first read only.
+            String[] values = new String(in.readNBytes(READ_BYTES), StandardCharsets.US_ASCII)
+                    .strip()
+                    .split("\\s+");
+            return Long.parseLong(values[values.length - 1]);
+        }
+    }
+
+    private static void check(Endless endless, String received) {
+        if (received.isEmpty() && endless.outcome() == Outcome.NO_WHOLE_ANSWER) {
+            // The connection was closed before the beginning of the response had been sent.
+            return;
+        }
+        assertTrue(received.startsWith("HTTP/1.1 "), beginning(received));
+        int status = Integer.parseInt(received.substring(9, 12));
+        switch (endless.outcome()) {
+            case ANSWERED -> assertTrue(status == 200 && received.endsWith("\r\n\r\nok"), beginning(received));
+            default -> {
+                assertFalse(PROMISES.contains(status), beginning(received));
+                boolean ofNode = received.contains(HeaderMaps.OUTCOME + ": unknown");
+                assertTrue(ofNode || !looksComplete(received), beginning(received));
+            }
+        }
+    }
+
+    private static boolean looksComplete(String received) {
+        int body = received.indexOf("\r\n\r\n") + 4;
+        String head = received.substring(0, body);
+        boolean chunked = head.contains("transfer-encoding: chunked");
+        boolean unreachableLength = head.contains("content-length: " + Long.MAX_VALUE);
+        return body >= 4 && (chunked ? received.endsWith("\r\n0\r\n\r\n") : !unreachableLength);
+    }
+
+    private static String beginning(String received) {
+        return received.substring(0, Math.min(received.length(), 500));
+    }
+
+    /** Guards against idle connections that are read without end, or whose bytes meet the next call. */
+    @ParameterizedTest(name = "bytes {index}")
+    @ValueSource(strings = {"x", "\r\n", " ", WHOLE, "HTTP/1.1 103 Early Hints\r\n\r\n", "x-a: b\r\n"})
+    void anIdleConnectionIsClosedWhenItBringsBytes(String unit) throws Exception {
+        CountDownLatch idle = new CountDownLatch(1);
+        CountDownLatch closed = new CountDownLatch(1);
+        try (ScriptedBackend backend = ScriptedBackend.start((request, out) -> {
+                    ScriptedBackend.respond(out, "200 OK", "connection " + request.connection());
+                    if (request.connection() == 1) {
+                        idle.await();
+                        try {
+                            while (true) {
+                                ScriptedBackend.write(out, unit);
+                            }
+                        } finally {
+                            closed.countDown();
+                        }
+                    }
+                });
+                TestMesh mesh = new TestMesh(1, null)
+                        .route(TestMesh.route("/x", false, false))
+                        .endpoint(0, "svc", backend.address(), 1)) {
+            assertEquals("connection 1", mesh.get("/x").body());
+            idle.countDown();
+            closed.await();
+            assertEquals("connection 2", mesh.get("/x").body());
+        }
+    }
+
+    private static TestMesh mesh(int nodes, FleetRole role) {
+        TrafficPolicies standard = TrafficPolicies.standard();
+        return new TestMesh(
+                nodes,
+                null,
+                2,
+                CallProtocol.builder()
+                        .requestHeaders(HeaderMaps.DEADLINE, REQUEST_ID)
+                        .build(),
+                new TrafficPolicies(
+                        standard.chooser(),
+                        standard.retry(),
+                        standard.random(),
+                        RulePicker.declaredVersions(),
+                        FinishBy.deadline(),
+                        role));
+    }
+
+    private static Route otherRoute() {
+        Route route = TestMesh.route("/other", true, false);
+        return new Route(
+                route.name(),
+                "",
+                "/other",
+                List.of(new ServiceShare("other", 1)),
+                CallClass.INTERACTIVE,
+                route.timeout(),
+                route.targetLatency(),
+                route.maxAttempts(),
+                true,
+                false,
+                Set.of());
+    }
+
+    /** Sends the call whose response has no end; the caller reads nothing until it looks for the rest. */
+    private static Socket caller(TestMesh mesh) throws IOException {
+        Socket caller = new Socket();
+        caller.setReceiveBufferSize(SOCKET_BYTES);
+        caller.connect(
+                new InetSocketAddress("127.0.0.1", mesh.planes.get(0).callers().port()));
+        caller.getOutputStream()
+                .write(("GET /x/endless HTTP/1.1\r\nhost: a\r\nconnection: close\r\n" + HeaderMaps.DEADLINE + ": "
+                                + DEADLINE_MS + "\r\n" + REQUEST_ID + ": own\r\n\r\n")
+                        .getBytes(StandardCharsets.US_ASCII));
+        return caller;
+    }
+
+    private static String rest(Socket caller) throws IOException {
+        ByteArrayOutputStream received = new ByteArrayOutputStream();
+        try {
+            caller.getInputStream().transferTo(received);
+        } catch (SocketException e) {
+            // A reset ends the connection as well.
+        }
+        return received.toString(StandardCharsets.ISO_8859_1);
+    }
+}
--- a/daemon/src/test/java/org/mimosahinge/daemon/traffic/TestMesh.java
+++ b/daemon/src/test/java/org/mimosahinge/daemon/traffic/TestMesh.java
@@ -1,5 +1,6 @@
 package org.mimosahinge.daemon.traffic;
 
+import com.codahale.metrics.MetricRegistry;
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.io.UncheckedIOException;
@@ -67,14 +68,19 @@
     }
 
     TestMesh(int count, TableService table, int eventLoops) {
+        this(count, table, eventLoops, CallProtocol.STANDARD, TrafficPolicies.standard());
+    }
+
+    TestMesh(int count, TableService table, int eventLoops, CallProtocol protocol, TrafficPolicies policies) {
         for (int i = 0; i < count; i++) {
             HostPort frames = new HostPort("127.0.0.1", FreePorts.next());
             Node node = new Node(new NodeId("n" + i), 1, ZONE, frames);
             TrafficPlane plane = TrafficPlane.start(
-                    new TrafficConfig(node, ANY, eventLoops, 0),
+                    new TrafficConfig(node, ANY, eventLoops, protocol, new MetricRegistry(), 0),
                     () -> overrides.getOrDefault(node.id(), snapshot),
                     table,
-                    events::add);
+                    events::add,
+                    policies);
             plane.acceptNodes(frames);
             nodes.add(node);
             planes.add(plane);
