Close a backend connection that brings bytes behind a response

Before: bytes behind a complete response that formed no message yet, such as "x" or the beginning of a head, stayed in the decoder of the kept connection. The next call on it got 502 for a request that the backend server had run, or, where the bytes were a status line and the start of a header, that status with the headers and the body of its own response: a failure could look like a success.

Cause: the connection noticed unexpected messages, but not unexpected bytes. Netty's client codec decodes whatever arrives, whether or not a request waits.

PendingResponseDecoder is asked which request waits before each step, also between two messages of one read. Without one it drops the bytes and closes the connection, so nothing is left for a later response to be joined to, and endless bytes are not even parsed. It replaces the pairing of requests and responses that the client codec did for HEAD and CONNECT.

--- a/daemon/src/main/java/org/mimosahinge/daemon/traffic/BackendConnection.java
+++ b/daemon/src/main/java/org/mimosahinge/daemon/traffic/BackendConnection.java
@@ -19,6 +19,7 @@
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
 import java.util.Map;
+import java.util.Optional;
 import org.mimosahinge.net.frame.Frame;
 
 /** One HTTP/1.1 connection to a backend server, used by one call at a time. */
@@ -44,6 +45,7 @@
 
     private Channel channel;
     private User user;
+    private Optional<HttpMethod> method = Optional.empty();
     private boolean keepAlive = true;
     private boolean requestSent = true;
     private boolean informational;
@@ -69,14 +71,20 @@
         return channel.isActive();
     }
 
+    /** Returns the method of the request that waits for its response. */
+    Optional<HttpMethod> pending() {
+        return user == null ? Optional.empty() : method;
+    }
+
     /** Sends a request's head and binds the connection to the call. */
     void send(Frame.CallStart start, CallMarks marks, User next) {
         user = next;
         calls++;
         keepAlive = false;
         requestSent = !start.hasBody();
-        DefaultHttpRequest request =
-                new DefaultHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.valueOf(start.method()), start.uri());
+        HttpMethod sent = HttpMethod.valueOf(start.method());
+        method = Optional.of(sent);
+        DefaultHttpRequest request = new DefaultHttpRequest(HttpVersion.HTTP_1_1, sent, start.uri());
         HeaderMaps.copy(start.headers(), request.headers());
         marks.set(request.headers());
         requestIdHeader = marks.protocol().requestIdHeader();
--- a/daemon/src/main/java/org/mimosahinge/daemon/traffic/BackendPool.java
+++ b/daemon/src/main/java/org/mimosahinge/daemon/traffic/BackendPool.java
@@ -6,11 +6,12 @@
 import io.netty.channel.ChannelOption;
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioSocketChannel;
-import io.netty.handler.codec.http.HttpClientCodec;
+import io.netty.handler.codec.http.HttpRequestEncoder;
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.function.Consumer;
 import org.mimosahinge.api.world.HostPort;
+import org.mimosahinge.net.http.PendingResponseDecoder;
 
 /** Kept connections to one backend server on one event loop. */
 final class BackendPool {
@@ -47,7 +48,11 @@
                 .handler(new ChannelInitializer<SocketChannel>() {
                     @Override
                     protected void initChannel(SocketChannel channel) {
-                        channel.pipeline().addLast(new HttpClientCodec(), connection);
+                        channel.pipeline()
+                                .addLast(
+                                        new PendingResponseDecoder(connection::pending),
+                                        new HttpRequestEncoder(),
+                                        connection);
                     }
                 })
                 .connect(address.host(), address.port())
--- a/daemon/src/test/java/org/mimosahinge/daemon/traffic/EndlessAnswerTest.java
+++ b/daemon/src/test/java/org/mimosahinge/daemon/traffic/EndlessAnswerTest.java
@@ -272,6 +272,20 @@
         }
     }
 
+    /** Guards against a call that gets bytes behind an earlier response as the beginning of its own. */
+    @ParameterizedTest(name = "bytes {index}")
+    @ValueSource(strings = {"x", OK, OK + "x-a: ", OK + "content-length: 5\r\n", OK + "content-length: 5\r\n\r\nwr"})
+    void bytesBehindAnAnswerMeetNoLaterCall(String behind) throws Exception {
+        try (ScriptedBackend backend = ScriptedBackend.start((request, out) ->
+                        ScriptedBackend.write(out, OK + "content-length: 1\r\n\r\n" + request.connection() + behind));
+                TestMesh mesh = new TestMesh(1, null)
+                        .route(TestMesh.route("/x", false, false))
+                        .endpoint(0, "svc", backend.address(), 1)) {
+            assertEquals("1", mesh.get("/x").body());
+            assertEquals("2", mesh.get("/x").body());
+        }
+    }
+
     private static TestMesh mesh(int nodes, FleetRole role) {
         TrafficPolicies standard = TrafficPolicies.standard();
         return new TestMesh(
