Bound the rest of a response of which only the head is used

Before: a refusal, or a failure that another attempt replaces, gave its slot back only at the end of its body. The call had been answered, so its deadline no longer applied, and nobody granted credit beyond the first window. A body longer than 64 KB, without end, or announced and never sent, held its slot for as long as the backend server kept the connection open.

Cause: the rest was read so that the connection can be kept, with no bound.

The attempt now gives its exchange up when the rest has taken one window, the most that arrives without credit, or 500 ms. That closes the connection and returns the slot over the same way as any cancelled call, also over another node or event loop. Short rests keep their connection as before.

--- a/daemon/src/main/java/org/mimosahinge/daemon/traffic/Attempt.java
+++ b/daemon/src/main/java/org/mimosahinge/daemon/traffic/Attempt.java
@@ -1,6 +1,7 @@
 package org.mimosahinge.daemon.traffic;
 
 import java.util.Optional;
+import java.util.concurrent.ScheduledFuture;
 import java.util.concurrent.TimeUnit;
 import org.mimosahinge.api.contract.Route;
 import org.mimosahinge.api.error.ErrorCode;
@@ -20,6 +21,12 @@
     /** Silence within a body that is tolerated while the caller has taken everything. */
     private static final long BODY_SILENCE_MS = 1_500;
 
+    /** The rest of an unwanted response follows its head at once; a slot must not wait for one that does not. */
+    private static final long REST_MS = 500;
+
+    /** A longer rest needs credit, which only a reader gives; a new connection costs less than reading it. */
+    private static final int REST_BYTES = FlowWindow.BYTES;
+
     private final EntryCall call;
     private final TrafficLoop loop;
     private final EndpointTracker tracker;
@@ -39,6 +46,8 @@
     private boolean late;
 
     private boolean ended;
+    private ScheduledFuture<?> restLimit;
+    private long restBytes;
 
     Attempt(EntryCall call, TrafficLoop loop, Endpoint endpoint, Route route) {
         this.call = call;
@@ -124,9 +133,9 @@
         }
         tracker.reported(start.load(), TrafficLoop.nowMs());
         if (loop.protocol().refused().test(start.status(), start.headers())) {
-            // The rest of the refusal is read and dropped so that the connection can be kept.
             call.attemptReached();
             end(Optional.of(FailureKind.SHED));
+            dropRest();
             call.attemptFailed(
                     this, CallFailures.notRun(0, ErrorCode.OVERLOADED, "The backend server refused the call"));
             return;
@@ -142,6 +151,7 @@
         }
         if (start.status() >= SERVER_ERRORS && call.mayReplaceFailure()) {
             end(Optional.of(FailureKind.SERVER_ERROR));
+            dropRest();
             call.attemptFailed(
                     this,
                     CallFailures.mayHaveRun(
@@ -156,9 +166,24 @@
         call.started(this, start);
     }
 
+    /** Lets the rest of a response that is not used arrive within limits, so that its connection can be kept. */
+    private void dropRest() {
+        restLimit = loop.eventLoop().schedule(exchange::cancel, REST_MS, TimeUnit.MILLISECONDS);
+    }
+
+    private void restDropped(int bytes, boolean last) {
+        restBytes += bytes;
+        if (restLimit != null && (last || restBytes >= REST_BYTES)) {
+            restLimit.cancel(false);
+            // Has no effect on a call that is complete.
+            exchange.cancel();
+        }
+    }
+
     @Override
     public void body(byte[] bytes, boolean last) {
         if (ended) {
+            restDropped(bytes.length, last);
             return;
         }
         progressNanos = System.nanoTime();
--- a/daemon/src/test/java/org/mimosahinge/daemon/traffic/EndlessAnswerTest.java
+++ b/daemon/src/test/java/org/mimosahinge/daemon/traffic/EndlessAnswerTest.java
@@ -21,6 +21,7 @@
 import java.util.stream.Stream;
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.Arguments;
 import org.junit.jupiter.params.provider.MethodSource;
 import org.junit.jupiter.params.provider.ValueSource;
 import org.mimosahinge.api.contract.CallClass;
@@ -62,7 +63,9 @@
         /** A failure of which the node knows no outcome, or an incomplete response and the connection's end. */
         NO_WHOLE_ANSWER,
         /** The response that ended before the endless bytes. */
-        ANSWERED
+        ANSWERED,
+        /** The backend server's statement that it has not run the call. */
+        REFUSED
     }
 
     /** Bytes that a backend server sends once, and others that it repeats until its connection is closed. */
@@ -120,6 +123,7 @@
 
     private static Stream<Endless> endless() {
         String chunked = OK + "transfer-encoding: chunked\r\n\r\n";
+        String notRun = "HTTP/1.1 503 Service Unavailable\r\nx-mimosahinge-outcome: not-run\r\n";
         return Stream.of(
                 new Endless("no head", "", BLOCK, Outcome.NO_WHOLE_ANSWER),
                 new Endless("blank lines", "", "\r\n", Outcome.NO_WHOLE_ANSWER),
@@ -137,6 +141,8 @@
                         BLOCK,
                         Outcome.NO_WHOLE_ANSWER),
                 new Endless("body without length", OK + "\r\n", BLOCK, Outcome.NO_WHOLE_ANSWER),
+                new Endless(
+                        "failure's body", "HTTP/1.1 500 Internal Server Error\r\n\r\n", BLOCK, Outcome.NO_WHOLE_ANSWER),
                 new Endless(
                         "informational responses",
                         "",
@@ -148,7 +154,13 @@
                 new Endless("foreign body", FOREIGN + "\r\n", BLOCK, Outcome.NO_WHOLE_ANSWER),
                 new Endless("bytes behind the answer", WHOLE, BLOCK, Outcome.ANSWERED),
                 new Endless("blank lines behind the answer", WHOLE, "\r\n", Outcome.ANSWERED),
-                new Endless("responses behind the answer", WHOLE, WHOLE, Outcome.ANSWERED));
+                new Endless("responses behind the answer", WHOLE, WHOLE, Outcome.ANSWERED),
+                new Endless("refusal's body", notRun + "\r\n", BLOCK, Outcome.REFUSED),
+                new Endless(
+                        "refusal's chunks",
+                        notRun + "transfer-encoding: chunked\r\n\r\n",
+                        "1\r\nx\r\n",
+                        Outcome.REFUSED));
     }
 
     /** Guards against a node that collects endless bytes, waits for their end or keeps their slot. */
@@ -223,6 +235,8 @@
         int status = Integer.parseInt(received.substring(9, 12));
         switch (endless.outcome()) {
             case ANSWERED -> assertTrue(status == 200 && received.endsWith("\r\n\r\nok"), beginning(received));
+            case REFUSED -> assertTrue(
+                    status == 503 && received.contains("x-mimosahinge-outcome: not-run"), beginning(received));
             default -> {
                 assertFalse(PROMISES.contains(status), beginning(received));
                 boolean ofNode = received.contains(HeaderMaps.OUTCOME + ": unknown");
@@ -286,6 +300,37 @@
         }
     }
 
+    private static Stream<Arguments> unwantedRests() {
+        return Stream.of("503 Service Unavailable\r\nx-mimosahinge-outcome: not-run", "500 Internal Server Error")
+                .flatMap(status -> Stream.of(1_000_000, 5)
+                        .flatMap(length -> Stream.of(0, 1).map(node -> Arguments.of(status, length, node))));
+    }
+
+    /** Guards against a slot that is lost with a response of which only the head is used. */
+    @ParameterizedTest(name = "{0}, length {1}, endpoint beside node {2}")
+    @MethodSource("unwantedRests")
+    void theRestOfAnUnwantedResponseHoldsNoSlot(String status, int length, int node) throws Exception {
+        try (ScriptedBackend backend = ScriptedBackend.start((request, out) -> {
+                    if (!request.uri().equals("/x/unwanted")) {
+                        ScriptedBackend.respond(out, "200 OK", "small");
+                        return;
+                    }
+                    // The last byte never comes.
+                    String part = "x".repeat(length - 1);
+                    ScriptedBackend.write(
+                            out, "HTTP/1.1 " + status + "\r\ncontent-length: " + length + "\r\n\r\n" + part);
+                });
+                TestMesh mesh = mesh(2, new FleetRole(false, false, 64 * 1024))
+                        .route(TestMesh.route("/x", true, false))
+                        .endpoint(node, "svc", backend.address(), 1)) {
+            // Calls before this one let its failure be replaced within the budget of retries.
+            assertEquals("small", mesh.get("/x").body());
+            String outcome = TestMesh.outcome(mesh.get("/x/unwanted"));
+            assertEquals(status.startsWith("503") ? "503 not-run" : "500 unknown", outcome);
+            assertEquals("small", mesh.get("/x").body());
+        }
+    }
+
     private static TestMesh mesh(int nodes, FleetRole role) {
         TrafficPolicies standard = TrafficPolicies.standard();
         return new TestMesh(
