Remove the check of both lengths, which never applied

A request with both Content-Length and Transfer-Encoding was meant to get 400, because a backend server could read its length differently. The check never saw one: the HTTP decoder drops the Content-Length of such a request before it hands the head on. The danger does not exist either, since the body is forwarded in chunks without a Content-Length.

The check and its cause are gone. The row "both lengths" of OwnAnswersTest.properRequestsAreUnderstood holds what protects the backend server: no forwarded request has both, and the request behind it on the connection is read from its own first byte.

--- a/daemon/src/main/java/org/mimosahinge/daemon/traffic/CallerConnection.java
+++ b/daemon/src/main/java/org/mimosahinge/daemon/traffic/CallerConnection.java
@@ -121,10 +121,6 @@
                 return;
             }
             if (message instanceof HttpRequest request) {
-                if (ambiguous(request)) {
-                    reject(RejectCause.AMBIGUOUS_LENGTH, RejectCause.AMBIGUOUS_LENGTH.message(), loop.snapshot());
-                    return;
-                }
                 Snapshot snapshot = loop.snapshot();
                 int headLimit = snapshot.callerLimits().maxHeaderBytes();
                 // A node without a proven configuration knows no limits; it refuses the request as not run.
@@ -143,12 +139,6 @@
         }
     }
 
-    /** Two statements of a body's length could be read differently by a backend server. */
-    private static boolean ambiguous(HttpRequest request) {
-        return HttpUtil.isTransferEncodingChunked(request)
-                && request.headers().contains(HttpHeaderNames.CONTENT_LENGTH);
-    }
-
     private void reject(RejectCause cause, String reason, Snapshot decided) {
         rejected = true;
         String requestId = turn == null ? "-" : turn.requestId();
--- a/daemon/src/main/java/org/mimosahinge/daemon/traffic/RejectCause.java
+++ b/daemon/src/main/java/org/mimosahinge/daemon/traffic/RejectCause.java
@@ -9,8 +9,6 @@
 enum RejectCause {
     /** The request line, a header or a chunk is not valid HTTP/1.1. */
     MALFORMED(400, ErrorCode.SYNTAX, "Request is not valid HTTP/1.1"),
-    /** Two statements of a body's length could be read differently by a backend server. */
-    AMBIGUOUS_LENGTH(400, ErrorCode.SYNTAX, "Request has both Content-Length and Transfer-Encoding"),
     /** The request line or the headers exceed the limit of callers. */
     HEAD_TOO_LONG(431, ErrorCode.TOO_LARGE, "Request line or headers are too long"),
     /** The body exceeds the limit of callers. */
--- a/daemon/src/test/java/org/mimosahinge/daemon/traffic/OwnAnswersTest.java
+++ b/daemon/src/test/java/org/mimosahinge/daemon/traffic/OwnAnswersTest.java
@@ -133,6 +133,10 @@
                         "200 200"),
                 Arguments.of(
                         "chunk extensions and trailers", String.format(post, "/x", chunked, chunks) + LAST, "200 200"),
+                Arguments.of(
+                        "both lengths",
+                        String.format(post, "/x", "content-length: 9\r\n" + chunked, chunks) + LAST,
+                        "200 200"),
                 Arguments.of(
                         "a body behind an early refusal",
                         String.format(post, "/none", "content-length: 5\r\n", "GET /") + LAST,
@@ -168,6 +172,9 @@
             assertEquals(statuses, caller.send(text).statuses());
             assertTrue(
                     backend.received.stream().allMatch(request -> request.uri().startsWith("/")));
+            assertTrue(backend.received.stream()
+                    .noneMatch(request -> !request.header("content-length").isEmpty()
+                            && !request.header("transfer-encoding").isEmpty()));
         }
     }
 
