Tell callers when a rejected request may have been forwarded in part

A 400 for a bad chunk and a 413 for bytes beyond the limit bore x-mimosahinge-outcome: not-run even when the head and part of the body were already on their way to a backend server. That header guarantees that no backend server worked on the request, so a caller could repeat work that must not run twice.

The answer now says "unknown" once an attempt has begun, and "not-run" before.

Evidence: the two rows with chunks of OwnAnswersTest.aRejectionTellsWhetherTheRequestWasForwarded failed before with not-run instead of unknown and pass after; the row with a stated length passes before and after.

--- a/daemon/src/main/java/org/mimosahinge/daemon/traffic/CallDecisions.java
+++ b/daemon/src/main/java/org/mimosahinge/daemon/traffic/CallDecisions.java
@@ -95,7 +95,7 @@
                 decided.routes().size());
     }
 
-    /** A request was rejected before it was routed. */
+    /** A request was rejected by its form or its size. */
     void rejected(Rejection rejection, Snapshot decided) {
         metrics.rejected(rejection.cause());
         LOG.info(
--- a/daemon/src/main/java/org/mimosahinge/daemon/traffic/CallerConnection.java
+++ b/daemon/src/main/java/org/mimosahinge/daemon/traffic/CallerConnection.java
@@ -150,7 +150,8 @@
             channel.close();
             return;
         }
-        channel.writeAndFlush(ErrorResponses.rejected(cause)).addListener(ChannelFutureListener.CLOSE);
+        boolean forwarded = turn != null && turn.call.forwarded();
+        channel.writeAndFlush(ErrorResponses.rejected(cause, forwarded)).addListener(ChannelFutureListener.CLOSE);
         channel.config().setAutoRead(false);
     }
 
@@ -250,7 +251,8 @@
             loop.decisions()
                     .rejected(
                             new Rejection(cause, requestId(), requests, "More than " + bodyLimit + " bytes"), snapshot);
-            channel.writeAndFlush(ErrorResponses.rejected(cause)).addListener(ChannelFutureListener.CLOSE);
+            channel.writeAndFlush(ErrorResponses.rejected(cause, call.forwarded()))
+                    .addListener(ChannelFutureListener.CLOSE);
         }
 
         void content(HttpContent content) {
--- a/daemon/src/main/java/org/mimosahinge/daemon/traffic/EntryCall.java
+++ b/daemon/src/main/java/org/mimosahinge/daemon/traffic/EntryCall.java
@@ -139,6 +139,11 @@
         plan.send(attempt, headers);
     }
 
+    /** Tells whether a backend server may have received part of the request. */
+    boolean forwarded() {
+        return attempt != null;
+    }
+
     /** Takes part of the request's body from the caller. */
     void requestBody(byte[] bytes, boolean last) {
         body.add(bytes, last);
--- a/daemon/src/main/java/org/mimosahinge/daemon/traffic/ErrorResponses.java
+++ b/daemon/src/main/java/org/mimosahinge/daemon/traffic/ErrorResponses.java
@@ -22,18 +22,22 @@
             response.headers()
                     .set(HttpHeaderNames.RETRY_AFTER, protocol.retryAfter().apply(failure.retryAfterMs()));
         }
-        response.headers().set(HeaderMaps.OUTCOME, failure.notRun() ? HeaderMaps.NOT_RUN : "unknown");
+        response.headers().set(HeaderMaps.OUTCOME, outcome(failure.notRun()));
         return response;
     }
 
-    /** Answers a request that was rejected before it was routed, and whose connection ends. */
-    static FullHttpResponse rejected(RejectCause cause) {
+    /** Answers a request that was rejected, at its head or within its body, and whose connection ends. */
+    static FullHttpResponse rejected(RejectCause cause, boolean forwarded) {
         FullHttpResponse response = json(cause.status(), cause.code().code(), cause.message());
-        response.headers().set(HeaderMaps.OUTCOME, HeaderMaps.NOT_RUN);
+        response.headers().set(HeaderMaps.OUTCOME, outcome(!forwarded));
         response.headers().set(HttpHeaderNames.CONNECTION, "close");
         return response;
     }
 
+    private static String outcome(boolean notRun) {
+        return notRun ? HeaderMaps.NOT_RUN : "unknown";
+    }
+
     private static FullHttpResponse json(int status, String code, String message) {
         String text = "{\"code\":\"" + code + "\",\"message\":\"" + escaped(message) + "\"}";
         FullHttpResponse response = new DefaultFullHttpResponse(
--- a/daemon/src/main/java/org/mimosahinge/daemon/traffic/RejectCause.java
+++ b/daemon/src/main/java/org/mimosahinge/daemon/traffic/RejectCause.java
@@ -5,7 +5,7 @@
 import java.util.Locale;
 import org.mimosahinge.api.error.ErrorCode;
 
-/** Why a request was rejected before it was routed. */
+/** Why a request was rejected by its form or its size. */
 enum RejectCause {
     /** The request line, a header or a chunk is not valid HTTP/1.1. */
     MALFORMED(400, ErrorCode.SYNTAX, "Request is not valid HTTP/1.1"),
--- a/daemon/src/main/java/org/mimosahinge/daemon/traffic/Rejection.java
+++ b/daemon/src/main/java/org/mimosahinge/daemon/traffic/Rejection.java
@@ -1,7 +1,7 @@
 package org.mimosahinge.daemon.traffic;
 
 /**
- * A request that was rejected before it was routed.
+ * A request that was rejected by its form or its size.
  *
  * @param cause why
  * @param requestId id of the request, {@code -} when its head was not understood
--- a/daemon/src/test/java/org/mimosahinge/daemon/traffic/OwnAnswersTest.java
+++ b/daemon/src/test/java/org/mimosahinge/daemon/traffic/OwnAnswersTest.java
@@ -75,6 +75,25 @@
         }
     }
 
+    // Guards against a rejection within a body that denies what was forwarded before.
+    @ParameterizedTest(name = "{0}")
+    @CsvSource({
+        "content-length: 200, '', 413, not-run",
+        "transfer-encoding: chunked, 3/abc/zz/, 400, unknown",
+        "transfer-encoding: chunked, 3/abc/ff/, 413, unknown"
+    })
+    void aRejectionTellsWhetherTheRequestWasForwarded(String length, String chunks, int status, String outcome)
+            throws Exception {
+        try (ScriptedBackend backend = ScriptedBackend.echo("b");
+                TestMesh mesh = mesh(backend).limits(16_384, 100)) {
+            String text = "POST /x HTTP/1.1\r\nhost: a\r\n" + length + "\r\n\r\n" + chunks.replace("/", "\r\n")
+                    + "y".repeat(255);
+            String answer = TestMesh.raw(mesh.planes.get(0).callers(), text);
+            assertTrue(answer.startsWith("HTTP/1.1 " + status), answer);
+            assertTrue(answer.contains("x-mimosahinge-outcome: " + outcome + "\r\n"), answer);
+        }
+    }
+
     // Guards against callers' errors of backend servers that look like the node's own.
     @ParameterizedTest(name = "status {0}")
     @CsvSource({"302, 3xx, 1", "404, 4xx, 1", "200, 4xx, 0"})
