Close connections of the message client that bring bytes behind a response

Before: bytes behind a whole response stayed in the decoder of the kept connection and became the beginning of the next response. Of the bytes tried in eachRequestGetsItsOwnResponse, the next request got status 999 for "x", status 200 without a body for a status line, and the rest of an announced body joined to the true response. A read of the platform's store could so succeed with a content that the store never gave.

Cause: the same as for backend connections; the client codec decodes bytes that no request waits for.

The client uses PendingResponseDecoder. A kept connection that was closed between being taken and being used had nothing sent on it, so the request now goes over a new one instead of failing as possibly sent.

--- a/net/src/main/java/org/mimosahinge/net/http/HttpMessageClient.java
+++ b/net/src/main/java/org/mimosahinge/net/http/HttpMessageClient.java
@@ -14,10 +14,10 @@
 import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.FullHttpResponse;
-import io.netty.handler.codec.http.HttpClientCodec;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpObjectAggregator;
+import io.netty.handler.codec.http.HttpRequestEncoder;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
 import java.time.Duration;
@@ -25,6 +25,7 @@
 import java.util.HashMap;
 import java.util.Locale;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Queue;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
@@ -73,10 +74,25 @@
     public CompletionStage<HttpMessageResponse> send(HostPort target, HttpMessageRequest request) {
         Exchange exchange = new Exchange(target, request);
         Channel reused = takeIdle(target);
-        if (reused != null) {
-            reused.eventLoop().execute(() -> exchange.start(reused));
-            return exchange.result;
+        if (reused == null) {
+            connect(exchange);
+        } else {
+            reused.eventLoop().execute(() -> resume(exchange, reused));
         }
+        return exchange.result;
+    }
+
+    private void resume(Exchange exchange, Channel reused) {
+        if (reused.isActive()) {
+            exchange.start(reused);
+        } else {
+            // It was closed after it had been taken, so nothing was sent on it.
+            connect(exchange);
+        }
+    }
+
+    private void connect(Exchange exchange) {
+        HostPort target = exchange.target;
         KeepAlive.on(new Bootstrap())
                 .group(group)
                 .channel(NioSocketChannel.class)
@@ -85,12 +101,14 @@
                 .handler(new ChannelInitializer<SocketChannel>() {
                     @Override
                     protected void initChannel(SocketChannel connection) {
+                        ResponseHandler handler = new ResponseHandler();
                         connection
                                 .pipeline()
                                 .addLast(
-                                        new HttpClientCodec(),
+                                        new PendingResponseDecoder(handler::pending),
+                                        new HttpRequestEncoder(),
                                         new HttpObjectAggregator(MAX_BODY_BYTES),
-                                        new ResponseHandler());
+                                        handler);
                     }
                 })
                 .connect(target.host(), target.port())
@@ -101,7 +119,6 @@
                         exchange.result.completeExceptionally(HttpExchangeException.notSent(target, connected.cause()));
                     }
                 });
-        return exchange.result;
     }
 
     private Channel takeIdle(HostPort target) {
@@ -159,6 +176,10 @@
 
         private final Queue<Exchange> expected = new ArrayDeque<>(1);
 
+        Optional<HttpMethod> pending() {
+            return Optional.ofNullable(expected.peek()).map(exchange -> HttpMethod.valueOf(exchange.request.method()));
+        }
+
         void expect(Exchange exchange, Channel channel) {
             expected.add(exchange);
             if (!channel.isActive()) {
--- /dev/null
+++ b/net/src/test/java/org/mimosahinge/net/http/EndlessResponseTest.java
@@ -0,0 +1,112 @@
+package org.mimosahinge.net.http;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.nio.NioEventLoopGroup;
+import java.io.BufferedReader;
+import java.io.IOException;
+import java.io.InputStreamReader;
+import java.io.OutputStream;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.Map;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+import org.mimosahinge.api.world.HostPort;
+
+/** Guards against servers whose bytes are no response, or go on without end. */
+@Timeout(60)
+class EndlessResponseTest {
+
+    private static final Duration GENEROUS_LIMIT = Duration.ofSeconds(30);
+
+    private static final String OK = "HTTP/1.1 200 OK\r\n";
+
+    /** Answers one request. */
+    @FunctionalInterface
+    private interface Script {
+        void answer(int connection, OutputStream out) throws IOException;
+    }
+
+    /** A server whose every byte a test decides. */
+    private static final class ScriptedServer implements AutoCloseable {
+
+        private final ServerSocket server = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
+        private final CountDownLatch closed = new CountDownLatch(1);
+        private final Script script;
+        private int connections;
+
+        ScriptedServer(Script script) throws IOException {
+            this.script = script;
+            Thread acceptor = new Thread(this::accept, "scripted-server");
+            acceptor.setDaemon(true);
+            acceptor.start();
+        }
+
+        HostPort address() {
+            return new HostPort("127.0.0.1", server.getLocalPort());
+        }
+
+        private void accept() {
+            while (true) {
+                try (Socket socket = server.accept()) {
+                    serve(socket, ++connections);
+                } catch (IOException e) {
+                    closed.countDown();
+                    if (server.isClosed()) {
+                        return;
+                    }
+                }
+            }
+        }
+
+        private void serve(Socket socket, int connection) throws IOException {
+            BufferedReader in =
+                    new BufferedReader(new InputStreamReader(socket.getInputStream(), StandardCharsets.ISO_8859_1));
+            for (String line = in.readLine(); line != null; line = in.readLine()) {
+                if (line.isEmpty()) {
+                    script.answer(connection, socket.getOutputStream());
+                }
+            }
+        }
+
+        @Override
+        public void close() throws IOException {
+            server.close();
+        }
+    }
+
+    /** Guards against bytes before or behind a response that become part of the next one. */
+    @ParameterizedTest(name = "bytes {index}")
+    @ValueSource(strings = {"%s", "%sx", "%s" + OK, "%s" + OK + "x-a: ", "%s" + OK + "content-length: 5\r\n\r\nwr"})
+    void eachRequestGetsItsOwnResponse(String around) throws Exception {
+        EventLoopGroup group = new NioEventLoopGroup(1);
+        int[] requests = new int[1];
+        try (ScriptedServer server = new ScriptedServer((connection, out) -> {
+                    // Another status than that of the bytes around it.
+                    String response = "HTTP/1.1 404 Not Found\r\ncontent-length: 1\r\n\r\n" + ++requests[0];
+                    out.write(String.format(around, response).getBytes(StandardCharsets.ISO_8859_1));
+                });
+                HttpMessageClient client = HttpMessageClient.create(group, GENEROUS_LIMIT)) {
+            for (int i = 1; i <= 3; i++) {
+                HttpMessageResponse response = get(client, server);
+                assertEquals("404 " + i, response.status() + " " + new String(response.body(), StandardCharsets.UTF_8));
+            }
+        } finally {
+            group.shutdownGracefully(0, 1, TimeUnit.SECONDS).sync();
+        }
+    }
+
+    private static HttpMessageResponse get(HttpMessageClient client, ScriptedServer server) {
+        return client.send(server.address(), new HttpMessageRequest("GET", "/", Map.of(), new byte[0]))
+                .toCompletableFuture()
+                .join();
+    }
+}
