Fail an exchange whose response is malformed

Before: a response with an endless header, chunk size or trailer, and bytes that are no response at all, completed the exchange: with the status that had been read and the part of the body before the fault, or with status 999. A store's answer that broke off there looked whole, with an empty or short body.

Cause: Netty's aggregator hands a message on whose decoding failed, with the failure in its decoder result, which the client did not look at.

The client fails the exchange as one without a response and closes the connection.

--- a/net/src/main/java/org/mimosahinge/net/http/HttpMessageClient.java
+++ b/net/src/main/java/org/mimosahinge/net/http/HttpMessageClient.java
@@ -189,6 +189,12 @@
 
         @Override
         protected void channelRead0(ChannelHandlerContext context, FullHttpResponse message) {
+            if (message.decoderResult().isFailure()) {
+                // What was read of it before would look like a whole response.
+                fail(message.decoderResult().cause());
+                context.close();
+                return;
+            }
             Exchange exchange = expected.poll();
             if (exchange == null) {
                 context.close();
--- a/net/src/test/java/org/mimosahinge/net/http/EndlessResponseTest.java
+++ b/net/src/test/java/org/mimosahinge/net/http/EndlessResponseTest.java
@@ -1,6 +1,8 @@
 package org.mimosahinge.net.http;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertInstanceOf;
+import static org.junit.jupiter.api.Assertions.assertThrows;
 
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.nio.NioEventLoopGroup;
@@ -14,10 +16,13 @@
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.Map;
+import java.util.concurrent.CompletionException;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
+import java.util.stream.Stream;
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.MethodSource;
 import org.junit.jupiter.params.provider.ValueSource;
 import org.mimosahinge.api.world.HostPort;
 
@@ -25,10 +30,25 @@
 @Timeout(60)
 class EndlessResponseTest {
 
+    /** Limit of one exchange; short so that a response that is never noticed to be none ends soon. */
+    private static final Duration LIMIT = Duration.ofMillis(500);
+
     private static final Duration GENEROUS_LIMIT = Duration.ofSeconds(30);
 
+    private static final int BLOCK_BYTES = 1024;
+
     private static final String OK = "HTTP/1.1 200 OK\r\n";
 
+    private static final String BLOCK = "x".repeat(BLOCK_BYTES);
+
+    /** Bytes that a server sends once, and others that it repeats until its connection is closed. */
+    private record Endless(String name, String head, String unit) {
+        @Override
+        public String toString() {
+            return name;
+        }
+    }
+
     /** Answers one request. */
     @FunctionalInterface
     private interface Script {
@@ -83,6 +103,46 @@
         }
     }
 
+    private static Stream<Endless> endless() {
+        String chunked = OK + "transfer-encoding: chunked\r\n\r\n";
+        return Stream.of(
+                new Endless("no head", "", BLOCK),
+                new Endless("blank lines", "", "\r\n"),
+                new Endless("status line", "HTTP/1.1 200 ", BLOCK),
+                new Endless("one header", OK + "x-a: ", BLOCK),
+                new Endless("headers", OK, "x-a: b\r\n"),
+                new Endless("chunk size", chunked + "2\r\nok\r\n", "0"),
+                new Endless("one chunk", chunked + "7fffffff\r\n", BLOCK),
+                new Endless("chunks", chunked, "400\r\n" + BLOCK + "\r\n"),
+                new Endless("trailers", chunked + "2\r\nok\r\n0\r\n", "x-a: b\r\n"),
+                new Endless("announced body", OK + "content-length: " + Long.MAX_VALUE + "\r\n\r\n", BLOCK),
+                new Endless("body without length", OK + "\r\n", BLOCK));
+    }
+
+    /** Guards against a response that looks whole though its end never came, and against reading on for ever. */
+    @ParameterizedTest(name = "{0}")
+    @MethodSource("endless")
+    void anEndlessResponseIsNone(Endless endless) throws Exception {
+        byte[] head = endless.head().getBytes(StandardCharsets.ISO_8859_1);
+        byte[] block = endless.unit()
+                .repeat(Math.max(1, BLOCK_BYTES / endless.unit().length()))
+                .getBytes(StandardCharsets.ISO_8859_1);
+        EventLoopGroup group = new NioEventLoopGroup(1);
+        try (ScriptedServer server = new ScriptedServer((connection, out) -> {
+                    out.write(head);
+                    while (true) {
+                        out.write(block);
+                    }
+                });
+                HttpMessageClient client = HttpMessageClient.create(group, LIMIT)) {
+            CompletionException failure = assertThrows(CompletionException.class, () -> get(client, server));
+            assertInstanceOf(HttpExchangeException.class, failure.getCause());
+            server.closed.await();
+        } finally {
+            group.shutdownGracefully(0, 1, TimeUnit.SECONDS).sync();
+        }
+    }
+
     /** Guards against bytes before or behind a response that become part of the next one. */
     @ParameterizedTest(name = "bytes {index}")
     @ValueSource(strings = {"%s", "%sx", "%s" + OK, "%s" + OK + "x-a: ", "%s" + OK + "content-length: 5\r\n\r\nwr"})
