Skip informational responses in the message client

Before: an informational response completed the exchange with its own status, and the response that followed it closed the connection or became that of the next request. A 103 before a 200 gave status 103 without a body; endless ones gave 103 at once.

Cause: the client took each message of the aggregator for the response.

Informational responses are dropped until the final one comes; the limit of the exchange ends endless ones.

--- a/net/src/main/java/org/mimosahinge/net/http/HttpMessageClient.java
+++ b/net/src/main/java/org/mimosahinge/net/http/HttpMessageClient.java
@@ -18,6 +18,7 @@
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpObjectAggregator;
 import io.netty.handler.codec.http.HttpRequestEncoder;
+import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
 import java.time.Duration;
@@ -195,6 +196,9 @@
                 context.close();
                 return;
             }
+            if (message.status().codeClass() == HttpStatusClass.INFORMATIONAL) {
+                return;
+            }
             Exchange exchange = expected.poll();
             if (exchange == null) {
                 context.close();
--- a/net/src/test/java/org/mimosahinge/net/http/EndlessResponseTest.java
+++ b/net/src/test/java/org/mimosahinge/net/http/EndlessResponseTest.java
@@ -30,7 +30,7 @@
 @Timeout(60)
 class EndlessResponseTest {
 
-    /** Limit of one exchange; short so that a response that is never noticed to be none ends soon. */
+    /** Limit of one exchange; short because endless informational responses last as long. */
     private static final Duration LIMIT = Duration.ofMillis(500);
 
     private static final Duration GENEROUS_LIMIT = Duration.ofSeconds(30);
@@ -116,7 +116,8 @@
                 new Endless("chunks", chunked, "400\r\n" + BLOCK + "\r\n"),
                 new Endless("trailers", chunked + "2\r\nok\r\n0\r\n", "x-a: b\r\n"),
                 new Endless("announced body", OK + "content-length: " + Long.MAX_VALUE + "\r\n\r\n", BLOCK),
-                new Endless("body without length", OK + "\r\n", BLOCK));
+                new Endless("body without length", OK + "\r\n", BLOCK),
+                new Endless("informational responses", "", "HTTP/1.1 103 Early Hints\r\n\r\n"));
     }
 
     /** Guards against a response that looks whole though its end never came, and against reading on for ever. */
@@ -145,7 +146,15 @@
 
     /** Guards against bytes before or behind a response that become part of the next one. */
     @ParameterizedTest(name = "bytes {index}")
-    @ValueSource(strings = {"%s", "%sx", "%s" + OK, "%s" + OK + "x-a: ", "%s" + OK + "content-length: 5\r\n\r\nwr"})
+    @ValueSource(
+            strings = {
+                "%s",
+                "HTTP/1.1 103 Early Hints\r\nlink: a\r\n\r\n%s",
+                "%sx",
+                "%s" + OK,
+                "%s" + OK + "x-a: ",
+                "%s" + OK + "content-length: 5\r\n\r\nwr"
+            })
     void eachRequestGetsItsOwnResponse(String around) throws Exception {
         EventLoopGroup group = new NioEventLoopGroup(1);
         int[] requests = new int[1];
