Test spreads of rows after an absence of the platform and over a narrow link

Guards against reads by all nodes when the platform returns, against nodes that wait too long for two readers that froze, and against reads that keep a narrow link between regions full.

--- a/daemon/src/test/java/org/mimosahinge/daemon/fleet/RowSpreadModel.java
+++ b/daemon/src/test/java/org/mimosahinge/daemon/fleet/RowSpreadModel.java
@@ -94,7 +94,7 @@
                 long clock = nowMs;
                 boolean rows = at > storeRevision;
                 storeRowsAnswered += rows ? 1 : 0;
-                after(delayMs(node.zone().region()), () -> {
+                after(answerDelayMs(node.zone().region(), rows), () -> {
                     if (life == exchange && !frozen) {
                         if (rows) {
                             storeRevision = at;
@@ -178,6 +178,9 @@
     private long connections;
     private long revision;
     private long order;
+    private long rowLinkMs;
+    private long linkQueueMs;
+    private long linkFreeMs;
     private long nowMs = 1_000;
     long storeRowsAnswered;
 
@@ -292,6 +295,26 @@
         return region.equals(storeRegion) ? NEAR_MS : FAR_MS;
     }
 
+    /** Answers with rows wait for each other on the link between the platform's region and the others. */
+    private long answerDelayMs(Region region, boolean rows) {
+        if (region.equals(storeRegion)) {
+            return NEAR_MS;
+        }
+        linkFreeMs = Math.max(linkFreeMs, nowMs) + (rows ? rowLinkMs : 0);
+        return linkFreeMs - nowMs + linkQueueMs + FAR_MS;
+    }
+
+    /**
+     * Bounds the link from the platform's region to the others.
+     *
+     * @param rowMs time that one answer with rows occupies it
+     * @param queueMs time that any answer waits behind calls
+     */
+    void link(long rowMs, long queueMs) {
+        rowLinkMs = rowMs;
+        linkQueueMs = queueMs;
+    }
+
     private void deliver(Member from, Member to, Runnable task) {
         if (down.contains(from.node.id()) || random.nextDouble() < lost) {
             return;
--- a/daemon/src/test/java/org/mimosahinge/daemon/fleet/RowSpreadTest.java
+++ b/daemon/src/test/java/org/mimosahinge/daemon/fleet/RowSpreadTest.java
@@ -109,4 +109,52 @@
         fleet.run(IN_FORCE_MS);
         assertEquals(0, fleet.lagging());
     }
+
+    /** Guards against a short absence of the platform that makes every node read the same rows from it. */
+    @ParameterizedTest(name = "platform away for {0} ms")
+    @CsvSource({"1000", "2500", "4500"})
+    void aChangeIsReadByFewNodesWhenThePlatformReturns(int awayMs) {
+        RowSpreadModel fleet = started(64, 2, awayMs);
+        fleet.platformDown(true);
+        fleet.run(awayMs);
+        fleet.change();
+        fleet.storeRowsAnswered = 0;
+        fleet.platformDown(false);
+        fleet.run(IN_FORCE_MS);
+        assertEquals(0, fleet.lagging());
+        // At most a quarter of the fleet; without the absence four nodes read a change.
+        assertTrue(fleet.storeRowsAnswered <= 16, "answers with rows: " + fleet.storeRowsAnswered);
+    }
+
+    /** Guards against nodes that believe a silent pair of parents for longer than a change may take. */
+    @ParameterizedTest(name = "change {0} ms after the readers of a region froze")
+    @CsvSource({"0", "100", "200", "300", "400", "600"})
+    void aChangeReachesAllNodesInTimeWhenBothReadersOfARegionFreeze(int beforeMs) {
+        RowSpreadModel fleet = started(64, 2, 7 + beforeMs);
+        fleet.freeze(fleet.readers("r1"));
+        fleet.run(beforeMs);
+        fleet.change();
+        fleet.run(IN_FORCE_MS);
+        assertEquals(0, fleet.lagging());
+    }
+
+    /** Guards against reads by all nodes that keep the link between regions full, so that they never end. */
+    @ParameterizedTest(name = "platform away for {0} ms, answers wait {1} ms behind calls")
+    @CsvSource({"0, 0", "2500, 0", "0, 600", "0, 900"})
+    void aSeriesIsInForceInTimeOverANarrowLink(int awayMs, int queueMs) {
+        RowSpreadModel fleet = started(64, 2, awayMs + queueMs);
+        // 32 answers take the link between the regions 1.5 s, as on the day of the incident.
+        fleet.link(47, queueMs);
+        fleet.platformDown(awayMs > 0);
+        fleet.run(awayMs);
+        fleet.platformDown(false);
+        fleet.storeRowsAnswered = 0;
+        for (int i = 0; i < CHANGES; i++) {
+            fleet.change();
+            fleet.run(230);
+        }
+        fleet.run(IN_FORCE_MS);
+        String seen = "nodes behind: " + fleet.lagging() + ", answers with rows: " + fleet.storeRowsAnswered;
+        assertTrue(fleet.lagging() == 0 && fleet.storeRowsAnswered <= 2L * CHANGES * RowSources.READERS * 2, seen);
+    }
 }
