Test that nodes don't read again what they hold

Fails: 39 and 44 answers with rows, 0 expected, in 64 nodes of which all hold the newest rows when the platform returns. The watch of a node continues from its own last read and not from what its parents have passed on.

--- a/daemon/src/test/java/org/mimosahinge/daemon/fleet/RowSpreadTest.java
+++ b/daemon/src/test/java/org/mimosahinge/daemon/fleet/RowSpreadTest.java
@@ -126,6 +126,22 @@
         assertTrue(fleet.storeRowsAnswered <= 16, "answers with rows: " + fleet.storeRowsAnswered);
     }
 
+    /** Guards against rows that a node already holds and reads again when its parents fall silent. */
+    @ParameterizedTest(name = "platform away for {0} ms")
+    @CsvSource({"2500", "4500"})
+    void nodesThatHoldTheNewestRowsReadNoneWhenThePlatformReturns(int awayMs) {
+        RowSpreadModel fleet = started(64, 2, awayMs);
+        fleet.change();
+        fleet.run(IN_FORCE_MS);
+        assertEquals(0, fleet.lagging());
+        fleet.platformDown(true);
+        fleet.run(awayMs);
+        fleet.storeRowsAnswered = 0;
+        fleet.platformDown(false);
+        fleet.run(IN_FORCE_MS);
+        assertEquals(0, fleet.storeRowsAnswered, "answers with rows although nothing has changed");
+    }
+
     /** Guards against nodes that believe a silent pair of parents for longer than a change may take. */
     @ParameterizedTest(name = "change {0} ms after the readers of a region froze")
     @CsvSource({"0", "100", "200", "300", "400", "600"})
