Go on reading the platform from what parents have proven

A node that began to read the platform because its parents were silent read the whole document again although it held the newest rows: its own watch went on from its last own answer, and after 20 s the store has no history left. Found by review.

RowsCurrent now tells up to which revision of the platform no other rows exist; the watch goes on from there. It also tells the newest revision of the operators' rows: a node that lacks one asks at once, and is not current until it has it, where before a lost row was repaired by the next request up to two seconds later.

--- a/daemon/src/main/java/org/mimosahinge/daemon/fleet/FleetControl.java
+++ b/daemon/src/main/java/org/mimosahinge/daemon/fleet/FleetControl.java
@@ -149,8 +149,8 @@
         }
 
         @Override
-        public void read(boolean wanted) {
-            reading.follow(wanted);
+        public void read(boolean wanted, long after) {
+            reading.follow(wanted, after);
         }
     }
 
@@ -167,11 +167,12 @@
      * Takes the operators' rows that this node has read on the platform.
      *
      * @param rows the rows, in any order
+     * @param readRevision revision of the platform at its answer
      * @param platformMs the platform's clock at its answer, in milliseconds
      */
-    public void operatorRows(Collection<StoredRow> rows, long platformMs) {
+    public void operatorRows(Collection<StoredRow> rows, long readRevision, long platformMs) {
         rows(rows);
-        exchange.read(platformMs, now());
+        exchange.read(readRevision, platformMs, now());
     }
 
     /**
@@ -191,7 +192,8 @@
             if (decoded.isPresent() && decoded.get() instanceof FleetRow.NodeRow nodeRow) {
                 dial |= peers.learned(nodeRow.node(), now());
                 peers.registered(nodeRow.node(), row.revision());
-            } else if (decoded.isPresent() && exchange.accept(row, from, now())) {
+            } else if (decoded.isPresent()
+                    && exchange.accept(row, !(decoded.get() instanceof FleetRow.OutcomeRow), from, now())) {
                 changed |= take(
                         decoded.get(), row.revision(), from.map(NodeId::value).orElse("platform"));
             }
@@ -413,7 +415,7 @@
         } else if (told.frame() instanceof Frame.RowsRequest request) {
             exchange.requested(told.node().id(), request, now());
         } else if (told.frame() instanceof Frame.RowsCurrent current) {
-            exchange.current(told.node().id(), current, now());
+            exchange.current(told.node(), current, now());
         } else if (told.frame() instanceof Frame.RowDelta change) {
             exchange.restore(change, told.node())
                     .ifPresent(row -> rows(List.of(row), Optional.of(told.node().id())));
--- a/daemon/src/main/java/org/mimosahinge/daemon/fleet/RowExchange.java
+++ b/daemon/src/main/java/org/mimosahinge/daemon/fleet/RowExchange.java
@@ -52,6 +52,8 @@
     private long membership = -1;
     private boolean reading = true;
     private long parentsCurrentNanos;
+    private long operatorsNewest;
+    private long readRevision;
     private long currentMs;
     private long passedOnMs;
 
@@ -85,10 +87,13 @@
     }
 
     /** Takes a row that could be decoded; false when the same or a newer one is known. */
-    boolean accept(StoredRow row, Optional<NodeId> from, long nowNanos) {
+    boolean accept(StoredRow row, boolean ofOperators, Optional<NodeId> from, long nowNanos) {
         if (!book.accept(row)) {
             return false;
         }
+        if (ofOperators) {
+            operatorsNewest = Math.max(operatorsNewest, row.revision());
+        }
         from.map(children::get).ifPresent(child -> child.held.merge(row.key(), row.revision(), Math::max));
         liveChildren(nowNanos).forEach((id, child) -> pass(row, id, child));
         return true;
@@ -151,24 +156,30 @@
     }
 
     /** A parent tells up to which moment of the platform's clock it has passed on all rows. */
-    void current(NodeId id, Frame.RowsCurrent told, long nowNanos) {
-        Parent parent = parents.get(id);
+    void current(Node node, Frame.RowsCurrent told, long nowNanos) {
+        Parent parent = parents.get(node.id());
         if (parent == null || told.platformMs() <= parent.currentMs) {
             return;
         }
+        if (told.revision() > operatorsNewest) {
+            // A row was lost on the way, or could not be read here; either way this node is not up to date.
+            links.ask(node, new Frame.RowsRequest(book.revisions()));
+            return;
+        }
         parent.currentMs = told.platformMs();
         if (told.platformMs() >= currentMs - MAX_LAG_MS) {
             parentsCurrentNanos = nowNanos;
         }
-        advance(told.platformMs(), nowNanos);
+        advance(told.readRevision(), told.platformMs(), nowNanos);
     }
 
-    /** This node has read the platform, whose clock stood at this moment. */
-    void read(long platformMs, long nowNanos) {
-        advance(platformMs, nowNanos);
+    /** This node has read the platform up to a revision, when its clock stood at this moment. */
+    void read(long revision, long platformMs, long nowNanos) {
+        advance(revision, platformMs, nowNanos);
     }
 
-    private void advance(long platformMs, long nowNanos) {
+    private void advance(long revision, long platformMs, long nowNanos) {
+        readRevision = Math.max(readRevision, revision);
         currentMs = Math.max(currentMs, platformMs);
         if (currentMs - passedOnMs >= PROGRESS_MS) {
             passedOnMs = currentMs;
@@ -177,7 +188,7 @@
     }
 
     private Frame.RowsCurrent current() {
-        return new Frame.RowsCurrent(book.newest(), currentMs);
+        return new Frame.RowsCurrent(operatorsNewest, readRevision, currentMs);
     }
 
     private Map<NodeId, Child> liveChildren(long nowNanos) {
@@ -230,7 +241,7 @@
                     sources.parents(),
                     "parents_silent_ms",
                     TimeUnit.NANOSECONDS.toMillis(nowNanos - parentsCurrentNanos));
-            links.read(wanted);
+            links.read(wanted, readRevision);
         }
     }
 }
--- a/daemon/src/main/java/org/mimosahinge/daemon/fleet/RowLinks.java
+++ b/daemon/src/main/java/org/mimosahinge/daemon/fleet/RowLinks.java
@@ -27,6 +27,7 @@
      * Starts or stops reading changes on the platform.
      *
      * @param wanted whether this node reads
+     * @param after revision of the platform up to which all rows are held
      */
-    void read(boolean wanted);
+    void read(boolean wanted, long after);
 }
--- a/daemon/src/main/java/org/mimosahinge/daemon/fleet/RowReading.java
+++ b/daemon/src/main/java/org/mimosahinge/daemon/fleet/RowReading.java
@@ -8,6 +8,7 @@
      * Starts or stops following changes.
      *
      * @param wanted whether this node reads them on the platform
+     * @param after revision of the platform up to which all rows are held, 0 when that is not known
      */
-    void follow(boolean wanted);
+    void follow(boolean wanted, long after);
 }
--- a/daemon/src/test/java/org/mimosahinge/daemon/fleet/RowSpreadModel.java
+++ b/daemon/src/test/java/org/mimosahinge/daemon/fleet/RowSpreadModel.java
@@ -100,7 +100,7 @@
                             storeRevision = at;
                             take(new StoredRow(KEY, at, contents.get((int) at - 1), false), Optional.empty());
                         }
-                        exchange.read(clock, nanos());
+                        exchange.read(at, clock, nanos());
                     }
                     ended(life, rows ? COLLECT_MS : 0);
                 });
@@ -121,7 +121,7 @@
         }
 
         private void take(StoredRow row, Optional<NodeId> from) {
-            if (exchange.accept(row, from, nanos())) {
+            if (exchange.accept(row, true, from, nanos())) {
                 if (row.revision() < newest) {
                     throw new AssertionError(node.id() + " went back to " + row.revision());
                 }
@@ -152,13 +152,14 @@
                                 new StoredRow(row.key(), row.revision(), row.content(), false),
                                 Optional.of(node.id())));
             } else if (frame instanceof Frame.RowsCurrent current) {
-                deliver(this, other, () -> other.exchange.current(node.id(), current, nanos()));
+                deliver(this, other, () -> other.exchange.current(node, current, nanos()));
             }
         }
 
         @Override
-        public void read(boolean wanted) {
+        public void read(boolean wanted, long after) {
             reading = wanted;
+            storeRevision = Math.max(storeRevision, after);
             poll();
         }
     }
--- a/net/src/main/java/org/mimosahinge/net/frame/Frame.java
+++ b/net/src/main/java/org/mimosahinge/net/frame/Frame.java
@@ -167,10 +167,12 @@
     /**
      * Tells that the sender's rows were the newest on the platform a moment ago.
      *
-     * @param revision newest revision held
-     * @param platformMs the platform's clock when it was last read, in milliseconds; it tells progress without clocks of nodes
+     * @param revision newest revision of the operators' rows held
+     * @param readRevision revision of the platform up to which no other operators' rows exist
+     * @param platformMs the platform's clock when it was last read, in milliseconds; it tells progress without clocks of
+     *     nodes
      */
-    record RowsCurrent(long revision, long platformMs) implements Frame {}
+    record RowsCurrent(long revision, long readRevision, long platformMs) implements Frame {}
 
     /**
      * Starts a call.
--- a/net/src/main/java/org/mimosahinge/net/frame/FrameCodec.java
+++ b/net/src/main/java/org/mimosahinge/net/frame/FrameCodec.java
@@ -102,7 +102,7 @@
         } else if (frame instanceof Frame.RowDelta row) {
             RowFields.packDelta(out, row);
         } else if (frame instanceof Frame.RowsCurrent current) {
-            out.integer(current.revision()).integer(current.platformMs());
+            out.integer(current.revision()).integer(current.readRevision()).integer(current.platformMs());
         } else if (frame instanceof Frame.Report report) {
             out.list(report.versions().entrySet(), (packer, entry) -> packer.integer(entry.getKey())
                     .integer(entry.getValue()));
--- a/net/src/main/java/org/mimosahinge/net/frame/RowFields.java
+++ b/net/src/main/java/org/mimosahinge/net/frame/RowFields.java
@@ -58,10 +58,9 @@
     }
 
     static Frame.RowsCurrent unpackCurrent(Unpacker in) {
-        Frame.RowsCurrent current = new Frame.RowsCurrent(in.integer(), in.integer());
+        Frame.RowsCurrent current = new Frame.RowsCurrent(in.integer(), in.integer(), in.integer());
         if (current.platformMs() < 0) {
-            // A receiver that adds the age to its own clock would take the rows for current for too long.
-            throw new FrameException("Malformed frame: age of " + current.platformMs() + " ms");
+            throw new FrameException("Malformed frame: clock at " + current.platformMs() + " ms");
         }
         return current;
     }
--- a/net/src/test/java/org/mimosahinge/net/frame/FrameCodecTest.java
+++ b/net/src/test/java/org/mimosahinge/net/frame/FrameCodecTest.java
@@ -114,7 +114,7 @@
                 new Frame.OperatorRow("operator/document", 18, new byte[0]),
                 new Frame.RowsRequest(Map.of("operator/document", 17L, "fleet/moves", Long.MAX_VALUE)),
                 new Frame.RowDelta("operator/document", 17, 18, DELTA),
-                new Frame.RowsCurrent(18, 350),
+                new Frame.RowsCurrent(18, 19, 350),
                 new Frame.CallStart(
                         1, "n1/a", "ledger", CallClass.CONFIRMATION, 500, -20, "POST", "/c", Map.of("a", "b"), true),
                 new Frame.Credit(1, 65_536),
@@ -269,7 +269,7 @@
             target[i]++;
         }
         ContentDelta delta = ContentDelta.between(base, target);
-        int empty = FrameCodec.encode(new Frame.RowsCurrent(17, 18)).length + 2;
+        int empty = FrameCodec.encode(new Frame.RowsCurrent(17, 18, 19)).length + 2;
         int encoded = FrameCodec.encode(new Frame.RowDelta("k", 17, 18, delta)).length;
         assertTrue(encoded <= delta.bytes() + empty, encoded + " bytes, estimated " + delta.bytes());
     }
