Let levels of the tree turn to the platform one after the other

When both readers of a region fall silent, or the platform was away, nearly all nodes began to read it at once: the step between ranks was 20 ms, less than the tick that looks at it. Found by review.

The second reader is of another availability zone than the first, so that the loss of a zone leaves one. The model retries as the watch does, with growing and random pauses; before, all of its nodes retried at the same moment.

Evidence: RowSpreadTest and RowSourcesTest pass, among them a change after an absence of the platform, which at most a quarter of 64 nodes read.

--- a/core/src/main/java/org/mimosahinge/core/fanout/RowSources.java
+++ b/core/src/main/java/org/mimosahinge/core/fanout/RowSources.java
@@ -23,11 +23,11 @@
     /**
      * Where a node takes the operators' rows from.
      *
-     * @param rank place of the node in its region; lower ones are closer to the readers
+     * @param level steps from the node to the readers of its region
      * @param reads whether the node reads the platform itself
      * @param parents nodes that pass rows on to it
      */
-    record Sources(int rank, boolean reads, List<NodeId> parents) {
+    record Sources(int level, boolean reads, List<NodeId> parents) {
 
         /** Copies the parents. */
         public Sources {
@@ -49,7 +49,9 @@
      *
      * <p>The order of any two nodes depends on their names only, so nodes that know different parts of the fleet agree
      * on it: a parent ranks before its children, and there are no loops. Readers take rows from each other and from a
-     * reader of the next region, so a region goes on when the platform turns its readers away.
+     * reader of the next region, so a region goes on when the platform turns its readers away. The second reader is of
+     * another availability zone than the first one where there is one; the first parent of each node still ranks before
+     * it.
      *
      * @param readers readers in each region, and parents of each other node
      * @param degree children of a group of parents, at least as many as readers
@@ -65,8 +67,8 @@
             List<NodeId> own = ranked(regions.get(region(self).name()));
             int rank = own.indexOf(self.id());
             if (rank >= readers) {
-                int group = (rank - readers) / degree * readers;
-                return new Sources(rank, false, own.subList(group, group + readers));
+                int group = group(rank, readers, degree);
+                return new Sources(level(rank, readers, degree), false, own.subList(group, group + readers));
             }
             List<NodeId> parents = new ArrayList<>(own.subList(0, Math.min(readers, own.size())));
             parents.remove(self.id());
@@ -76,7 +78,7 @@
                 List<NodeId> far = ranked(regions.get(next));
                 parents.add(far.get(Math.min(rank, far.size() - 1)));
             }
-            return new Sources(rank, true, parents);
+            return new Sources(0, true, parents);
         };
     }
 
@@ -89,15 +91,35 @@
         return (self, connected) -> new Sources(0, true, List.of());
     }
 
+    /** Returns the rank of the first parent of a node. */
+    private static int group(int rank, int readers, int degree) {
+        return (rank - readers) / degree * readers;
+    }
+
+    private static int level(int rank, int readers, int degree) {
+        int level = 0;
+        for (int at = rank; at >= readers; at = group(at, readers, degree)) {
+            level++;
+        }
+        return level;
+    }
+
     private static Region region(Node node) {
         return node.zone().region();
     }
 
     private static List<NodeId> ranked(List<Node> nodes) {
-        return nodes.stream()
-                .map(Node::id)
-                .sorted(Comparator.comparingLong((NodeId id) -> RendezvousHash.of(id.value()))
-                        .thenComparing(Comparator.naturalOrder()))
-                .toList();
+        List<Node> ranked = new ArrayList<>(nodes);
+        ranked.sort(Comparator.comparingLong(
+                        (Node node) -> RendezvousHash.of(node.id().value()))
+                .thenComparing(Node::id));
+        ranked.stream()
+                .filter(node -> !node.zone().equals(ranked.get(0).zone()))
+                .findFirst()
+                .ifPresent(second -> {
+                    ranked.remove(second);
+                    ranked.add(1, second);
+                });
+        return ranked.stream().map(Node::id).toList();
     }
 }
--- a/daemon/src/main/java/org/mimosahinge/daemon/fleet/RowBook.java
+++ b/daemon/src/main/java/org/mimosahinge/daemon/fleet/RowBook.java
@@ -12,7 +12,7 @@
 /** The newest known rows that nodes pass on to each other, and what they replaced. */
 final class RowBook {
 
-    /** Earlier contents kept of each row; a node that lacks more changes than that is given the whole row. */
+    /** Contents kept of each row, the newest one included; a node that lacks more changes is given the whole row. */
     private static final int KEPT = 4;
 
     private final Map<String, Deque<StoredRow>> rows = new HashMap<>();
--- a/daemon/src/main/java/org/mimosahinge/daemon/fleet/RowExchange.java
+++ b/daemon/src/main/java/org/mimosahinge/daemon/fleet/RowExchange.java
@@ -22,13 +22,14 @@
 
     private static final EventLog LOG = EventLog.of("fleet");
 
-    /** Above the longest interval between two answers to a reader, about 1.2 s; changes must be in force within 2 s. */
-    private static final long STALE_NANOS = TimeUnit.MILLISECONDS.toNanos(1_500);
+    /** Above the longest interval between two answers to a reader, about 1 s; changes must be in force within 2 s. */
+    private static final long STALE_NANOS = TimeUnit.MILLISECONDS.toNanos(1_300);
 
-    /** Spreads the reads of nodes that lose their parents at the same moment. */
-    private static final long RANK_STEP_NANOS = TimeUnit.MILLISECONDS.toNanos(20);
+    /** Lets a level read and pass on before the next one reads: a tick, and an answer of the platform. */
+    private static final long LEVEL_STEP_NANOS = TimeUnit.MILLISECONDS.toNanos(250);
 
-    private static final int MAX_RANK_STEPS = 15;
+    /** Deeper levels do not wait longer, as a change must be in force within 2 s. */
+    private static final int MAX_LEVEL_STEPS = 2;
 
     /** A parent whose knowledge is this much older than what is known here does not count as up to date. */
     private static final long MAX_LAG_MS = 1_000;
@@ -226,7 +227,7 @@
                 links.ask(parent.node, new Frame.RowsRequest(book.revisions()));
             }
         }
-        long patienceNanos = STALE_NANOS + Math.min(sources.rank(), MAX_RANK_STEPS) * RANK_STEP_NANOS;
+        long patienceNanos = STALE_NANOS + Math.min(sources.level(), MAX_LEVEL_STEPS) * LEVEL_STEP_NANOS;
         boolean stale = nowNanos - parentsCurrentNanos > patienceNanos;
         boolean wanted = sources.reads() || stale;
         if (wanted != reading) {
@@ -235,8 +236,8 @@
                     "reading_platform",
                     "reading",
                     wanted,
-                    "rank",
-                    sources.rank(),
+                    "level",
+                    sources.level(),
                     "parents",
                     sources.parents(),
                     "parents_silent_ms",
--- a/daemon/src/test/java/org/mimosahinge/daemon/fleet/RowSpreadModel.java
+++ b/daemon/src/test/java/org/mimosahinge/daemon/fleet/RowSpreadModel.java
@@ -31,9 +31,11 @@
     private static final long TICK_MS = 200;
 
     /** As the node's settings of its watch. */
-    private static final long WAIT_MS = 800;
+    private static final long WAIT_MS = 600;
 
     private static final long COLLECT_MS = 350;
+    private static final int FIRST_RETRY_MS = 100;
+    private static final int MAX_RETRY_MS = 1_200;
     private static final int ROUTES = 100;
 
     private record Event(long atMs, long order, Runnable task) {}
@@ -48,6 +50,7 @@
         private boolean turnedAway;
         private boolean frozen;
         private boolean calling;
+        private int failures;
         private long storeRevision;
 
         Member(Node node) {
@@ -82,9 +85,11 @@
             calling = true;
             RowExchange life = exchange;
             if (turnedAway || platformDown) {
-                after(500, () -> ended(life, 0));
+                int limitMs = Math.min(MAX_RETRY_MS, FIRST_RETRY_MS << Math.min(failures++, 4));
+                ended(life, limitMs / 2 + random.nextInt(limitMs / 2 + 1));
                 return;
             }
+            failures = 0;
             after(delayMs(node.zone().region()), () -> watch(life, nowMs + WAIT_MS));
         }
 
