Take rows from any node while the parents know nothing new

Where the platform turned away all nodes but one, and no other node took rows from that one, its rows ended there: the others kept the version before until they were served again. Found by ConfigurationArrivalTest: all nodes but one turned away by resets, and by silence, ran into the test's minute, since the levels of the tree decide which node that one is.

A node on which the platform's clock stands still by any way now asks one more node at each tick, for two seconds each, so rows spread from whichever node has them. What a node has read itself and gets back from others no longer counts as news of its parents, or it would stop reading.

--- a/daemon/src/main/java/org/mimosahinge/daemon/fleet/RowExchange.java
+++ b/daemon/src/main/java/org/mimosahinge/daemon/fleet/RowExchange.java
@@ -56,7 +56,10 @@
     private long operatorsNewest;
     private long readRevision;
     private long currentMs;
+    private long currentNanos;
+    private long ownReadMs;
     private long passedOnMs;
+    private int nextAsked;
 
     /** A node that takes rows from this one. */
     private static final class Child {
@@ -68,9 +71,11 @@
     private static final class Parent {
         private Node node;
         private long askAtNanos;
+        private long untilNanos = Long.MAX_VALUE;
         private long currentMs;
 
-        Parent(long askAtNanos) {
+        Parent(Node node, long askAtNanos) {
+            this.node = node;
             this.askAtNanos = askAtNanos;
         }
     }
@@ -81,6 +86,7 @@
         this.links = links;
         sources = rule.of(self, List.of());
         parentsCurrentNanos = nowNanos;
+        currentNanos = nowNanos;
     }
 
     long newest() {
@@ -168,7 +174,8 @@
             return;
         }
         parent.currentMs = told.platformMs();
-        if (told.platformMs() >= currentMs - MAX_LAG_MS) {
+        // What this node has read itself comes back from nodes that have taken it from here; that proves nothing.
+        if (told.platformMs() >= currentMs - MAX_LAG_MS && told.platformMs() > ownReadMs) {
             parentsCurrentNanos = nowNanos;
         }
         advance(told.readRevision(), told.platformMs(), nowNanos);
@@ -176,12 +183,16 @@
 
     /** This node has read the platform up to a revision, when its clock stood at this moment. */
     void read(long revision, long platformMs, long nowNanos) {
+        ownReadMs = Math.max(ownReadMs, platformMs);
         advance(revision, platformMs, nowNanos);
     }
 
     private void advance(long revision, long platformMs, long nowNanos) {
         readRevision = Math.max(readRevision, revision);
-        currentMs = Math.max(currentMs, platformMs);
+        if (platformMs > currentMs) {
+            currentMs = platformMs;
+            currentNanos = nowNanos;
+        }
         if (currentMs - passedOnMs >= PROGRESS_MS) {
             passedOnMs = currentMs;
             liveChildren(nowNanos).forEach((id, child) -> links.tell(id, current()));
@@ -205,6 +216,25 @@
         }
     }
 
+    /**
+     * Takes rows from one more node for a while, another one at each tick.
+     *
+     * <p>The platform may serve a node that nobody takes rows from. Once one node has them, they spread, as each of
+     * those that ask it passes them on to the nodes that have asked there.
+     */
+    private void askAnother(Collection<Node> connected, long nowNanos) {
+        List<Node> others = connected.stream()
+                .filter(node -> !parents.containsKey(node.id()))
+                .toList();
+        if (!others.isEmpty()) {
+            // Nodes begin at different places, so that not all ask the same one.
+            Node next = others.get(Math.floorMod(self.id().hashCode() + nextAsked++, others.size()));
+            Parent parent = new Parent(next, nowNanos);
+            parent.untilNanos = nowNanos + RENEW_NANOS;
+            parents.put(next.id(), parent);
+        }
+    }
+
     /**
      * Asks the parents, and starts or stops reading the platform.
      *
@@ -219,15 +249,19 @@
             parents.keySet().retainAll(sources.parents());
             connected.stream()
                     .filter(node -> sources.parents().contains(node.id()))
-                    .forEach(node -> parents.computeIfAbsent(node.id(), id -> new Parent(nowNanos)).node = node);
+                    .forEach(node -> parents.computeIfAbsent(node.id(), id -> new Parent(node, nowNanos)).node = node);
         }
+        long patienceNanos = STALE_NANOS + Math.min(sources.level(), MAX_LEVEL_STEPS) * LEVEL_STEP_NANOS;
+        if (nowNanos - currentNanos > patienceNanos) {
+            askAnother(connected, nowNanos);
+        }
+        parents.values().removeIf(parent -> nowNanos - parent.untilNanos > 0);
         for (Parent parent : parents.values()) {
             if (nowNanos - parent.askAtNanos >= 0) {
                 parent.askAtNanos = nowNanos + RENEW_NANOS;
                 links.ask(parent.node, new Frame.RowsRequest(book.revisions()));
             }
         }
-        long patienceNanos = STALE_NANOS + Math.min(sources.level(), MAX_LEVEL_STEPS) * LEVEL_STEP_NANOS;
         boolean stale = nowNanos - parentsCurrentNanos > patienceNanos;
         boolean wanted = sources.reads() || stale;
         if (wanted != reading) {
--- a/daemon/src/test/java/org/mimosahinge/daemon/fleet/RowSpreadTest.java
+++ b/daemon/src/test/java/org/mimosahinge/daemon/fleet/RowSpreadTest.java
@@ -17,6 +17,9 @@
     /** Within this time a change must be in force on the users' deployments. */
     private static final long IN_FORCE_MS = 2_000;
 
+    /** Time by which the bound grows while the platform turns nodes away. */
+    private static final long STRETCH_MS = 5_000;
+
     /** Bytes that a node may spend on control in a second. */
     private static final long CONTROL_BYTES_PER_S = 3_000;
 
@@ -95,6 +98,21 @@
         assertEquals(0, fleet.lagging());
     }
 
+    /** Guards against rows that end at a node from which no other one takes them. */
+    @ParameterizedTest(name = "all but node {0} turned away")
+    @CsvSource({"0", "13", "37", "63"})
+    void theOnlyNodeThatThePlatformServesPassesRowsOn(int served) {
+        RowSpreadModel fleet = started(64, 2, served);
+        fleet.turnAway(fleet.members.values().stream()
+                .filter(member -> !member.node.id().value().equals("node-" + served))
+                .toList());
+        for (int i = 0; i < CHANGES; i++) {
+            fleet.change();
+            fleet.run(IN_FORCE_MS + STRETCH_MS);
+            assertEquals(0, fleet.lagging());
+        }
+    }
+
     /** Guards against a node that is asked for changes of a row whose base the asker has lost with its process. */
     @ParameterizedTest(name = "{0} of 64 nodes restart while the platform turns them away")
     @CsvSource({"1", "20", "40"})
