Keep a parent that was asked for a while before it became one

A node without news of the platform asks others for two seconds each. One of them that became its parent meanwhile kept that end and was forgotten with it: the node then fell silent on its parent, read the platform itself, asked the parent again as another node, and so on in turns of 3.6 s. Found by reading the change.

--- a/daemon/src/main/java/org/mimosahinge/daemon/fleet/RowExchange.java
+++ b/daemon/src/main/java/org/mimosahinge/daemon/fleet/RowExchange.java
@@ -249,7 +249,11 @@
             parents.keySet().retainAll(sources.parents());
             connected.stream()
                     .filter(node -> sources.parents().contains(node.id()))
-                    .forEach(node -> parents.computeIfAbsent(node.id(), id -> new Parent(node, nowNanos)).node = node);
+                    .forEach(node -> {
+                        Parent parent = parents.computeIfAbsent(node.id(), id -> new Parent(node, nowNanos));
+                        parent.node = node;
+                        parent.untilNanos = Long.MAX_VALUE;
+                    });
         }
         long patienceNanos = STALE_NANOS + Math.min(sources.level(), MAX_LEVEL_STEPS) * LEVEL_STEP_NANOS;
         if (nowNanos - currentNanos > patienceNanos) {
--- a/daemon/src/test/java/org/mimosahinge/daemon/fleet/RowSpreadTest.java
+++ b/daemon/src/test/java/org/mimosahinge/daemon/fleet/RowSpreadTest.java
@@ -98,6 +98,24 @@
         assertEquals(0, fleet.lagging());
     }
 
+    /** Guards against a parent that was asked for a while before it became one, and is forgotten after that while. */
+    @ParameterizedTest(name = "seed {0}")
+    @CsvSource({"1", "2", "3"})
+    void nodesTakeRowsFromTheirParentsAgainAfterAnAbsenceAndALostReader(long seed) {
+        RowSpreadModel fleet = started(64, 2, seed);
+        fleet.platformDown(true);
+        fleet.run(3_000);
+        fleet.kill(List.of(fleet.readers("r0").get(0), fleet.readers("r1").get(0)));
+        fleet.run(1_000);
+        fleet.platformDown(false);
+        fleet.run(2 * STRETCH_MS);
+        fleet.storeRowsAnswered = 0;
+        fleet.change();
+        fleet.run(IN_FORCE_MS);
+        assertEquals(0, fleet.lagging());
+        assertEquals(2 * RowSources.READERS, fleet.storeRowsAnswered, "answers with rows");
+    }
+
     /** Guards against rows that end at a node from which no other one takes them. */
     @ParameterizedTest(name = "all but node {0} turned away")
     @CsvSource({"0", "13", "37", "63"})
