Tell how late a traffic thread, a call between nodes and a cancel are

New lines traffic_behind, call_arrived_late, cancelled and caller_not_read; caller_left tells the endpoint and how long the request may have waited to be read. Gauges of the longest delay and transit time, counters of cancelled calls by state. A call's first frame tells the sender's clock for it. No decision changes.

--- a/daemon/src/main/java/org/mimosahinge/daemon/traffic/BackendCall.java
+++ b/daemon/src/main/java/org/mimosahinge/daemon/traffic/BackendCall.java
@@ -2,6 +2,7 @@
 
 import io.netty.channel.EventLoop;
 import java.util.ArrayDeque;
+import java.util.Locale;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Queue;
@@ -42,7 +43,9 @@
     private State state = State.WAITING;
     private ScheduledFuture<?> waitLimit;
     private BackendConnection connection;
+    private final long arrivedNanos = System.nanoTime();
     private long admittedNanos;
+    private long sentNanos;
     private boolean responseStarted;
     private int responseStatus;
     private Map<String, String> responseHeaders = Map.of();
@@ -100,6 +103,7 @@
             return;
         }
         state = State.RUNNING;
+        sentNanos = System.nanoTime();
         connection = opened;
         int leftMs = (int) Math.max(1, deadlineAtMs - TrafficLoop.nowMs());
         connection.send(start, new CallMarks(gate.protocol(), gate.endpoint().id(), leftMs), this);
@@ -131,6 +135,11 @@
         if (state == State.ENDED || state == State.ANSWERED) {
             return;
         }
+        gate.logCancelled(
+                start,
+                state.name().toLowerCase(Locale.ROOT),
+                System.nanoTime() - arrivedNanos,
+                state == State.RUNNING ? System.nanoTime() - sentNanos : 0);
         boolean doubtful = state == State.RUNNING
                 && !responseStarted
                 && connection.reused()
--- a/daemon/src/main/java/org/mimosahinge/daemon/traffic/CallDecisions.java
+++ b/daemon/src/main/java/org/mimosahinge/daemon/traffic/CallDecisions.java
@@ -1,7 +1,9 @@
 package org.mimosahinge.daemon.traffic;
 
+import java.util.Map;
 import org.mimosahinge.api.config.Snapshot;
 import org.mimosahinge.api.error.CallException;
+import org.mimosahinge.api.world.Node;
 import org.mimosahinge.core.routing.RouteIndex;
 import org.mimosahinge.net.frame.Frame;
 import org.mimosahinge.net.log.EventLog;
@@ -22,6 +24,9 @@
     /** Longer than usual texts of the decoder's failures. */
     private static final int MAX_REASON = 120;
 
+    /** A noticeable part of the half second within which a caller's leaving has to reach its backend server. */
+    private static final long LONG_TRANSIT_MS = 250;
+
     private final TrafficLoop loop;
     private final CallMetrics metrics;
     private final int every;
@@ -180,7 +185,7 @@
         LOG.info("response_cut", "request", id(request), "route", plan.route().name(), "ms", plan.elapsedMs());
     }
 
-    void callerLeft(CallRequest request, CallPlan plan) {
+    void callerLeft(CallRequest request, CallPlan plan, Attempt last, long unreadMs) {
         metrics.callerLeft();
         LOG.info(
                 "caller_left",
@@ -188,11 +193,43 @@
                 id(request),
                 "route",
                 plan == null ? NONE : plan.route().name(),
+                "endpoint",
+                last == null ? NONE : last.endpoint().id(),
                 "ms",
-                plan == null ? 0 : plan.elapsedMs());
+                plan == null ? 0 : plan.elapsedMs(),
+                "unread_ms",
+                unreadMs);
+    }
+
+    /** A call of another node has arrived; only those that were long on their way are worth a line. */
+    void arrived(Frame.CallStart start, Node from, long transitMs) {
+        metrics.arrived(transitMs);
+        if (transitMs >= LONG_TRANSIT_MS) {
+            LOG.info(
+                    "call_arrived_late",
+                    "request",
+                    id(start.headers()),
+                    "endpoint",
+                    start.endpointId(),
+                    "node",
+                    from == null ? NONE : from.id(),
+                    "transit_ms",
+                    transitMs,
+                    "deadline_ms",
+                    start.deadlineMs());
+        }
+    }
+
+    /** A caller's connection is not read, so neither its next request nor its end can be seen. */
+    void notRead(int messages, long ms) {
+        LOG.info("caller_not_read", "messages", messages, "ms", ms);
     }
 
     private String id(CallRequest request) {
-        return request.headers().getOrDefault(loop.protocol().requestIdHeader(), NONE);
+        return id(request.headers());
+    }
+
+    private String id(Map<String, String> headers) {
+        return headers.getOrDefault(loop.protocol().requestIdHeader(), NONE);
     }
 }
--- a/daemon/src/main/java/org/mimosahinge/daemon/traffic/CallMetrics.java
+++ b/daemon/src/main/java/org/mimosahinge/daemon/traffic/CallMetrics.java
@@ -1,10 +1,13 @@
 package org.mimosahinge.daemon.traffic;
 
 import com.codahale.metrics.Counter;
+import com.codahale.metrics.Gauge;
 import com.codahale.metrics.MetricRegistry;
 import java.util.EnumMap;
 import java.util.Locale;
 import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.atomic.AtomicLong;
 import org.mimosahinge.api.contract.CallClass;
 import org.mimosahinge.api.error.ErrorCode;
 
@@ -30,6 +33,10 @@
     private final Counter callersLeft;
     private final Counter cut;
     private final Counter attemptsFailed;
+    private final Counter arrived;
+    private final AtomicLong longestDelayMs = new AtomicLong();
+    private final AtomicLong longestTransitMs = new AtomicLong();
+    private final Map<TrafficLoop, Long> notRead = new ConcurrentHashMap<>();
 
     /**
      * Creates the metrics.
@@ -53,6 +60,16 @@
         callersLeft = registry.counter("mimosahinge_callers_left_total");
         cut = registry.counter("mimosahinge_responses_cut_total");
         attemptsFailed = registry.counter("mimosahinge_attempts_failed_total");
+        arrived = registry.counter("mimosahinge_calls_arrived_total");
+        gauge("mimosahinge_traffic_delay_ms", () -> longestDelayMs.getAndSet(0));
+        gauge("mimosahinge_call_transit_ms", () -> longestTransitMs.getAndSet(0));
+        gauge(
+                "mimosahinge_callers_not_read",
+                () -> notRead.values().stream().mapToLong(Long::longValue).sum());
+    }
+
+    private void gauge(String name, Gauge<Long> value) {
+        registry.gauge(name, () -> value);
     }
 
     private Counter counter(String name, String label, String value) {
@@ -104,6 +121,26 @@
         (status < CALLER_ERRORS ? redirectsPassedOn : callerErrorsPassedOn).inc();
     }
 
+    /** Takes note of how late a traffic thread was. */
+    void trafficDelayed(long ms) {
+        longestDelayMs.accumulateAndGet(ms, Math::max);
+    }
+
+    /** Counts a call of another node and takes note of its additional time on the way. */
+    void arrived(long transitMs) {
+        arrived.inc();
+        longestTransitMs.accumulateAndGet(transitMs, Math::max);
+    }
+
+    /** Counts a call that was given up by its sender. */
+    void cancelled(String state) {
+        counter("mimosahinge_calls_cancelled_total", "state", state).inc();
+    }
+
+    void callersNotRead(TrafficLoop loop, long connections) {
+        notRead.put(loop, connections);
+    }
+
     void callerLeft() {
         callersLeft.inc();
     }
--- a/daemon/src/main/java/org/mimosahinge/daemon/traffic/CallPlan.java
+++ b/daemon/src/main/java/org/mimosahinge/daemon/traffic/CallPlan.java
@@ -151,7 +151,8 @@
                 request.method(),
                 request.uri(),
                 headers,
-                request.hasBody()));
+                request.hasBody(),
+                0));
         if (!attempt.ended()) {
             body.replay(attempt);
             attempt.exchange().flush();
--- a/daemon/src/main/java/org/mimosahinge/daemon/traffic/CallerConnection.java
+++ b/daemon/src/main/java/org/mimosahinge/daemon/traffic/CallerConnection.java
@@ -47,6 +47,7 @@
     private Channel channel;
     private Turn turn;
     private long idleSinceMs;
+    private long unreadSinceMs;
     private long requests;
     private boolean rejected;
 
@@ -156,9 +157,22 @@
     }
 
     private void updateReading() {
-        channel.config()
-                .setAutoRead(pipelined.size() < MAX_PIPELINED
-                        && (turn == null || turn.answered || turn.requestWindow.open()));
+        boolean reading =
+                pipelined.size() < MAX_PIPELINED && (turn == null || turn.answered || turn.requestWindow.open());
+        if (!reading && channel.config().isAutoRead()) {
+            unreadSinceMs = TrafficLoop.nowMs();
+        }
+        channel.config().setAutoRead(reading);
+    }
+
+    /** Logs a connection that has not been read for long, and tells whether it is one. */
+    boolean notRead(long nowMs, long limitMs) {
+        long ms = nowMs - unreadSinceMs;
+        boolean notRead = !channel.config().isAutoRead() && !rejected && ms > limitMs;
+        if (notRead) {
+            loop.decisions().notRead(pipelined.size(), ms);
+        }
+        return notRead;
     }
 
     @Override
@@ -227,7 +241,7 @@
             RequestTarget target = RequestTarget.of(request.uri(), headers.getOrDefault(HOST, ""));
             headers.put(HOST, target.host());
             callRequest = new CallRequest(request.method().name(), target.uri(), headers, hasBody);
-            call = new EntryCall(loop, callRequest, snapshot, this);
+            call = new EntryCall(loop, callRequest, snapshot, loop.pulse().oldestUnreadMs(), this);
         }
 
         String requestId() {
--- a/daemon/src/main/java/org/mimosahinge/daemon/traffic/EntryCall.java
+++ b/daemon/src/main/java/org/mimosahinge/daemon/traffic/EntryCall.java
@@ -29,6 +29,7 @@
     private final RequestBody body = new RequestBody();
     private final ResponseProgress progress;
     private final Snapshot decided;
+    private final long unreadMs;
     private CallPlan plan;
     private PoisonGuard poison;
     private OnceGuard once;
@@ -41,10 +42,16 @@
     private boolean mayHaveRun;
     private boolean ended;
 
-    EntryCall(TrafficLoop loop, CallRequest request, Snapshot decided, CallerSink sink) {
+    /**
+     * Creates a call.
+     *
+     * @param unreadMs longest time for which the request may have waited to be read
+     */
+    EntryCall(TrafficLoop loop, CallRequest request, Snapshot decided, long unreadMs, CallerSink sink) {
         this.loop = loop;
         this.request = request;
         this.decided = decided;
+        this.unreadMs = unreadMs;
         this.sink = sink;
         progress = new ResponseProgress(request);
     }
@@ -172,7 +179,7 @@
     /** The caller has left. */
     void callerLeft() {
         if (!ended) {
-            loop.decisions().callerLeft(request, plan);
+            loop.decisions().callerLeft(request, plan, attempt, unreadMs);
             end();
             if (attempt != null) {
                 attempt.abandon();
--- /dev/null
+++ b/daemon/src/main/java/org/mimosahinge/daemon/traffic/LoopClock.java
@@ -0,0 +1,14 @@
+package org.mimosahinge.daemon.traffic;
+
+import org.mimosahinge.core.deadline.SuspensionClock;
+
+/** A clock of one event loop that goes on while the VM is suspended. */
+final class LoopClock {
+
+    private SuspensionClock last = new SuspensionClock(TrafficLoop.nowMs(), System.currentTimeMillis(), 0);
+
+    long nowMs() {
+        last = last.at(TrafficLoop.nowMs(), System.currentTimeMillis());
+        return last.nowMs();
+    }
+}
--- a/daemon/src/main/java/org/mimosahinge/daemon/traffic/PeerConnection.java
+++ b/daemon/src/main/java/org/mimosahinge/daemon/traffic/PeerConnection.java
@@ -105,7 +105,7 @@
         }
         PeerExchange exchange = new PeerExchange(start.callId(), observer);
         calls.put(start.callId(), exchange);
-        write(start);
+        write(start.sentAt(loop.clock().nowMs()));
         return exchange;
     }
 
--- a/daemon/src/main/java/org/mimosahinge/daemon/traffic/ServedConnection.java
+++ b/daemon/src/main/java/org/mimosahinge/daemon/traffic/ServedConnection.java
@@ -9,6 +9,7 @@
 import java.util.concurrent.TimeUnit;
 import org.mimosahinge.api.error.ErrorCode;
 import org.mimosahinge.api.world.Node;
+import org.mimosahinge.core.deadline.TransitTime;
 import org.mimosahinge.net.frame.Frame;
 
 /** Serves calls that another node sends for the backend servers beside this one. */
@@ -22,6 +23,7 @@
     private TrafficLoop loop;
     private Channel channel;
     private Node node;
+    private TransitTime transit = TransitTime.UNKNOWN;
 
     ServedConnection(TrafficPlane plane) {
         this.plane = plane;
@@ -72,6 +74,7 @@
     @Override
     protected void channelRead0(ChannelHandlerContext context, Frame frame) {
         if (frame instanceof Frame.CallStart start) {
+            arrived(start);
             new ServedCall(start).begin();
         } else if (frame instanceof Frame.Body body) {
             ServedCall call = calls.get(body.callId());
@@ -100,6 +103,12 @@
         }
     }
 
+    private void arrived(Frame.CallStart start) {
+        long now = TrafficLoop.nowMs();
+        transit = transit.observed(start.sentMs(), now);
+        loop.decisions().arrived(start, node, transit.extraMs(start.sentMs(), now));
+    }
+
     @Override
     public void channelInactive(ChannelHandlerContext context) {
         List<ServedCall> open = List.copyOf(calls.values());
--- a/daemon/src/main/java/org/mimosahinge/daemon/traffic/TrafficLoop.java
+++ b/daemon/src/main/java/org/mimosahinge/daemon/traffic/TrafficLoop.java
@@ -40,7 +40,7 @@
     private static final int MAX_TRACKERS = 1_000;
 
     /** Callers that are silent for long cost little, so a coarse check suffices. */
-    private static final long IDLE_CHECK_MS = 1_000;
+    private static final long CALLER_CHECK_MS = 1_000;
 
     /** A reset connection is replaced at once; a machine that is away is tried about every two seconds. */
     private static final long FIRST_REDIAL_MS = 20;
@@ -65,6 +65,8 @@
     private final HeartbeatTimer heartbeatTimer;
     private final CallerDeadlines callerDeadlines = new CallerDeadlines();
     private final CallDecisions decisions;
+    private final LoopClock clock = new LoopClock();
+    private final LoopPulse pulse;
     private RouteIndex routes = RouteIndex.of(List.of());
     private Set<HostPort> keptPeers = Set.of();
     private long lastCallId;
@@ -77,7 +79,8 @@
         heartbeatTimer = new HeartbeatTimer(eventLoop);
         decisions = new CallDecisions(
                 this, plane.context().metrics(), plane.context().config().logEvery());
-        eventLoop.scheduleWithFixedDelay(this::closeIdleCallers, IDLE_CHECK_MS, IDLE_CHECK_MS, TimeUnit.MILLISECONDS);
+        pulse = new LoopPulse(eventLoop, clock, context().metrics());
+        eventLoop.scheduleWithFixedDelay(this::checkCallers, CALLER_CHECK_MS, CALLER_CHECK_MS, TimeUnit.MILLISECONDS);
     }
 
     TrafficPlane plane() {
@@ -108,6 +111,14 @@
         return decisions;
     }
 
+    LoopClock clock() {
+        return clock;
+    }
+
+    LoopPulse pulse() {
+        return pulse;
+    }
+
     /** Connections that other nodes have opened. */
     Set<ServedConnection> served() {
         return served;
@@ -130,8 +141,14 @@
         return headers;
     }
 
-    private void closeIdleCallers() {
+    private void checkCallers() {
         closeIdle(snapshot().callerLimits().idleTimeout().toMillis());
+        long now = nowMs();
+        long notRead = connections.stream()
+                .filter(connection ->
+                        connection instanceof CallerConnection caller && caller.notRead(now, CALLER_CHECK_MS))
+                .count();
+        context().metrics().callersNotRead(this, notRead);
     }
 
     /** Closes silent connections of callers and counts what a planned stop still has to wait for. */
--- a/net/src/main/java/org/mimosahinge/net/frame/Frame.java
+++ b/net/src/main/java/org/mimosahinge/net/frame/Frame.java
@@ -187,6 +187,7 @@
      * @param uri path and query
      * @param headers headers by lower-case name
      * @param hasBody whether body frames follow
+     * @param sentMs the sender's clock when the frame was written, in milliseconds; its origin is arbitrary
      */
     record CallStart(
             long callId,
@@ -198,8 +199,31 @@
             String method,
             String uri,
             Map<String, String> headers,
-            boolean hasBody)
-            implements Frame {}
+            boolean hasBody,
+            long sentMs)
+            implements Frame {
+
+        /**
+         * Tells when the frame is written.
+         *
+         * @param clockMs the sender's clock
+         * @return the frame with that time
+         */
+        public CallStart sentAt(long clockMs) {
+            return new CallStart(
+                    callId,
+                    endpointId,
+                    service,
+                    callClass,
+                    deadlineMs,
+                    targetMs,
+                    method,
+                    uri,
+                    headers,
+                    hasBody,
+                    clockMs);
+        }
+    }
 
     /**
      * Part of a request's or response's body.
--- a/net/src/main/java/org/mimosahinge/net/frame/FrameCodec.java
+++ b/net/src/main/java/org/mimosahinge/net/frame/FrameCodec.java
@@ -121,6 +121,7 @@
         out.integer(call.callId()).text(call.endpointId()).text(call.service());
         out.integer(call.callClass().ordinal()).integer(call.deadlineMs()).integer(call.targetMs());
         out.text(call.method()).text(call.uri()).texts(call.headers()).flag(call.hasBody());
+        out.integer(call.sentMs());
     }
 
     private static Frame unpack(FrameType type, Unpacker in) {
@@ -135,7 +136,8 @@
                     in.text(),
                     in.text(),
                     in.texts(),
-                    in.flag());
+                    in.flag(),
+                    in.integer());
             case BODY -> new Frame.Body(in.integer(), in.bytes(), in.flag());
             case CREDIT -> new Frame.Credit(in.integer(), in.smallInteger());
             case CANCEL -> new Frame.Cancel(in.integer());
