Show that calls run for callers that have left, by a test that fails

Callers close their connections 220 ms after a request with a deadline of 250 ms, and the call still reaches a backend server about 700 ms later, when

- the last node reads call and cancel together,
- the call outlasts its deadline on the link between two nodes,
- it is cancelled on its way to another traffic thread, or before its connection between nodes is open,

--- /dev/null
+++ b/daemon/src/test/java/org/mimosahinge/daemon/traffic/LeftCallersTest.java
@@ -0,0 +1,294 @@
+package org.mimosahinge.daemon.traffic;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.netty.util.concurrent.EventExecutor;
+import java.io.DataInputStream;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CountDownLatch;
+import java.util.stream.StreamSupport;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
+import org.mimosahinge.api.contract.CallClass;
+import org.mimosahinge.api.world.HostPort;
+import org.mimosahinge.net.frame.Frame;
+import org.mimosahinge.net.frame.FrameCodec;
+
+/** Guards against calls that reach a backend server after their caller has left or their deadline has passed. */
+class LeftCallersTest {
+
+    private static final String CALLERS_LEFT = "mimosahinge_callers_left_total";
+    private static final String PROMPT = "GET /x/prompt HTTP/1.1\r\nhost: a\r\n\r\n";
+    private static final String LATE = "GET /x/late HTTP/1.1\r\nhost: a\r\nx-deadline-ms: 250\r\n\r\n";
+
+    /** Callers leave shortly before their deadline. */
+    private static final long LEAVE_MS = 220;
+
+    /** Above the half second after which a call that its caller has left must not reach its backend server. */
+    private static final long HELD_MS = 700;
+
+    private static final int CALLERS = 12;
+
+    /** A request and the close behind it lie in the receive buffer when the traffic thread comes to read them. */
+    @ParameterizedTest(name = "endpoint beside node {0}, callers {1} their connections")
+    @CsvSource({"0, close", "1, close", "0, reset", "1, reset"})
+    void aRequestReadAfterItsCallerHasLeftIsNotForwarded(int node, String leaving) throws Exception {
+        try (ScriptedBackend backend = ScriptedBackend.echo("b");
+                TestMesh mesh = mesh(2, 1, node, backend, CALLERS)) {
+            List<TestCaller> callers = servedCallers(mesh);
+            try (HeldLoops held = HeldLoops.all(mesh.planes.get(0))) {
+                sendLate(callers);
+                leave(callers, leaving);
+                Thread.sleep(HELD_MS);
+            }
+            assertNoneIsRun(mesh, backend);
+        }
+    }
+
+    /** The call and its cancel are read together. */
+    @ParameterizedTest(name = "callers leave by {0}")
+    @ValueSource(strings = {"close", "deadline"})
+    void aCallReadTogetherWithItsCancelIsNotRun(String end) throws Exception {
+        try (ScriptedBackend backend = ScriptedBackend.echo("b");
+                TestMesh mesh = mesh(2, 1, 1, backend, CALLERS)) {
+            List<TestCaller> callers = servedCallers(mesh);
+            try (HeldLoops held = HeldLoops.all(mesh.planes.get(1))) {
+                sendLate(callers);
+                end(mesh, callers, end);
+            }
+            assertNoneIsRun(mesh, backend);
+        }
+    }
+
+    /** The call arrives long before its cancel, but after its deadline. */
+    @ParameterizedTest(name = "callers leave by {0}")
+    @ValueSource(strings = {"close", "deadline"})
+    void aCallThatOutlastsItsDeadlineOnTheLinkIsNotRun(String end) throws Exception {
+        try (ScriptedBackend backend = ScriptedBackend.echo("b");
+                TestMesh mesh = mesh(2, 1, 1, backend, CALLERS);
+                SlowLink link = new SlowLink(mesh.node(1).address())) {
+            mesh.reach(0, 1, link.address());
+            List<TestCaller> callers = servedCallers(mesh);
+            link.delay(HELD_MS);
+            sendLate(callers);
+            end(mesh, callers, end);
+            link.delay(0);
+            assertNoneIsRun(mesh, backend);
+        }
+    }
+
+    /** The call and its cancel wait for the event loop that owns the backend server's slots. */
+    @ParameterizedTest(name = "callers leave by {0}")
+    @ValueSource(strings = {"close", "deadline"})
+    void aCallCancelledOnItsWayToAnotherEventLoopIsNotRun(String end) throws Exception {
+        int loops = 3;
+        try (ScriptedBackend backend = ScriptedBackend.echo("b");
+                TestMesh mesh = mesh(1, loops, 0, backend, CALLERS)) {
+            TrafficPlane plane = mesh.planes.get(0);
+            List<TestCaller> callers = servedCallers(mesh);
+            String endpoint = mesh.snapshot().endpoints().get("svc").get(0).id();
+            try (HeldLoops held = HeldLoops.of(List.of(plane.owner(endpoint).eventLoop()))) {
+                sendLate(callers);
+                Thread.sleep(LEAVE_MS);
+                if (end.equals("close")) {
+                    leave(callers, "close");
+                }
+                Thread.sleep(HELD_MS);
+            }
+            assertNoneIsRun(mesh, backend);
+        }
+    }
+
+    /** The connection to the other node is still being opened when the caller leaves. */
+    @ParameterizedTest(name = "cancelled: {0}")
+    @ValueSource(booleans = {true, false})
+    void aCallCancelledBeforeItsConnectionIsOpenIsNotSent(boolean cancelled) throws Exception {
+        try (TestMesh mesh = new TestMesh(1, null).route(TestMesh.route("/x", true, false));
+                ServerSocket peer = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+            TrafficPlane plane = mesh.planes.get(0);
+            EventExecutor eventLoop = plane.eventLoops().next();
+            TrafficLoop loop = plane.loop((io.netty.channel.EventLoop) eventLoop);
+            List<Frame.CallFailure> failures = new ArrayList<>();
+            eventLoop
+                    .submit(() -> {
+                        PeerConnection connection =
+                                PeerConnection.open(loop, new HostPort("127.0.0.1", peer.getLocalPort()));
+                        Exchange exchange = connection.start(start(250), failuresTo(failures));
+                        if (cancelled) {
+                            exchange.cancel();
+                        } else {
+                            // The connection is open, but this thread learns of it after the call's deadline.
+                            Thread.sleep(HELD_MS);
+                        }
+                        return null;
+                    })
+                    .get();
+            try (Socket accepted = peer.accept()) {
+                DataInputStream in = new DataInputStream(accepted.getInputStream());
+                List<Frame> frames = new ArrayList<>();
+                while (frames.isEmpty() || !(frames.get(frames.size() - 1) instanceof Frame.Heartbeat)) {
+                    frames.add(FrameCodec.decode(in.readNBytes(in.readInt())));
+                }
+                assertTrue(frames.stream().noneMatch(Frame.CallStart.class::isInstance), frames.toString());
+                assertTrue(frames.stream().noneMatch(Frame.Cancel.class::isInstance), frames.toString());
+            }
+            assertEquals(
+                    cancelled ? List.of() : List.of(true),
+                    failures.stream().map(Frame.CallFailure::notRun).toList());
+        }
+    }
+
+    /** A slot becomes free after the deadline of the call that waits for it, before the end of its wait is seen. */
+    @ParameterizedTest(name = "endpoint beside node {0}")
+    @ValueSource(ints = {0, 1})
+    void aCallWhoseDeadlinePassesInTheQueueIsNotRun(int node) throws Exception {
+        CountDownLatch running = new CountDownLatch(1);
+        CountDownLatch release = new CountDownLatch(1);
+        try (ScriptedBackend backend = ScriptedBackend.start((request, out) -> {
+                    if (request.uri().equals("/x/first")) {
+                        running.countDown();
+                        release.await();
+                    }
+                    ScriptedBackend.respond(out, "200 OK", "ok");
+                });
+                TestMesh mesh = mesh(2, 1, node, backend, 1);
+                TestCaller first = new TestCaller(mesh.planes.get(0).callers());
+                TestCaller second = new TestCaller(mesh.planes.get(0).callers())) {
+            assertEquals(200, second.send(PROMPT).status());
+            first.send("GET /x/first HTTP/1.1\r\nhost: a\r\n\r\n");
+            running.await();
+            second.send(LATE);
+            // Long enough for the call to be in the queue, short of its deadline.
+            Thread.sleep(100);
+            try (HeldLoops held = HeldLoops.all(mesh.planes.get(node))) {
+                release.countDown();
+                Thread.sleep(HELD_MS);
+            }
+            assertNoneIsRun(mesh, backend);
+        }
+    }
+
+    private static TestMesh mesh(int nodes, int eventLoops, int node, ScriptedBackend backend, int slots) {
+        return new TestMesh(nodes, null, eventLoops)
+                .route(TestMesh.route("/x", true, false))
+                .endpoint(node, "svc", backend.address(), slots);
+    }
+
+    /** Opens connections that have each been served once, so that no opening of one delays the late calls. */
+    private static List<TestCaller> servedCallers(TestMesh mesh) throws Exception {
+        List<TestCaller> callers = new ArrayList<>();
+        for (int i = 0; i < CALLERS; i++) {
+            TestCaller caller = new TestCaller(mesh.planes.get(0).callers());
+            assertEquals(200, caller.send(PROMPT).status());
+            callers.add(caller);
+        }
+        return callers;
+    }
+
+    private static void sendLate(List<TestCaller> callers) throws Exception {
+        for (TestCaller caller : callers) {
+            caller.send(LATE);
+        }
+    }
+
+    private static void leave(List<TestCaller> callers, String leaving) throws Exception {
+        Thread.sleep(LEAVE_MS);
+        for (TestCaller caller : callers) {
+            if (leaving.equals("reset")) {
+                caller.reset();
+            } else {
+                caller.close();
+            }
+        }
+    }
+
+    /** Ends the calls at the first node, which is prompt, and waits until it has seen so. */
+    private static void end(TestMesh mesh, List<TestCaller> callers, String end) throws Exception {
+        if (end.equals("close")) {
+            leave(callers, end);
+            while (mesh.count(0, CALLERS_LEFT) < CALLERS) {
+                Thread.sleep(1);
+            }
+            Thread.sleep(HELD_MS);
+        } else {
+            for (TestCaller caller : callers) {
+                assertEquals(504, caller.status());
+            }
+        }
+    }
+
+    /** What was forwarded before reaches the backend server before a call that is sent now is answered. */
+    private static void assertNoneIsRun(TestMesh mesh, ScriptedBackend backend) throws Exception {
+        assertEquals(200, mesh.get("/x/after").statusCode());
+        long late = backend.received.stream()
+                .filter(request -> request.uri().equals("/x/late"))
+                .count();
+        assertEquals(0, late, "calls run for callers that had left");
+    }
+
+    private static Frame.CallStart start(int deadlineMs) {
+        return new Frame.CallStart(
+                1, "e", "svc", CallClass.INTERACTIVE, deadlineMs, deadlineMs, "GET", "/x", Map.of(), false, 0);
+    }
+
+    private static ResponseObserver failuresTo(List<Frame.CallFailure> failures) {
+        return new ResponseObserver() {
+            @Override
+            public void started(Frame.ResponseStart start) {}
+
+            @Override
+            public void body(byte[] bytes, boolean last) {}
+
+            @Override
+            public void credit(int bytes) {}
+
+            @Override
+            public void failed(Frame.CallFailure failure) {
+                failures.add(failure);
+            }
+
+            @Override
+            public void flush() {}
+        };
+    }
+
+    /** Event loops that do nothing until this is closed, as those of a node without processor time. */
+    private record HeldLoops(CountDownLatch release) implements AutoCloseable {
+
+        static HeldLoops all(TrafficPlane plane) throws InterruptedException {
+            return of(StreamSupport.stream(plane.eventLoops().spliterator(), false)
+                    .toList());
+        }
+
+        static HeldLoops of(List<? extends EventExecutor> loops) throws InterruptedException {
+            CountDownLatch release = new CountDownLatch(1);
+            CountDownLatch holding = new CountDownLatch(loops.size());
+            loops.forEach(loop -> loop.execute(() -> {
+                holding.countDown();
+                awaitUninterruptibly(release);
+            }));
+            holding.await();
+            return new HeldLoops(release);
+        }
+
+        private static void awaitUninterruptibly(CountDownLatch latch) {
+            try {
+                latch.await();
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+            }
+        }
+
+        @Override
+        public void close() {
+            release.countDown();
+        }
+    }
+}
--- a/daemon/src/test/java/org/mimosahinge/daemon/traffic/TestCaller.java
+++ b/daemon/src/test/java/org/mimosahinge/daemon/traffic/TestCaller.java
@@ -62,6 +62,12 @@
         return String.join(" ", found);
     }
 
+    /** Leaves without a word, as a process that ends with unread bytes does. */
+    void reset() throws IOException {
+        socket.setSoLinger(true, 0);
+        socket.close();
+    }
+
     private static String line(InputStream in) throws IOException {
         StringBuilder line = new StringBuilder();
         for (int c = in.read(); c >= 0 && c != '\n'; c = in.read()) {
--- a/daemon/src/test/java/org/mimosahinge/daemon/traffic/TestMesh.java
+++ b/daemon/src/test/java/org/mimosahinge/daemon/traffic/TestMesh.java
@@ -132,6 +132,40 @@
         return this;
     }
 
+    /** Lets one node reach another one at another address. */
+    TestMesh reach(int from, int to, HostPort address) {
+        Node known = nodes.get(to);
+        Node there = new Node(known.id(), known.incarnation(), known.zone(), address);
+        Map<String, List<Endpoint>> changed = new HashMap<>();
+        endpoints.forEach((service, list) -> changed.put(
+                service,
+                list.stream()
+                        .map(endpoint -> endpoint.node().equals(known)
+                                ? new Endpoint(
+                                        endpoint.id(), endpoint.server(), there, endpoint.state(), endpoint.stamp())
+                                : endpoint)
+                        .toList()));
+        overrides.put(
+                nodes.get(from).id(),
+                new Snapshot(
+                        snapshot.version(),
+                        snapshot.sections(),
+                        snapshot.services(),
+                        snapshot.serviceRevisions(),
+                        snapshot.routes(),
+                        snapshot.moves(),
+                        changed,
+                        snapshot.halts(),
+                        true,
+                        callerLimits));
+        return this;
+    }
+
+    /** Returns a counter of a node. */
+    long count(int node, String counter) {
+        return planes.get(node).context().config().registry().counter(counter).getCount();
+    }
+
     Snapshot snapshot() {
         return snapshot;
     }
