Begin a request only after all that has arrived on its connection is read

Callers saw calls run for which they no longer waited: 57 of one moment, the one in the record 894 ms after its caller had closed the connection.

Cause: a traffic thread that is late finds request and close in the receive buffer. A read that brings fewer bytes than its buffer holds ends the reading, so the request was begun at once, and the close came with the next selection, after the call had been forwarded. The time in the buffer counted nowhere, so the deadline began anew.

Now a read goes on until nothing is left, and a request is begun in a task behind it, which a close precedes. Time in the queue of a connection counts in full, and half of the longest time for which the request may have waited to be read: a caller that is still there has waited for less than its deadline. A call whose deadline passed in the queue is refused.

--- /dev/null
+++ b/core/src/main/java/org/mimosahinge/core/deadline/RequestDelay.java
@@ -0,0 +1,27 @@
+package org.mimosahinge.core.deadline;
+
+/**
+ * How long a request has waited at its node before it is looked at.
+ *
+ * @param unreadMs longest time for which it may have waited to be read, in milliseconds
+ * @param queuedMs time since it was read, in milliseconds
+ */
+public record RequestDelay(long unreadMs, long queuedMs) {
+
+    /** A request that is looked at as it arrives. */
+    public static final RequestDelay NONE = new RequestDelay(0, 0);
+
+    /**
+     * Returns the part of a deadline that has passed.
+     *
+     * <p>A caller that is still there has waited for no longer than its deadline, so the middle of what is possible
+     * counts as the time before the request was read; the whole of it would refuse calls that have just arrived.
+     *
+     * @param deadlineMs time that the caller stated, in milliseconds
+     * @return milliseconds
+     */
+    public long spentMs(long deadlineMs) {
+        long leftMs = Math.max(0, deadlineMs - queuedMs);
+        return queuedMs + Math.min(leftMs, unreadMs) / 2;
+    }
+}
--- /dev/null
+++ b/core/src/test/java/org/mimosahinge/core/deadline/RequestDelayTest.java
@@ -0,0 +1,24 @@
+package org.mimosahinge.core.deadline;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+/** Guards against deadlines that begin anew when a request is looked at late, and against refusing one just arrived. */
+class RequestDelayTest {
+
+    @ParameterizedTest(name = "deadline {0} ms, unread for at most {1} ms, queued for {2} ms: {3} ms have passed")
+    @CsvSource({
+        "250, 0, 0, 0",
+        "250, 200, 0, 100",
+        "250, 700, 0, 125",
+        "2500, 700, 0, 350",
+        "250, 0, 100, 100",
+        "250, 700, 150, 200",
+        "250, 700, 300, 300"
+    })
+    void aRequestLookedAtLateHasLessTimeLeft(long deadlineMs, long unreadMs, long queuedMs, long spentMs) {
+        assertEquals(spentMs, new RequestDelay(unreadMs, queuedMs).spentMs(deadlineMs));
+    }
+}
--- a/daemon/src/main/java/org/mimosahinge/daemon/traffic/CallDecisions.java
+++ b/daemon/src/main/java/org/mimosahinge/daemon/traffic/CallDecisions.java
@@ -201,6 +201,13 @@
                 unreadMs);
     }
 
+    /** A caller has left before its request was looked at. */
+    void callerLeft(Map<String, String> headers, long unreadMs) {
+        metrics.callerLeft();
+        LOG.info(
+                "caller_left", "request", id(headers), "route", NONE, "endpoint", NONE, "ms", 0, "unread_ms", unreadMs);
+    }
+
     /** A call of another node has arrived; only those that were long on their way are worth a line. */
     void arrived(Frame.CallStart start, Node from, long transitMs) {
         metrics.arrived(transitMs);
--- a/daemon/src/main/java/org/mimosahinge/daemon/traffic/CallPlan.java
+++ b/daemon/src/main/java/org/mimosahinge/daemon/traffic/CallPlan.java
@@ -25,27 +25,21 @@
     private final Route route;
     private final Service service;
     private final long deadlineNanos;
-    private final long startedNanos = System.nanoTime();
+    private final long startedNanos;
     private final long waitedMs;
     private final Set<String> tried = new HashSet<>();
     private int reached;
     private long roomInMs;
 
-    CallPlan(
-            TrafficLoop loop,
-            CallRequest request,
-            RequestBody body,
-            Route route,
-            Service service,
-            long timeoutMs,
-            long waitedMs) {
+    CallPlan(TrafficLoop loop, CallRequest request, RequestBody body, Route route, Service service, CallTimes times) {
         this.loop = loop;
         this.request = request;
         this.body = body;
         this.route = route;
         this.service = service;
-        this.waitedMs = waitedMs;
-        deadlineNanos = startedNanos + TimeUnit.MILLISECONDS.toNanos(timeoutMs);
+        waitedMs = times.waitedMs();
+        startedNanos = System.nanoTime() - TimeUnit.MILLISECONDS.toNanos(times.spentMs());
+        deadlineNanos = startedNanos + TimeUnit.MILLISECONDS.toNanos(times.deadlineMs());
     }
 
     Service service() {
--- a/daemon/src/main/java/org/mimosahinge/daemon/traffic/CallerConnection.java
+++ b/daemon/src/main/java/org/mimosahinge/daemon/traffic/CallerConnection.java
@@ -28,6 +28,7 @@
 import java.util.concurrent.TimeUnit;
 import org.mimosahinge.api.config.Snapshot;
 import org.mimosahinge.api.error.CallException;
+import org.mimosahinge.core.deadline.RequestDelay;
 import org.mimosahinge.net.frame.Frame;
 
 /** A caller's HTTP/1.1 connection; serves one request after the other. */
@@ -43,13 +44,28 @@
 
     private final TrafficLoop loop;
     private final TrafficPlane plane;
-    private final Queue<HttpObject> pipelined = new ArrayDeque<>();
+    private final Queue<Arrived> pipelined = new ArrayDeque<>();
     private Channel channel;
     private Turn turn;
     private long idleSinceMs;
     private long unreadSinceMs;
     private long requests;
     private boolean rejected;
+    private boolean goingOn;
+
+    /**
+     * A message that waits for its turn.
+     *
+     * @param message the message
+     * @param readMs when it was read
+     * @param unreadMs longest time for which it may have waited to be read
+     */
+    private record Arrived(HttpObject message, long readMs, long unreadMs) {
+
+        RequestDelay delay() {
+            return new RequestDelay(unreadMs, TrafficLoop.nowMs() - readMs);
+        }
+    }
 
     CallerConnection(TrafficPlane plane, TrafficLoop loop) {
         super(false);
@@ -102,15 +118,17 @@
 
     @Override
     protected void channelRead0(ChannelHandlerContext context, HttpObject message) {
-        if (turn != null && turn.requestComplete) {
-            pipelined.add(message);
-            updateReading();
+        boolean restOfRequest = turn != null && !turn.requestComplete && pipelined.isEmpty();
+        if (restOfRequest) {
+            take(new Arrived(message, TrafficLoop.nowMs(), 0));
         } else {
-            take(message);
+            pipelined.add(new Arrived(message, TrafficLoop.nowMs(), loop.pulse().oldestUnreadMs()));
+            updateReading();
         }
     }
 
-    private void take(HttpObject message) {
+    private void take(Arrived next) {
+        HttpObject message = next.message();
         try {
             if (rejected) {
                 // The connection ends with the response that was written last.
@@ -129,7 +147,7 @@
                     reject(RejectCause.HEAD_TOO_LONG, "More than " + headLimit + " bytes", snapshot);
                     return;
                 }
-                turn = new Turn(request, snapshot);
+                turn = new Turn(request, snapshot, next);
                 turn.begin();
             }
             if (message instanceof HttpContent content && turn != null) {
@@ -180,12 +198,29 @@
         if (turn != null) {
             turn.call.flushRequest();
         }
+        if (!pipelined.isEmpty() && !goingOn) {
+            // A close that was read behind the requests takes effect first.
+            goingOn = true;
+            channel.eventLoop().execute(this::goOn);
+        }
+    }
+
+    private void goOn() {
+        goingOn = false;
+        while (channel.isActive() && !pipelined.isEmpty() && (turn == null || !turn.requestComplete)) {
+            take(pipelined.poll());
+        }
+        if (turn != null) {
+            turn.call.flushRequest();
+        }
+        updateReading();
     }
 
     @Override
     public void channelInactive(ChannelHandlerContext context) {
-        pipelined.forEach(ReferenceCountUtil::release);
-        pipelined.clear();
+        for (Arrived next = pipelined.poll(); next != null; next = pipelined.poll()) {
+            leftWaiting(next);
+        }
         loop.connections().remove(this);
         if (turn != null && !rejected) {
             turn.call.callerLeft();
@@ -197,17 +232,22 @@
         context.close();
     }
 
+    private void leftWaiting(Arrived left) {
+        if (left.message().decoderResult().isFailure()) {
+            take(left);
+            return;
+        }
+        if (left.message() instanceof HttpRequest request) {
+            loop.decisions().callerLeft(HeaderMaps.from(request.headers()), left.unreadMs());
+        }
+        ReferenceCountUtil.release(left.message());
+    }
+
     private void next() {
         turn = null;
         requests++;
         idleSinceMs = TrafficLoop.nowMs();
-        while (!pipelined.isEmpty() && (turn == null || !turn.requestComplete)) {
-            take(pipelined.poll());
-        }
-        if (turn != null) {
-            turn.call.flushRequest();
-        }
-        updateReading();
+        goOn();
     }
 
     /** One request and its response. */
@@ -226,7 +266,7 @@
         private boolean responseStarted;
         private boolean answered;
 
-        Turn(HttpRequest request, Snapshot snapshot) {
+        Turn(HttpRequest request, Snapshot snapshot, Arrived read) {
             this.snapshot = snapshot;
             keepAlive = HttpUtil.isKeepAlive(request);
             head = request.method().name().equals("HEAD");
@@ -241,7 +281,7 @@
             RequestTarget target = RequestTarget.of(request.uri(), headers.getOrDefault(HOST, ""));
             headers.put(HOST, target.host());
             callRequest = new CallRequest(request.method().name(), target.uri(), headers, hasBody);
-            call = new EntryCall(loop, callRequest, snapshot, loop.pulse().oldestUnreadMs(), this);
+            call = new EntryCall(loop, callRequest, snapshot, read.delay(), this);
         }
 
         String requestId() {
--- a/daemon/src/main/java/org/mimosahinge/daemon/traffic/EntryCall.java
+++ b/daemon/src/main/java/org/mimosahinge/daemon/traffic/EntryCall.java
@@ -11,6 +11,7 @@
 import org.mimosahinge.api.error.CallException;
 import org.mimosahinge.api.error.ErrorCode;
 import org.mimosahinge.core.admission.RetryAdvice;
+import org.mimosahinge.core.deadline.RequestDelay;
 import org.mimosahinge.core.once.ClaimStep;
 import org.mimosahinge.core.routing.Choice;
 import org.mimosahinge.net.frame.Frame;
@@ -29,7 +30,7 @@
     private final RequestBody body = new RequestBody();
     private final ResponseProgress progress;
     private final Snapshot decided;
-    private final long unreadMs;
+    private final RequestDelay delay;
     private CallPlan plan;
     private PoisonGuard poison;
     private OnceGuard once;
@@ -42,16 +43,11 @@
     private boolean mayHaveRun;
     private boolean ended;
 
-    /**
-     * Creates a call.
-     *
-     * @param unreadMs longest time for which the request may have waited to be read
-     */
-    EntryCall(TrafficLoop loop, CallRequest request, Snapshot decided, long unreadMs, CallerSink sink) {
+    EntryCall(TrafficLoop loop, CallRequest request, Snapshot decided, RequestDelay delay, CallerSink sink) {
         this.loop = loop;
         this.request = request;
         this.decided = decided;
-        this.unreadMs = unreadMs;
+        this.delay = delay;
         this.sink = sink;
         progress = new ResponseProgress(request);
     }
@@ -81,8 +77,13 @@
         }
         long statedMs = HeaderMaps.number(request.headers(), loop.protocol().deadlineHeader());
         long waitedMs = loop.callerDeadlines().waitedMs(route, statedMs);
-        plan = new CallPlan(loop, request, body, route, service, deadlineMs, waitedMs);
-        timer = loop.eventLoop().schedule(this::deadlinePassed, deadlineMs, TimeUnit.MILLISECONDS);
+        CallTimes times = new CallTimes(deadlineMs, waitedMs, delay.spentMs(deadlineMs));
+        plan = new CallPlan(loop, request, body, route, service, times);
+        if (times.spentMs() >= deadlineMs) {
+            refuse(ErrorCode.DEADLINE_EXCEEDED, "The deadline passed behind other calls of the connection");
+            return;
+        }
+        timer = loop.eventLoop().schedule(this::deadlinePassed, deadlineMs - times.spentMs(), TimeUnit.MILLISECONDS);
         if (route.atMostOnce()) {
             String key = request.headers().getOrDefault(OnceGuard.KEY_HEADER, "");
             if (!OnceGuard.valid(key)) {
@@ -179,7 +180,7 @@
     /** The caller has left. */
     void callerLeft() {
         if (!ended) {
-            loop.decisions().callerLeft(request, plan, attempt, unreadMs);
+            loop.decisions().callerLeft(request, plan, attempt, delay.unreadMs());
             end();
             if (attempt != null) {
                 attempt.abandon();
