Look at all frames of a read before calls are started

Callers saw calls run after they had left. A last node that is late reads a call and its cancel together; the call was written to its backend server before the cancel was looked at.

Frames of calls are now served in a task behind the read, as at the entry node, and a call whose cancel was read with it is not started.

--- a/daemon/src/main/java/org/mimosahinge/daemon/control/PeerChannels.java
+++ b/daemon/src/main/java/org/mimosahinge/daemon/control/PeerChannels.java
@@ -29,6 +29,7 @@
 import org.mimosahinge.net.frame.FrameDecoder;
 import org.mimosahinge.net.frame.FrameEncoder;
 import org.mimosahinge.net.log.EventLog;
+import org.mimosahinge.net.tcp.WholeReads;
 
 /** Opens and accepts connections between daemons and hands their frames to the control thread. */
 public final class PeerChannels implements AutoCloseable {
@@ -122,6 +123,7 @@
                 .group(group, loops)
                 .channel(NioServerSocketChannel.class)
                 .childOption(ChannelOption.TCP_NODELAY, true)
+                .childOption(ChannelOption.RCVBUF_ALLOCATOR, WholeReads.allocator())
                 .childHandler(initializer(() -> new AcceptHandler()))
                 .bind(address.host(), address.port())
                 .syncUninterruptibly()
--- a/daemon/src/main/java/org/mimosahinge/daemon/traffic/CallDecisions.java
+++ b/daemon/src/main/java/org/mimosahinge/daemon/traffic/CallDecisions.java
@@ -227,6 +227,23 @@
         }
     }
 
+    /** A call of another node was given up before anything was done for it. */
+    void cancelledOnArrival(Frame.CallStart start) {
+        metrics.cancelled("arriving");
+        LOG.info(
+                "cancelled",
+                "request",
+                id(start.headers()),
+                "endpoint",
+                start.endpointId(),
+                "state",
+                "arriving",
+                "ms",
+                0,
+                "since_sent_ms",
+                0);
+    }
+
     /** A caller's connection is not read, so neither its next request nor its end can be seen. */
     void notRead(int messages, long ms) {
         LOG.info("caller_not_read", "messages", messages, "ms", ms);
--- a/daemon/src/main/java/org/mimosahinge/daemon/traffic/ServedConnection.java
+++ b/daemon/src/main/java/org/mimosahinge/daemon/traffic/ServedConnection.java
@@ -3,9 +3,12 @@
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.SimpleChannelInboundHandler;
+import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import org.mimosahinge.api.error.ErrorCode;
 import org.mimosahinge.api.world.Node;
@@ -20,10 +23,12 @@
 
     private final TrafficPlane plane;
     private final Map<Long, ServedCall> calls = new HashMap<>();
+    private final List<Frame> unserved = new ArrayList<>();
     private TrafficLoop loop;
     private Channel channel;
     private Node node;
     private TransitTime transit = TransitTime.UNKNOWN;
+    private boolean serving;
 
     ServedConnection(TrafficPlane plane) {
         this.plane = plane;
@@ -75,6 +80,54 @@
     protected void channelRead0(ChannelHandlerContext context, Frame frame) {
         if (frame instanceof Frame.CallStart start) {
             arrived(start);
+            unserved.add(start);
+        } else if (frame instanceof Frame.Body || frame instanceof Frame.Credit || frame instanceof Frame.Cancel) {
+            unserved.add(frame);
+        } else if (frame instanceof Frame.Hello hello) {
+            node = hello.node();
+            loop.context().listener().on(new TrafficEvent.PeerArrived(node, hello.version()));
+        } else if (frame instanceof Frame.RowsRequest && node != null) {
+            loop.context().listener().on(new TrafficEvent.PeerTold(node, frame, 0));
+        } else if (!(frame instanceof Frame.Heartbeat)) {
+            // Frames of the control connection have no place here.
+            context.close();
+        }
+    }
+
+    @Override
+    public void channelReadComplete(ChannelHandlerContext context) {
+        if (!unserved.isEmpty() && !serving) {
+            // A close that was read behind the frames takes effect first.
+            serving = true;
+            channel.eventLoop().execute(this::serve);
+        }
+    }
+
+    /** Serves what was read together, but for calls that were given up meanwhile. */
+    private void serve() {
+        serving = false;
+        List<Frame> frames = List.copyOf(unserved);
+        unserved.clear();
+        if (!channel.isActive()) {
+            return;
+        }
+        Set<Long> cancelled = new HashSet<>();
+        for (Frame frame : frames) {
+            if (frame instanceof Frame.Cancel cancel) {
+                cancelled.add(cancel.callId());
+            }
+        }
+        for (Frame frame : frames) {
+            if (frame instanceof Frame.CallStart start && cancelled.contains(start.callId())) {
+                loop.decisions().cancelledOnArrival(start);
+            } else {
+                serve(frame);
+            }
+        }
+    }
+
+    private void serve(Frame frame) {
+        if (frame instanceof Frame.CallStart start) {
             new ServedCall(start).begin();
         } else if (frame instanceof Frame.Body body) {
             ServedCall call = calls.get(body.callId());
@@ -92,14 +145,6 @@
             if (call != null) {
                 call.exchange.cancel();
             }
-        } else if (frame instanceof Frame.Hello hello) {
-            node = hello.node();
-            loop.context().listener().on(new TrafficEvent.PeerArrived(node, hello.version()));
-        } else if (frame instanceof Frame.RowsRequest && node != null) {
-            loop.context().listener().on(new TrafficEvent.PeerTold(node, frame, 0));
-        } else if (!(frame instanceof Frame.Heartbeat)) {
-            // Frames of the control connection have no place here.
-            context.close();
         }
     }
 
--- a/daemon/src/main/java/org/mimosahinge/daemon/traffic/TrafficPlane.java
+++ b/daemon/src/main/java/org/mimosahinge/daemon/traffic/TrafficPlane.java
@@ -1,14 +1,12 @@
 package org.mimosahinge.daemon.traffic;
 
 import io.netty.bootstrap.ServerBootstrap;
-import io.netty.channel.AdaptiveRecvByteBufAllocator;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandler;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
 import io.netty.channel.EventLoopGroup;
-import io.netty.channel.RecvByteBufAllocator;
 import io.netty.channel.nio.NioEventLoopGroup;
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
@@ -35,6 +33,7 @@
 import org.mimosahinge.net.frame.Frame;
 import org.mimosahinge.net.frame.FrameDecoder;
 import org.mimosahinge.net.frame.FrameEncoder;
+import org.mimosahinge.net.tcp.WholeReads;
 
 /** Carries a node's calls: from callers, to and from other nodes, and to the backend servers beside it. */
 public final class TrafficPlane implements AutoCloseable {
@@ -53,9 +52,6 @@
     /** Connections of callers that wait to be accepted; a burst must not lose opening packets. */
     private static final int BACKLOG = 1_024;
 
-    /** Reads of one connection before others have their turn; Netty's own default. */
-    private static final int READS_AT_ONCE = 16;
-
     private final TrafficContext context;
     private final EventLoopGroup group;
     private final Map<EventLoop, TrafficLoop> loops = new ConcurrentHashMap<>();
@@ -156,7 +152,7 @@
                 .channel(NioServerSocketChannel.class)
                 .option(ChannelOption.SO_BACKLOG, BACKLOG)
                 .childOption(ChannelOption.TCP_NODELAY, true)
-                .childOption(ChannelOption.RCVBUF_ALLOCATOR, readingToTheEnd())
+                .childOption(ChannelOption.RCVBUF_ALLOCATOR, WholeReads.allocator())
                 .childHandler(new ChannelInitializer<SocketChannel>() {
                     @Override
                     protected void initChannel(SocketChannel channel) {
@@ -168,11 +164,6 @@
                 .channel();
     }
 
-    /** Reads on until nothing is left, so that a close is seen together with what came before it. */
-    private static RecvByteBufAllocator readingToTheEnd() {
-        return new AdaptiveRecvByteBufAllocator().respectMaybeMoreData(false).maxMessagesPerRead(READS_AT_ONCE);
-    }
-
     /**
      * Creates the handler of an inbound connection for calls; it goes behind the frame codec.
      *
--- /dev/null
+++ b/net/src/main/java/org/mimosahinge/net/tcp/WholeReads.java
@@ -0,0 +1,22 @@
+package org.mimosahinge.net.tcp;
+
+import io.netty.channel.AdaptiveRecvByteBufAllocator;
+import io.netty.channel.RecvByteBufAllocator;
+
+/** Reads a connection until nothing is left, so that a close is seen together with what came before it. */
+public final class WholeReads {
+
+    /** Reads of one connection before others have their turn; Netty's own default. */
+    private static final int READS_AT_ONCE = 16;
+
+    private WholeReads() {}
+
+    /**
+     * Creates the allocator that makes connections read so.
+     *
+     * @return the value of the channel option
+     */
+    public static RecvByteBufAllocator allocator() {
+        return new AdaptiveRecvByteBufAllocator().respectMaybeMoreData(false).maxMessagesPerRead(READS_AT_ONCE);
+    }
+}
