Count the time between nodes against the deadline of a call

Callers saw calls run after their deadline. A call tells the other node what is left of its deadline, and that began anew wherever the frame was read: time in the sender's buffers, on the link and in the receive buffer counted nowhere.

The receiving node now takes off what a call was longer on its way than the quickest one of its connection in the last 10 to 20 s, and refuses it as not run when nothing is left. Clocks of nodes need not agree.

--- a/daemon/src/main/java/org/mimosahinge/daemon/traffic/Attempt.java
+++ b/daemon/src/main/java/org/mimosahinge/daemon/traffic/Attempt.java
@@ -64,7 +64,7 @@
     void begin(Frame.CallStart start) {
         requestSent = !start.hasBody();
         late = start.targetMs() <= 0;
-        Exchange begun = loop.target(endpoint).start(start, this);
+        Exchange begun = loop.target(endpoint).startInTime(start, this);
         if (!ended) {
             exchange = begun;
         }
--- a/daemon/src/main/java/org/mimosahinge/daemon/traffic/CallFailures.java
+++ b/daemon/src/main/java/org/mimosahinge/daemon/traffic/CallFailures.java
@@ -29,7 +29,8 @@
         }
         return switch (code(failure)) {
             case OVERLOADED -> FailureKind.SHED;
-            case DEADLINE_EXCEEDED -> FailureKind.TIMEOUT;
+                // A call that was not run in time tells nothing about the backend server.
+            case DEADLINE_EXCEEDED -> failure.notRun() ? FailureKind.SHED : FailureKind.TIMEOUT;
             default -> FailureKind.CONNECTION_LOSS;
         };
     }
--- a/daemon/src/main/java/org/mimosahinge/daemon/traffic/ServedConnection.java
+++ b/daemon/src/main/java/org/mimosahinge/daemon/traffic/ServedConnection.java
@@ -79,8 +79,7 @@
     @Override
     protected void channelRead0(ChannelHandlerContext context, Frame frame) {
         if (frame instanceof Frame.CallStart start) {
-            arrived(start);
-            unserved.add(start);
+            unserved.add(arrived(start));
         } else if (frame instanceof Frame.Body || frame instanceof Frame.Credit || frame instanceof Frame.Cancel) {
             unserved.add(frame);
         } else if (frame instanceof Frame.Hello hello) {
@@ -148,10 +147,13 @@
         }
     }
 
-    private void arrived(Frame.CallStart start) {
+    /** Counts the time that the call was longer on its way than others. */
+    private Frame.CallStart arrived(Frame.CallStart start) {
         long now = TrafficLoop.nowMs();
         transit = transit.observed(start.sentMs(), now);
-        loop.decisions().arrived(start, node, transit.extraMs(start.sentMs(), now));
+        long extraMs = transit.extraMs(start.sentMs(), now);
+        loop.decisions().arrived(start, node, extraMs);
+        return start.after(extraMs);
     }
 
     @Override
@@ -188,7 +190,7 @@
                 channel.close();
                 return;
             }
-            exchange = loop.beside(start).start(start, this);
+            exchange = loop.beside(start).startInTime(start, this);
         }
 
         @Override
--- a/net/src/main/java/org/mimosahinge/net/frame/Frame.java
+++ b/net/src/main/java/org/mimosahinge/net/frame/Frame.java
@@ -203,6 +203,27 @@
             long sentMs)
             implements Frame {
 
+        /**
+         * Counts time that the call has spent since its times were told.
+         *
+         * @param ms the time in milliseconds
+         * @return the call with that much less time left
+         */
+        public CallStart after(long ms) {
+            return new CallStart(
+                    callId,
+                    endpointId,
+                    service,
+                    callClass,
+                    (int) Math.max(0, deadlineMs - ms),
+                    (int) Math.max(Integer.MIN_VALUE, targetMs - ms),
+                    method,
+                    uri,
+                    headers,
+                    hasBody,
+                    sentMs);
+        }
+
         /**
          * Tells when the frame is written.
          *
