Send no call that was cancelled while its connection was opened

Callers saw calls run after they had left. A call waits while the connection to the other node is opened, for up to a second; its cancel was put behind it instead of taking it back, and its deadline was told as of its beginning. LeftCallersTest saw the call sent, with and without its cancel (both cases).

The frames that wait now belong to their call: a cancel removes them, and a call whose deadline has passed when the connection is open is refused as not run.

--- a/daemon/src/main/java/org/mimosahinge/daemon/traffic/PeerConnection.java
+++ b/daemon/src/main/java/org/mimosahinge/daemon/traffic/PeerConnection.java
@@ -10,7 +10,7 @@
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioSocketChannel;
 import java.util.ArrayList;
-import java.util.HashMap;
+import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
@@ -35,8 +35,7 @@
 
     private final TrafficLoop loop;
     private final HostPort address;
-    private final Map<Long, PeerExchange> calls = new HashMap<>();
-    private final List<Frame> unsent = new ArrayList<>();
+    private final Map<Long, PeerExchange> calls = new LinkedHashMap<>();
     private final Set<ResponseObserver> touched = new LinkedHashSet<>();
     private Channel channel;
     private Heartbeats heartbeats;
@@ -105,7 +104,7 @@
         }
         PeerExchange exchange = new PeerExchange(start.callId(), observer);
         calls.put(start.callId(), exchange);
-        write(start.sentAt(loop.clock().nowMs()));
+        exchange.write(start);
         return exchange;
     }
 
@@ -122,19 +121,11 @@
             channel.eventLoop().schedule(this::closeWhenIdle, IDLE_MS, TimeUnit.MILLISECONDS);
         }
         channel.write(loop.hello());
-        unsent.forEach(channel::write);
-        unsent.clear();
+        // A call that fails may start another one here.
+        List.copyOf(calls.values()).forEach(PeerExchange::opened);
         channel.flush();
     }
 
-    private void write(Frame frame) {
-        if (channel == null) {
-            unsent.add(frame);
-        } else {
-            channel.write(frame);
-        }
-    }
-
     private void flush() {
         if (channel != null) {
             channel.flush();
@@ -244,7 +235,6 @@
             return;
         }
         closed = true;
-        unsent.clear();
         loop.forget(address, this);
         loop.context().listener().on(new TrafficEvent.PeerDown(address, link));
         loop.redial(address);
@@ -261,12 +251,48 @@
         private final long callId;
         private final ResponseObserver observer;
         private final FlowWindow responseWindow = new FlowWindow();
+        private final long startedMs = TrafficLoop.nowMs();
+
+        /** Frames that wait for the connection to be open. */
+        private final List<Frame> unsent = new ArrayList<>();
 
         PeerExchange(long callId, ResponseObserver observer) {
             this.callId = callId;
             this.observer = observer;
         }
 
+        private void write(Frame frame) {
+            if (channel == null) {
+                unsent.add(frame);
+            } else if (frame instanceof Frame.CallStart start) {
+                channel.write(start.sentAt(loop.clock().nowMs()));
+            } else {
+                channel.write(frame);
+            }
+        }
+
+        /** Sends what has waited for the connection, unless the deadline has passed meanwhile. */
+        private void opened() {
+            if (!calls.containsKey(callId)) {
+                return;
+            }
+            long waitedMs = TrafficLoop.nowMs() - startedMs;
+            for (Frame frame : unsent) {
+                if (!(frame instanceof Frame.CallStart start)) {
+                    write(frame);
+                } else if (start.after(waitedMs).deadlineMs() > 0) {
+                    write(start.after(waitedMs));
+                } else {
+                    calls.remove(callId);
+                    observer.failed(CallFailures.notRun(
+                            callId, ErrorCode.DEADLINE_EXCEEDED, "The deadline passed before the connection was open"));
+                    observer.flush();
+                    break;
+                }
+            }
+            unsent.clear();
+        }
+
         @Override
         public void body(byte[] bytes, boolean last) {
             write(new Frame.Body(callId, bytes, last));
@@ -283,7 +309,12 @@
 
         @Override
         public void cancel() {
-            if (calls.containsKey(callId)) {
+            if (!calls.containsKey(callId)) {
+                return;
+            }
+            if (channel == null) {
+                calls.remove(callId);
+            } else {
                 write(new Frame.Cancel(callId));
                 PeerConnection.this.flush();
                 remove(callId);
