Send no call to its backend server after its deadline

Callers saw calls run after their deadline. A call that waits for a slot is refused by a timer at the latest useful start; when the traffic thread is late, a slot becomes free before the timer is looked at, and the call was sent with 1 ms left. LeftCallersTest holds the thread beside the backend server while the slot becomes free: the waiting call reached the backend server after its deadline.

The deadline is now looked at where a call leaves the queue and where its connection is open. A call that was never sent no longer counts as one that held its slot for a moment, which had made calls look shorter than they are.

--- a/daemon/src/main/java/org/mimosahinge/daemon/traffic/BackendCall.java
+++ b/daemon/src/main/java/org/mimosahinge/daemon/traffic/BackendCall.java
@@ -22,6 +22,7 @@
     /** A cancelled call that waited this long without a byte casts doubt on its connection. */
     private static final long DOUBT_NANOS = TimeUnit.MILLISECONDS.toNanos(500);
 
+    private static final String DEADLINE_PASSED = "The deadline passed before a slot became free";
     private static final String NO_SLOT = "No slot became free in time";
 
     private enum State {
@@ -80,6 +81,16 @@
         fail(new Frame.CallFailure(start.callId(), code.code(), true, reason, gate.load(), (int) roomInMs));
     }
 
+    boolean deadlinePassed() {
+        return deadlineAtMs <= TrafficLoop.nowMs();
+    }
+
+    /** Refuses a call whose deadline passed before it was sent. */
+    void refuseAsLate() {
+        gate.logRefusal(start, DEADLINE_PASSED, 0);
+        refuse(ErrorCode.DEADLINE_EXCEEDED, DEADLINE_PASSED, 0);
+    }
+
     void admitted() {
         state = State.CONNECTING;
         admittedNanos = System.nanoTime();
@@ -102,6 +113,12 @@
             refuse(ErrorCode.CONNECTION_LOST, "Backend server refused the connection", 0);
             return;
         }
+        if (deadlinePassed()) {
+            opened.released();
+            gate.release(opened);
+            refuseAsLate();
+            return;
+        }
         state = State.RUNNING;
         sentNanos = System.nanoTime();
         connection = opened;
@@ -251,14 +268,16 @@
     }
 
     private void end() {
-        boolean heldSlot = state != State.WAITING;
+        State before = state;
         state = State.ENDED;
         connection = null;
         unsent.clear();
         if (waitLimit != null) {
             waitLimit.cancel(false);
         }
-        if (heldSlot) {
+        if (before == State.CONNECTING) {
+            gate.unused(start.callClass());
+        } else if (before != State.WAITING) {
             gate.ended(start.callClass(), System.nanoTime() - admittedNanos);
         }
     }
--- a/daemon/src/main/java/org/mimosahinge/daemon/traffic/BackendGate.java
+++ b/daemon/src/main/java/org/mimosahinge/daemon/traffic/BackendGate.java
@@ -171,14 +171,24 @@
 
     /** Takes back a call's slot. */
     void ended(CallClass callClass, long heldNanos) {
-        running--;
         slotTimes.observe(callClass, heldNanos / 1e6);
+        unused(callClass);
+    }
+
+    /** Takes back the slot of a call that was not sent. */
+    void unused(CallClass callClass) {
+        running--;
         while (!waiting.isEmpty()) {
             Optional<Waiter> next = AdmissionQueue.next(view(0, callClass));
             if (next.isEmpty()) {
                 return;
             }
-            run(waiting.remove(next.get()));
+            BackendCall call = waiting.remove(next.get());
+            if (call.deadlinePassed()) {
+                call.refuseAsLate();
+            } else {
+                run(call);
+            }
         }
     }
 
