Take nothing from odd entries, and all others beside them

Another writer's entry in the store, deeply nested, with a number too large or with a port out of range, could keep a node from the others. Deep nesting was refused before; no process ended by itself in any case, also with stacks of 256 KiB.

An entry whose value cannot be decoded no longer fails the whole answer. The roster of the product's own daemon had the same fault: one odd row hid all nodes of a zone (RosterRowsTest).

--- a/api/src/main/java/org/mimosahinge/api/error/InvalidAddressException.java
+++ b/api/src/main/java/org/mimosahinge/api/error/InvalidAddressException.java
@@ -11,6 +11,8 @@
      * @param found the text that was given
      */
     public InvalidAddressException(String found) {
-        super(ErrorCode.INVALID_ADDRESS, "Address \"" + found + "\" is not of the form host:port");
+        super(
+                ErrorCode.INVALID_ADDRESS,
+                "Address \"" + found + "\" is not of the form host:port with a port up to 65535");
     }
 }
--- a/api/src/main/java/org/mimosahinge/api/world/HostPort.java
+++ b/api/src/main/java/org/mimosahinge/api/world/HostPort.java
@@ -6,9 +6,19 @@
  * A TCP address given by IP number and port.
  *
  * @param host the IP number
- * @param port the TCP port, 1 to 65535
+ * @param port the TCP port, 1 to 65535; 0 lets a server pick one
  */
 public record HostPort(String host, int port) {
+
+    private static final int MAX_PORT = 65_535;
+
+    /** Checks the port. */
+    public HostPort {
+        if (port < 0 || port > MAX_PORT) {
+            throw new InvalidAddressException(host + ":" + port);
+        }
+    }
+
     /**
      * Parses {@code host:port}.
      *
--- a/daemon/src/main/java/org/mimosahinge/daemon/control/Rows.java
+++ b/daemon/src/main/java/org/mimosahinge/daemon/control/Rows.java
@@ -15,6 +15,7 @@
 import org.mimosahinge.api.config.MovePhase;
 import org.mimosahinge.api.config.MoveState;
 import org.mimosahinge.api.config.SectionRef;
+import org.mimosahinge.api.error.MimosahingeException;
 import org.mimosahinge.api.platform.ObjectHash;
 import org.mimosahinge.api.platform.ReadResult;
 import org.mimosahinge.api.platform.Row;
@@ -26,12 +27,15 @@
 import org.mimosahinge.core.config.SectionRow;
 import org.mimosahinge.core.lease.LeaseRow;
 import org.mimosahinge.core.lease.Stored;
+import org.mimosahinge.net.log.EventLog;
 
 /** Keys of the table service's rows and their JSON form. */
 final class Rows {
 
     static final String HEAD = "head";
 
+    private static final EventLog LOG = EventLog.of("rows");
+
     private static final ObjectMapper JSON = new ObjectMapper();
 
     private Rows() {}
@@ -92,14 +96,14 @@
     static List<Node> roster(ReadResult read, AvailabilityZone zone) {
         return read.rows().stream()
                 .filter(row -> row.key().startsWith(nodes(zone)))
-                .map(row -> decodeNode(parse(row)))
+                .flatMap(row -> readableNode(row).stream())
                 .toList();
     }
 
     static List<Node> allNodes(ReadResult read) {
         return read.rows().stream()
                 .filter(row -> row.key().startsWith("node/"))
-                .map(row -> decodeNode(parse(row)))
+                .flatMap(row -> readableNode(row).stream())
                 .toList();
     }
 
@@ -192,6 +196,16 @@
         return new LeaseEntry(lease, holder);
     }
 
+    /** Reads a node's row; one that cannot be read must not hide the other nodes. */
+    private static Optional<Node> readableNode(Row row) {
+        try {
+            return Optional.of(decodeNode(parse(row)));
+        } catch (MimosahingeException e) {
+            LOG.warn("row_rejected", "row", row.key(), "revision", row.revision(), "reason", e.getMessage());
+            return Optional.empty();
+        }
+    }
+
     private static Node decodeNode(JsonNode json) {
         Region region = new Region(json.path("region").asText());
         return new Node(
--- /dev/null
+++ b/daemon/src/test/java/org/mimosahinge/daemon/control/RosterRowsTest.java
@@ -0,0 +1,43 @@
+package org.mimosahinge.daemon.control;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import java.util.List;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.MethodSource;
+import org.mimosahinge.api.platform.ReadResult;
+import org.mimosahinge.api.platform.Row;
+import org.mimosahinge.api.world.AvailabilityZone;
+import org.mimosahinge.api.world.HostPort;
+import org.mimosahinge.api.world.Node;
+import org.mimosahinge.api.world.NodeId;
+import org.mimosahinge.api.world.Region;
+
+/** Guards against a node that finds no other ones because one row of the roster is odd. */
+class RosterRowsTest {
+
+    private static final Node NODE =
+            new Node(new NodeId("n1"), 1, new AvailabilityZone("a", new Region("west")), new HostPort("127.0.0.1", 9));
+
+    static List<String> odd() {
+        String whole = Rows.encode(NODE);
+        return List.of(
+                "",
+                "x",
+                "[]",
+                "{\"a\":".repeat(5_000),
+                whole.replace("127.0.0.1:9", "127.0.0.1:65536"),
+                whole.replace("127.0.0.1:9", "127.0.0.1:" + "9".repeat(30)),
+                whole.replace("127.0.0.1:9", "127.0.0.1"));
+    }
+
+    @ParameterizedTest(name = "row {index}")
+    @MethodSource("odd")
+    void anOddRowHidesNoOtherNode(String odd) {
+        String prefix = Rows.nodes(NODE.zone());
+        ReadResult read = new ReadResult(
+                3, List.of(new Row(prefix + "n0", 2, odd), new Row(prefix + "n1", 3, Rows.encode(NODE))));
+        assertEquals(List.of(NODE), Rows.roster(read, NODE.zone()));
+        assertEquals(List.of(NODE), Rows.allNodes(read));
+    }
+}
