Take no repeated refusal for that of a call that has run

A faulty backend server may write an earlier refusal once more on a kept connection. One without an id was taken as the refusal of the call that was under way: its caller was told that it had not run, or it ran at a second endpoint. One with the id of the earlier call was told apart before.

Where calls have ids, a response without one is now passed over on a connection that has carried another call before, unless it is a server error, which promises nothing. Where they have none, a connection is not kept after a refusal.

--- a/daemon/src/main/java/org/mimosahinge/daemon/traffic/BackendCall.java
+++ b/daemon/src/main/java/org/mimosahinge/daemon/traffic/BackendCall.java
@@ -184,6 +184,9 @@
         responseStarted = true;
         responseStatus = status;
         responseHeaders = headers;
+        if (gate.protocol().refused().test(status, headers)) {
+            connection.refused();
+        }
         Frame.Load load = gate.load();
         int reported = (int) Math.min(1000, HeaderMaps.number(headers, "x-load"));
         observer.started(new Frame.ResponseStart(
--- a/daemon/src/main/java/org/mimosahinge/daemon/traffic/BackendConnection.java
+++ b/daemon/src/main/java/org/mimosahinge/daemon/traffic/BackendConnection.java
@@ -41,6 +41,7 @@
     private static final byte[] NOTHING = {};
     private static final String TIMEOUT = "timeout=";
     private static final int MAX_DIGITS = 9;
+    private static final int SERVER_ERRORS = 500;
     private static final long MS_PER_SECOND = 1_000;
 
     private Channel channel;
@@ -51,7 +52,7 @@
     private boolean informational;
     private boolean foreign;
     private boolean poisoned;
-    private String requestIdHeader = "";
+    private CallProtocol protocol = CallProtocol.STANDARD;
     private String expectedId = "";
     private long idleSinceMs;
     private long idleLimitMs = Long.MAX_VALUE;
@@ -87,7 +88,7 @@
         DefaultHttpRequest request = new DefaultHttpRequest(HttpVersion.HTTP_1_1, sent, start.uri());
         HeaderMaps.copy(start.headers(), request.headers());
         marks.set(request.headers());
-        requestIdHeader = marks.protocol().requestIdHeader();
+        protocol = marks.protocol();
         expectedId = marks.expectedId(start.headers());
         if (start.hasBody() && !request.headers().contains(HttpHeaderNames.CONTENT_LENGTH)) {
             HttpUtil.setTransferEncodingChunked(request, true);
@@ -176,10 +177,28 @@
         }
     }
 
-    /** A late response to an earlier call, which the id tells; the right one follows it. */
+    /** A late response to an earlier call, which the id or its lack tells; the right one follows it. */
     private boolean isForeign(HttpResponse response) {
-        String id = requestIdHeader.isEmpty() ? null : response.headers().get(requestIdHeader);
-        return id != null && !expectedId.isEmpty() && !id.equals(expectedId);
+        if (!hasId()) {
+            return false;
+        }
+        String id = response.headers().get(protocol.requestIdHeader());
+        return id == null ? reused() && promises(response) : !id.equals(expectedId);
+    }
+
+    /** Tells whether a caller would rely on the response; a server error promises it nothing. */
+    private boolean promises(HttpResponse response) {
+        int status = response.status().code();
+        return status < SERVER_ERRORS || protocol.refused().test(status, HeaderMaps.from(response.headers()));
+    }
+
+    private boolean hasId() {
+        return !protocol.requestIdHeader().isEmpty() && !expectedId.isEmpty();
+    }
+
+    /** Keeps the connection for no other call, since nothing would tell a repeated refusal from one of that call. */
+    void refused() {
+        poisoned |= !hasId();
     }
 
     private static long idleLimitMs(HttpResponse response) {
