--- a/api/src/main/java/org/mimosahinge/api/error/InvalidAddressException.java
+++ b/api/src/main/java/org/mimosahinge/api/error/InvalidAddressException.java
@@ -11,8 +11,6 @@
      * @param found the text that was given
      */
     public InvalidAddressException(String found) {
-        super(
-                ErrorCode.INVALID_ADDRESS,
-                "Address \"" + found + "\" is not of the form host:port with a port up to 65535");
+        super(ErrorCode.INVALID_ADDRESS, "Address \"" + found + "\" is not of the form host:port");
     }
 }
--- a/api/src/main/java/org/mimosahinge/api/world/HostPort.java
+++ b/api/src/main/java/org/mimosahinge/api/world/HostPort.java
@@ -12,11 +12,13 @@
 
     private static final int MAX_PORT = 65_535;
 
-    /** Checks the port. */
-    public HostPort {
-        if (port < 0 || port > MAX_PORT) {
-            throw new InvalidAddressException(host + ":" + port);
-        }
+    /**
+     * Tells whether a connection can be opened to the address; to try it with another port is an error of the caller.
+     *
+     * @return whether the port is one that a server can have
+     */
+    public boolean hasServerPort() {
+        return port > 0 && port <= MAX_PORT;
     }
 
     /**
--- a/daemon/src/main/java/org/mimosahinge/daemon/control/Rows.java
+++ b/daemon/src/main/java/org/mimosahinge/daemon/control/Rows.java
@@ -15,6 +15,7 @@
 import org.mimosahinge.api.config.MovePhase;
 import org.mimosahinge.api.config.MoveState;
 import org.mimosahinge.api.config.SectionRef;
+import org.mimosahinge.api.error.InvalidAddressException;
 import org.mimosahinge.api.error.MimosahingeException;
 import org.mimosahinge.api.platform.ObjectHash;
 import org.mimosahinge.api.platform.ReadResult;
@@ -208,11 +209,15 @@
 
     private static Node decodeNode(JsonNode json) {
         Region region = new Region(json.path("region").asText());
+        HostPort address = HostPort.parse(json.path("address").asText());
+        if (!address.hasServerPort()) {
+            throw new InvalidAddressException(address.toString());
+        }
         return new Node(
                 new NodeId(json.path("id").asText()),
                 json.path("incarnation").asLong(),
                 new AvailabilityZone(json.path("zone").asText(), region),
-                HostPort.parse(json.path("address").asText()));
+                address);
     }
 
     private static JsonNode parse(Row row) {
--- a/daemon/src/test/java/org/mimosahinge/daemon/traffic/ScriptedBackend.java
+++ b/daemon/src/test/java/org/mimosahinge/daemon/traffic/ScriptedBackend.java
@@ -123,11 +123,12 @@
         return line.toString();
     }
 
-    private interface Work {
+    /** What a thread of a test does until an end closes its connection. */
+    interface Work {
         void run() throws Exception;
     }
 
-    private static void spawn(Work work) {
+    static void spawn(Work work) {
         Thread thread = new Thread(() -> {
             try {
                 work.run();
--- a/daemon/src/test/java/org/mimosahinge/daemon/traffic/SlowLink.java
+++ b/daemon/src/test/java/org/mimosahinge/daemon/traffic/SlowLink.java
@@ -23,7 +23,7 @@
     SlowLink(HostPort target) throws IOException {
         this.target = target;
         server = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
-        spawn(this::accept);
+        ScriptedBackend.spawn(this::accept);
     }
 
     HostPort address() {
@@ -42,8 +42,8 @@
             to.setTcpNoDelay(true);
             sockets.add(from);
             sockets.add(to);
-            spawn(() -> copy(from, to, true));
-            spawn(() -> copy(to, from, false));
+            ScriptedBackend.spawn(() -> copy(from, to, true));
+            ScriptedBackend.spawn(() -> copy(to, from, false));
         }
     }
 
@@ -62,24 +62,6 @@
         }
     }
 
-    private interface Work {
-        void run() throws Exception;
-    }
-
-    private static void spawn(Work work) {
-        Thread thread = new Thread(() -> {
-            try {
-                work.run();
-            } catch (IOException e) {
-                // An end has closed its connection.
-            } catch (Exception e) {
-                throw new IllegalStateException(e);
-            }
-        });
-        thread.setDaemon(true);
-        thread.start();
-    }
-
     @Override
     public void close() throws IOException {
         server.close();
