--- a/daemon/src/main/java/org/mimosahinge/daemon/traffic/CallerConnection.java
+++ b/daemon/src/main/java/org/mimosahinge/daemon/traffic/CallerConnection.java
@@ -85,12 +85,12 @@
 
     @Override
     public boolean busy() {
-        return turn != null;
+        return turn != null || !pipelined.isEmpty();
     }
 
     /** Closes the connection when its caller has sent nothing for too long, and tells whether it did. */
     boolean closeIfIdle(long nowMs, long limitMs) {
-        boolean idle = turn == null && nowMs - idleSinceMs > limitMs;
+        boolean idle = !busy() && nowMs - idleSinceMs > limitMs;
         if (idle) {
             channel.close();
         }
@@ -103,11 +103,11 @@
             // Callers leave when the node stops being ready; until then their connections stay open.
             return;
         }
-        if (turn == null) {
+        if (!busy()) {
             channel.eventLoop()
                     .schedule(
                             () -> {
-                                if (turn == null) {
+                                if (!busy()) {
                                     channel.close();
                                 }
                             },
--- a/daemon/src/main/java/org/mimosahinge/daemon/traffic/ServedConnection.java
+++ b/daemon/src/main/java/org/mimosahinge/daemon/traffic/ServedConnection.java
@@ -58,7 +58,7 @@
 
     @Override
     public boolean busy() {
-        return !calls.isEmpty();
+        return !calls.isEmpty() || !unserved.isEmpty();
     }
 
     @Override
@@ -69,7 +69,7 @@
     }
 
     private void closeWhenIdle() {
-        if (calls.isEmpty()) {
+        if (!busy()) {
             channel.close();
         } else {
             channel.eventLoop().schedule(this::closeWhenIdle, DRAIN_NOTICE_MS, TimeUnit.MILLISECONDS);
--- a/daemon/src/test/java/org/mimosahinge/daemon/traffic/ConnectionTest.java
+++ b/daemon/src/test/java/org/mimosahinge/daemon/traffic/ConnectionTest.java
@@ -5,12 +5,19 @@
 import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.embedded.EmbeddedChannel;
+import io.netty.handler.codec.http.DefaultFullHttpRequest;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpVersion;
 import java.io.InputStream;
 import java.net.ConnectException;
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.net.http.HttpResponse;
 import java.nio.charset.StandardCharsets;
+import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.atomic.AtomicLong;
@@ -18,7 +25,9 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.ValueSource;
+import org.mimosahinge.api.contract.CallClass;
 import org.mimosahinge.api.world.HostPort;
+import org.mimosahinge.net.frame.Frame;
 
 /** Guards against connections that hold up, mix or lose the calls of others. */
 class ConnectionTest {
@@ -131,6 +140,33 @@
         }
     }
 
+    /** A planned stop and idle limits must not close a connection between a read and the task that looks at it. */
+    @ParameterizedTest(name = "{0}")
+    @ValueSource(strings = {"caller", "node"})
+    void aConnectionWithWorkThatIsNotLookedAtYetIsBusy(String from) throws Exception {
+        EmbeddedChannel channel = new EmbeddedChannel();
+        try (TestMesh mesh = new TestMesh(1, null).route(TestMesh.route("/x", true, false))) {
+            TrafficPlane plane = mesh.planes.get(0);
+            CallerConnection caller = new CallerConnection(plane, plane.loop(channel.eventLoop()));
+            ServedConnection node = new ServedConnection(plane);
+            boolean ofCaller = from.equals("caller");
+            SimpleChannelInboundHandler<?> connection = ofCaller ? caller : node;
+            channel.pipeline().addLast(connection).fireChannelActive();
+            Object message = ofCaller
+                    ? new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, "/x")
+                    : new Frame.CallStart(
+                            1, "e", "svc", CallClass.INTERACTIVE, 250, 250, "GET", "/x", Map.of(), false, 0);
+            // Events of the pipeline would run the task at once.
+            ChannelHandlerContext context = channel.pipeline().context(connection);
+            connection.channelRead(context, message);
+            connection.channelReadComplete(context);
+            assertTrue(ofCaller ? caller.busy() : node.busy());
+            assertFalse(ofCaller && caller.closeIfIdle(TrafficLoop.nowMs() + 1, 0));
+        } finally {
+            channel.close();
+        }
+    }
+
     @ParameterizedTest(name = "{0}: {1}")
     @CsvSource({
         "two pipelined requests, 200 200",
