--- a/core/src/main/java/org/mimosahinge/core/deadline/RequestDelay.java
+++ b/core/src/main/java/org/mimosahinge/core/deadline/RequestDelay.java
@@ -8,9 +8,6 @@
  */
 public record RequestDelay(long unreadMs, long queuedMs) {
 
-    /** A request that is looked at as it arrives. */
-    public static final RequestDelay NONE = new RequestDelay(0, 0);
-
     /**
      * Returns the part of a deadline that has passed.
      *
--- a/daemon/src/main/java/org/mimosahinge/daemon/traffic/BackendCall.java
+++ b/daemon/src/main/java/org/mimosahinge/daemon/traffic/BackendCall.java
@@ -39,12 +39,12 @@
     private final Waiter waiter;
     private final long deadlineAtMs;
     private final ResponseObserver observer;
+    private final long arrivedNanos = System.nanoTime();
     private final FlowWindow responseWindow = new FlowWindow();
     private final Queue<Frame.Body> unsent = new ArrayDeque<>();
     private State state = State.WAITING;
     private ScheduledFuture<?> waitLimit;
     private BackendConnection connection;
-    private final long arrivedNanos = System.nanoTime();
     private long admittedNanos;
     private long sentNanos;
     private boolean responseStarted;
--- a/daemon/src/main/java/org/mimosahinge/daemon/traffic/CallerConnection.java
+++ b/daemon/src/main/java/org/mimosahinge/daemon/traffic/CallerConnection.java
@@ -51,7 +51,7 @@
     private long unreadSinceMs;
     private long requests;
     private boolean rejected;
-    private boolean goingOn;
+    private boolean takeScheduled;
 
     /**
      * A message that waits for its turn.
@@ -198,15 +198,15 @@
         if (turn != null) {
             turn.call.flushRequest();
         }
-        if (!pipelined.isEmpty() && !goingOn) {
+        if (!pipelined.isEmpty() && !takeScheduled) {
             // A close that was read behind the requests takes effect first.
-            goingOn = true;
-            channel.eventLoop().execute(this::goOn);
+            takeScheduled = true;
+            channel.eventLoop().execute(this::takeQueued);
         }
     }
 
-    private void goOn() {
-        goingOn = false;
+    private void takeQueued() {
+        takeScheduled = false;
         while (channel.isActive() && !pipelined.isEmpty() && (turn == null || !turn.requestComplete)) {
             take(pipelined.poll());
         }
@@ -247,7 +247,7 @@
         turn = null;
         requests++;
         idleSinceMs = TrafficLoop.nowMs();
-        goOn();
+        takeQueued();
     }
 
     /** One request and its response. */
--- a/daemon/src/main/java/org/mimosahinge/daemon/traffic/ServedConnection.java
+++ b/daemon/src/main/java/org/mimosahinge/daemon/traffic/ServedConnection.java
@@ -28,7 +28,7 @@
     private Channel channel;
     private Node node;
     private TransitTime transit = TransitTime.UNKNOWN;
-    private boolean serving;
+    private boolean serveScheduled;
 
     ServedConnection(TrafficPlane plane) {
         this.plane = plane;
@@ -95,16 +95,16 @@
 
     @Override
     public void channelReadComplete(ChannelHandlerContext context) {
-        if (!unserved.isEmpty() && !serving) {
+        if (!unserved.isEmpty() && !serveScheduled) {
             // A close that was read behind the frames takes effect first.
-            serving = true;
+            serveScheduled = true;
             channel.eventLoop().execute(this::serve);
         }
     }
 
     /** Serves what was read together, but for calls that were given up meanwhile. */
     private void serve() {
-        serving = false;
+        serveScheduled = false;
         List<Frame> frames = List.copyOf(unserved);
         unserved.clear();
         if (!channel.isActive()) {
