Choose test ports that no connection can take

Cause: the port was one of those that the kernel gives to connections, and one of the test's own connections took it between the probe and the bind; this test alone starts some 1,300 nodes. Ports of test nodes now lie below that range and are not given twice.

--- a/daemon/src/test/java/org/mimosahinge/daemon/traffic/TestMesh.java
+++ b/daemon/src/test/java/org/mimosahinge/daemon/traffic/TestMesh.java
@@ -3,7 +3,6 @@
 import com.codahale.metrics.MetricRegistry;
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
-import java.io.UncheckedIOException;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
@@ -24,6 +23,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.UnaryOperator;
 import org.mimosahinge.api.config.Snapshot;
 import org.mimosahinge.api.contract.CallClass;
@@ -233,17 +233,30 @@
         planes.forEach(TrafficPlane::close);
     }
 
-    /** Finds ports for servers whose address must be known before they start. */
+    /**
+     * Finds ports for servers whose address must be known before they start.
+     *
+     * <p>They lie below the ports that systems give to connections, which could take one before its server is bound.
+     */
     static final class FreePorts {
 
+        private static final int FIRST = 10_000;
+        private static final int LAST = 30_000;
+        private static final AtomicInteger NEXT =
+                new AtomicInteger((int) (ProcessHandle.current().pid() * 97 % (LAST - FIRST)));
+
         private FreePorts() {}
 
         static int next() {
-            try (ServerSocket probe = new ServerSocket()) {
-                probe.bind(new InetSocketAddress("127.0.0.1", 0));
-                return probe.getLocalPort();
-            } catch (IOException e) {
-                throw new UncheckedIOException(e);
+            while (true) {
+                int port = FIRST + Math.floorMod(NEXT.getAndIncrement(), LAST - FIRST);
+                try (ServerSocket probe = new ServerSocket()) {
+                    probe.bind(new InetSocketAddress("127.0.0.1", port));
+                    return port;
+                } catch (IOException e) {
+                    // Another process uses the port; the next one may be free.
+                    continue;
+                }
             }
         }
     }
