Write the line of a cancelled call in one place

It stood in BackendGate and in CallDecisions with the same keys; its component is now call in both cases. The longest time unread is looked up for requests only, not for each part of their bodies. Behaviour is otherwise the same; the tests of the traffic plane that concern it, LogPageTest and DecodersTest pass.

--- a/daemon/src/main/java/org/mimosahinge/daemon/traffic/BackendCall.java
+++ b/daemon/src/main/java/org/mimosahinge/daemon/traffic/BackendCall.java
@@ -152,7 +152,7 @@
         if (state == State.ENDED || state == State.ANSWERED) {
             return;
         }
-        gate.logCancelled(
+        gate.cancelled(
                 start,
                 state.name().toLowerCase(Locale.ROOT),
                 System.nanoTime() - arrivedNanos,
--- a/daemon/src/main/java/org/mimosahinge/daemon/traffic/BackendGate.java
+++ b/daemon/src/main/java/org/mimosahinge/daemon/traffic/BackendGate.java
@@ -126,21 +126,9 @@
                 Math.round(heldNanos / 1e6));
     }
 
-    /** Logs that the sender of a call has given it up. */
-    void logCancelled(Frame.CallStart start, String state, long heldNanos, long sentNanos) {
-        loop.context().metrics().cancelled(state);
-        LOG.info(
-                "cancelled",
-                "request",
-                requestId(start),
-                "endpoint",
-                endpoint.id(),
-                "state",
-                state,
-                "ms",
-                Math.round(heldNanos / 1e6),
-                "since_sent_ms",
-                Math.round(sentNanos / 1e6));
+    /** Takes note that the sender of a call has given it up. */
+    void cancelled(Frame.CallStart start, String state, long heldNanos, long sentNanos) {
+        loop.decisions().cancelled(start, state, heldNanos, sentNanos);
     }
 
     private String requestId(Frame.CallStart start) {
--- a/daemon/src/main/java/org/mimosahinge/daemon/traffic/CallDecisions.java
+++ b/daemon/src/main/java/org/mimosahinge/daemon/traffic/CallDecisions.java
@@ -17,6 +17,7 @@
 
     private static final EventLog LOG = EventLog.of("call");
     private static final String NONE = "-";
+    private static final double NANOS_PER_MS = 1e6;
 
     /** Enough to tell hosts and routes apart, and short enough that callers cannot fill the log. */
     private static final int MAX_TEXT = 60;
@@ -227,9 +228,9 @@
         }
     }
 
-    /** A call of another node was given up before anything was done for it. */
-    void cancelledOnArrival(Frame.CallStart start) {
-        metrics.cancelled("arriving");
+    /** The sender of a call has given it up; the state tells how far the call was beside its backend server. */
+    void cancelled(Frame.CallStart start, String state, long heldNanos, long sentNanos) {
+        metrics.cancelled(state);
         LOG.info(
                 "cancelled",
                 "request",
@@ -237,11 +238,11 @@
                 "endpoint",
                 start.endpointId(),
                 "state",
-                "arriving",
+                state,
                 "ms",
-                0,
+                Math.round(heldNanos / NANOS_PER_MS),
                 "since_sent_ms",
-                0);
+                Math.round(sentNanos / NANOS_PER_MS));
     }
 
     /** A caller's connection is not read, so neither its next request nor its end can be seen. */
--- a/daemon/src/main/java/org/mimosahinge/daemon/traffic/CallerConnection.java
+++ b/daemon/src/main/java/org/mimosahinge/daemon/traffic/CallerConnection.java
@@ -122,7 +122,8 @@
         if (restOfRequest) {
             take(new Arrived(message, TrafficLoop.nowMs(), 0));
         } else {
-            pipelined.add(new Arrived(message, TrafficLoop.nowMs(), loop.pulse().oldestUnreadMs()));
+            long unreadMs = message instanceof HttpRequest ? loop.pulse().oldestUnreadMs() : 0;
+            pipelined.add(new Arrived(message, TrafficLoop.nowMs(), unreadMs));
             updateReading();
         }
     }
--- a/daemon/src/main/java/org/mimosahinge/daemon/traffic/ServedConnection.java
+++ b/daemon/src/main/java/org/mimosahinge/daemon/traffic/ServedConnection.java
@@ -118,7 +118,7 @@
         }
         for (Frame frame : frames) {
             if (frame instanceof Frame.CallStart start && cancelled.contains(start.callId())) {
-                loop.decisions().cancelledOnArrival(start);
+                loop.decisions().cancelled(start, "arriving", 0, 0);
             } else {
                 serve(frame);
             }
