--- a/daemon/src/main/java/org/mimosahinge/daemon/traffic/BackendAdmission.java
+++ b/daemon/src/main/java/org/mimosahinge/daemon/traffic/BackendAdmission.java
@@ -16,6 +16,7 @@
 import org.mimosahinge.core.admission.SlotTimeAverages;
 import org.mimosahinge.core.move.CallOutcomesKey;
 import org.mimosahinge.core.move.FailureKind;
+import org.mimosahinge.core.retry.RunningRepeats;
 import org.mimosahinge.net.frame.Frame;
 import org.mimosahinge.net.log.EventLog;
 
@@ -27,6 +28,8 @@
 
     private static final int PERMILLE = 1_000;
 
+    private static final String REPEATS_EXHAUSTED = "Calls of repeats have used up the retry budget of a service below";
+
     private static final EventLog LOG = EventLog.of("gate");
 
     private final TrafficLoop loop;
@@ -71,6 +74,12 @@
                         .remainingMs(start.callClass(), start.targetMs(), start.deadlineMs());
         SlotRequest waiter = new SlotRequest(start.callClass(), finishMs, ++arrivals);
         BackendCall call = new BackendCall(this, start, waiter, now + start.deadlineMs(), observer);
+        if (start.repeatPermille() == RunningRepeats.CERTAIN_PERMILLE
+                && loop.retryBudgets().isOverdrawn(now)) {
+            logRefusal(start, REPEATS_EXHAUSTED, 0);
+            call.refuse(REPEATS_EXHAUSTED, 0);
+            return call;
+        }
         AdmissionDecision decision = AdmissionPolicy.decide(view(now, start.callClass()), waiter);
         if (decision instanceof AdmissionDecision.Run) {
             run(call);
@@ -151,6 +160,7 @@
 
     private void run(BackendCall call) {
         running++;
+        loop.context().runningRepeats().started(call.repeatPermille());
         call.admitted();
         pool.acquire(false, call::connected);
     }
@@ -161,14 +171,15 @@
     }
 
     /** Releases the slot of a call and records how long it was occupied. */
-    void releaseSlot(CallClass callClass, long slotNanos) {
+    void releaseSlot(CallClass callClass, int repeatPermille, long slotNanos) {
         slotTimeAverages.observe(callClass, slotNanos / 1e6);
-        releaseUnusedSlot(callClass);
+        releaseUnusedSlot(callClass, repeatPermille);
     }
 
     /** Releases the slot of a call that was not sent, and runs waiting calls. */
-    void releaseUnusedSlot(CallClass callClass) {
+    void releaseUnusedSlot(CallClass callClass, int repeatPermille) {
         running--;
+        loop.context().runningRepeats().ended(repeatPermille);
         while (!waiting.isEmpty()) {
             Optional<SlotRequest> next = AdmissionPolicy.nextToRun(view(0, callClass));
             if (next.isEmpty()) {
--- a/daemon/src/main/java/org/mimosahinge/daemon/traffic/BackendCall.java
+++ b/daemon/src/main/java/org/mimosahinge/daemon/traffic/BackendCall.java
@@ -86,6 +86,11 @@
         fail(new Frame.CallFailure(start.callId(), code.code(), true, reason, admission.load(), (int) estimatedWaitMs));
     }
 
+    /** Returns the probability that this run of the call is a repeat, in permille. */
+    int repeatPermille() {
+        return start.repeatPermille();
+    }
+
     boolean deadlinePassed() {
         return deadlineAtMs <= TrafficLoop.nowMs();
     }
@@ -287,9 +292,9 @@
             queueTimeout.cancel(false);
         }
         if (before == State.CONNECTING) {
-            admission.releaseUnusedSlot(start.callClass());
+            admission.releaseUnusedSlot(start.callClass(), start.repeatPermille());
         } else if (before != State.WAITING) {
-            admission.releaseSlot(start.callClass(), System.nanoTime() - admittedNanos);
+            admission.releaseSlot(start.callClass(), start.repeatPermille(), System.nanoTime() - admittedNanos);
         }
     }
 }
--- a/daemon/src/main/java/org/mimosahinge/daemon/traffic/CallPlan.java
+++ b/daemon/src/main/java/org/mimosahinge/daemon/traffic/CallPlan.java
@@ -7,10 +7,12 @@
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import org.mimosahinge.api.config.Snapshot;
+import org.mimosahinge.api.contract.CallClass;
 import org.mimosahinge.api.contract.Route;
 import org.mimosahinge.api.contract.Service;
 import org.mimosahinge.api.world.Endpoint;
 import org.mimosahinge.core.retry.RetryView;
+import org.mimosahinge.core.retry.RunningRepeats;
 import org.mimosahinge.core.routing.EndpointChoice;
 import org.mimosahinge.core.routing.EndpointChoiceRequest;
 import org.mimosahinge.core.routing.EndpointFilter;
@@ -29,6 +31,7 @@
     private final long earlierAttemptsMs;
     private final Set<String> triedEndpoints = new HashSet<>();
     private int reachedAttempts;
+    private int inheritedPermille;
     private long estimatedWaitMs;
 
     CallPlan(TrafficLoop loop, CallRequest request, RequestBody body, Route route, Service service, CallTimes times) {
@@ -110,6 +113,15 @@
         return targetMs() <= 0;
     }
 
+    /** Counts the first attempt, which is a repeat already if the call was made by one. */
+    void countFirstAttempt() {
+        // Only backend servers make internal checks; all other calls come from outside the mesh.
+        if (route.callClass() == CallClass.INTERNAL_CHECK) {
+            inheritedPermille = loop.context().runningRepeats().repeatPermille();
+        }
+        loop.retryBudgets().attempted(service, inheritedPermille, TrafficLoop.nowMs());
+    }
+
     /** Counts an attempt that has reached its endpoint. */
     void attemptReached() {
         reachedAttempts++;
@@ -152,7 +164,8 @@
                 request.uri(),
                 headers,
                 request.hasBody(),
-                0));
+                0,
+                hasReachedEndpoint() ? RunningRepeats.CERTAIN_PERMILLE : inheritedPermille));
         if (!attempt.ended()) {
             body.replay(attempt);
             attempt.stream().flush();
--- a/daemon/src/main/java/org/mimosahinge/daemon/traffic/EntryCall.java
+++ b/daemon/src/main/java/org/mimosahinge/daemon/traffic/EntryCall.java
@@ -130,7 +130,7 @@
     }
 
     private void firstAttempt() {
-        loop.retryBudgets().attempted(plan.service());
+        plan.countFirstAttempt();
         Optional<EndpointChoice> choice = plan.choose();
         if (choice.isEmpty() && plan.estimatedWaitMs() > 0) {
             estimatedWaitMs = plan.estimatedWaitMs();
--- a/daemon/src/main/java/org/mimosahinge/daemon/traffic/TrafficContext.java
+++ b/daemon/src/main/java/org/mimosahinge/daemon/traffic/TrafficContext.java
@@ -3,6 +3,7 @@
 import java.util.concurrent.atomic.AtomicReference;
 import org.mimosahinge.api.platform.TableService;
 import org.mimosahinge.core.poison.CrashRegistry;
+import org.mimosahinge.core.retry.RunningRepeats;
 
 /**
  * State and services shared by all traffic threads of a node.
@@ -14,6 +15,7 @@
  * @param policies replaceable decisions
  * @param crashes requests that crashed backend servers; updated only after crashes
  * @param metrics counts calls
+ * @param runningRepeats calls that run at the backend servers of this node
  */
 record TrafficContext(
         TrafficConfig config,
@@ -22,4 +24,5 @@
         TrafficListener listener,
         TrafficPolicies policies,
         AtomicReference<CrashRegistry> crashes,
-        CallMetrics metrics) {}
+        CallMetrics metrics,
+        RunningRepeats runningRepeats) {}
--- a/daemon/src/main/java/org/mimosahinge/daemon/traffic/TrafficLoop.java
+++ b/daemon/src/main/java/org/mimosahinge/daemon/traffic/TrafficLoop.java
@@ -18,6 +18,7 @@
 import org.mimosahinge.core.move.CallOutcomeRecorder;
 import org.mimosahinge.core.move.CallOutcomes;
 import org.mimosahinge.core.retry.FirstByteLatency;
+import org.mimosahinge.core.retry.RetryBudgets;
 import org.mimosahinge.core.routing.EndpointChoice;
 import org.mimosahinge.core.routing.EndpointLoad;
 import org.mimosahinge.core.routing.RouteIndex;
--- a/daemon/src/main/java/org/mimosahinge/daemon/traffic/TrafficPlane.java
+++ b/daemon/src/main/java/org/mimosahinge/daemon/traffic/TrafficPlane.java
@@ -30,6 +30,7 @@
 import org.mimosahinge.api.world.NodeId;
 import org.mimosahinge.core.poison.CrashRegistry;
 import org.mimosahinge.core.poison.Fingerprint;
+import org.mimosahinge.core.retry.RunningRepeats;
 import org.mimosahinge.net.frame.Frame;
 import org.mimosahinge.net.frame.FrameDecoder;
 import org.mimosahinge.net.frame.FrameEncoder;
@@ -105,7 +106,8 @@
                 listener,
                 policies,
                 new AtomicReference<>(CrashRegistry.EMPTY),
-                new CallMetrics(config.registry())));
+                new CallMetrics(config.registry()),
+                new RunningRepeats()));
         plane.bind();
         return plane;
     }
--- a/daemon/src/test/java/org/mimosahinge/daemon/traffic/ConnectionTest.java
+++ b/daemon/src/test/java/org/mimosahinge/daemon/traffic/ConnectionTest.java
@@ -154,7 +154,7 @@
             Object message = ofCaller
                     ? new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, "/x")
                     : new Frame.CallStart(
-                            1, "e", "svc", CallClass.INTERACTIVE, 250, 250, "GET", "/x", Map.of(), false, 0);
+                            1, "e", "svc", CallClass.INTERACTIVE, 250, 250, "GET", "/x", Map.of(), false, 0, 0);
             // Firing pipeline events on the embedded channel would run the task at once.
             ChannelHandlerContext context = channel.pipeline().context(connection);
             connection.channelRead(context, message);
--- a/daemon/src/test/java/org/mimosahinge/daemon/traffic/DisconnectedCallersTest.java
+++ b/daemon/src/test/java/org/mimosahinge/daemon/traffic/DisconnectedCallersTest.java
@@ -269,7 +269,7 @@
 
     private static Frame.CallStart start(int deadlineMs) {
         return new Frame.CallStart(
-                1, "e", "svc", CallClass.INTERACTIVE, deadlineMs, deadlineMs, "GET", "/x", Map.of(), false, 0);
+                1, "e", "svc", CallClass.INTERACTIVE, deadlineMs, deadlineMs, "GET", "/x", Map.of(), false, 0, 0);
     }
 
     private static ResponseObserver failuresTo(List<Frame.CallFailure> failures) {
--- a/daemon/src/test/java/org/mimosahinge/daemon/traffic/RetryPathTest.java
+++ b/daemon/src/test/java/org/mimosahinge/daemon/traffic/RetryPathTest.java
@@ -6,6 +6,7 @@
 import java.net.ServerSocket;
 import java.net.http.HttpResponse;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.atomic.AtomicReference;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.ValueSource;
@@ -157,6 +158,36 @@
         }
     }
 
+    /** A retry of a call made by a repeat would multiply the repeats at the service below. */
+    @ParameterizedTest(name = "outer call refused once before: {0}, inner call is retried: {1}")
+    @CsvSource({"false, true", "true, false"})
+    void callsOfRepeatUseTheBudgetOfTheServiceBelow(boolean refusedBefore, boolean innerRetried) throws Exception {
+        AtomicReference<TestMesh> running = new AtomicReference<>();
+        try (ScriptedBackend refusing = ScriptedBackend.start(script("sheds"));
+                ScriptedBackend other = ScriptedBackend.echo("other");
+                ScriptedBackend outer = ScriptedBackend.start((request, out) -> {
+                    TestMesh mesh = running.get();
+                    int status = mesh.http
+                            .send(mesh.request(1, "/check").build(), HttpResponse.BodyHandlers.ofString())
+                            .statusCode();
+                    ScriptedBackend.respond(out, "200 OK", "inner " + status);
+                });
+                TestMesh mesh = new TestMesh(2, null)
+                        .route(TestMesh.route("/x", true, false))
+                        .route(TestMesh.route("/check", true, false, "below"))) {
+            running.set(mesh);
+            mesh.endpoint(1, "svc", outer.address(), 1)
+                    .endpoint(1, "below", refusing.address(), 1000)
+                    .endpoint(1, "below", other.address(), 1);
+            if (refusedBefore) {
+                mesh.endpoint(0, "svc", refusing.address(), 1000);
+            }
+            assertEquals(
+                    innerRetried ? "inner 200" : "inner 503", mesh.get("/x").body());
+            assertEquals(innerRetried, !other.received.isEmpty());
+        }
+    }
+
     private static HostPort unusedAddress() throws Exception {
         try (ServerSocket socket = new ServerSocket(0)) {
             return new HostPort("127.0.0.1", socket.getLocalPort());
--- a/daemon/src/test/java/org/mimosahinge/daemon/traffic/TestMesh.java
+++ b/daemon/src/test/java/org/mimosahinge/daemon/traffic/TestMesh.java
@@ -215,11 +215,15 @@
     }
 
     static Route route(String path, boolean idempotent, boolean atMostOnce) {
+        return route(path, idempotent, atMostOnce, "svc");
+    }
+
+    static Route route(String path, boolean idempotent, boolean atMostOnce, String service) {
         return new Route(
                 path,
                 "",
                 path,
-                List.of(new ServiceShare("svc", 1)),
+                List.of(new ServiceShare(service, 1)),
                 path.contains("check") ? CallClass.INTERNAL_CHECK : CallClass.INTERACTIVE,
                 Duration.ofSeconds(30),
                 Duration.ofSeconds(30),
--- a/net/src/main/java/org/mimosahinge/net/frame/Frame.java
+++ b/net/src/main/java/org/mimosahinge/net/frame/Frame.java
@@ -198,6 +198,8 @@
      * @param headers header values by lower-case name
      * @param hasBody whether body frames follow
      * @param sentMs the sender's clock when the frame was written, in milliseconds since an arbitrary origin
+     * @param repeatPermille probability that the backend server's run counts as a repeat: 1,000 after an attempt that
+     *     reached an endpoint, the share of the run that made the call otherwise
      */
     record CallStart(
             long callId,
@@ -210,7 +212,8 @@
             String uri,
             Map<String, String> headers,
             boolean hasBody,
-            long sentMs)
+            long sentMs,
+            int repeatPermille)
             implements Frame {
 
         /**
@@ -231,7 +234,8 @@
                     uri,
                     headers,
                     hasBody,
-                    sentMs);
+                    sentMs,
+                    repeatPermille);
         }
 
         /**
@@ -252,7 +256,8 @@
                     uri,
                     headers,
                     hasBody,
-                    clockMs);
+                    clockMs,
+                    repeatPermille);
         }
     }
 
--- a/net/src/main/java/org/mimosahinge/net/frame/FrameCodec.java
+++ b/net/src/main/java/org/mimosahinge/net/frame/FrameCodec.java
@@ -125,7 +125,7 @@
         out.integer(call.callId()).text(call.endpointId()).text(call.service());
         out.integer(call.callClass().ordinal()).integer(call.deadlineMs()).integer(call.targetMs());
         out.text(call.method()).text(call.uri()).textMap(call.headers()).flag(call.hasBody());
-        out.integer(call.sentMs());
+        out.integer(call.sentMs()).integer(call.repeatPermille());
     }
 
     private static Frame unpack(FrameType type, Unpacker in) {
@@ -141,7 +141,8 @@
                     in.text(),
                     in.textMap(),
                     in.flag(),
-                    in.integer());
+                    in.integer(),
+                    in.smallInteger());
             case BODY -> new Frame.Body(in.integer(), in.bytes(), in.flag());
             case CREDIT -> new Frame.Credit(in.integer(), in.smallInteger());
             case CANCEL -> new Frame.Cancel(in.integer());
