--- a/daemon/src/main/java/org/mimosahinge/daemon/traffic/BackendAdmission.java
+++ b/daemon/src/main/java/org/mimosahinge/daemon/traffic/BackendAdmission.java
@@ -30,6 +30,8 @@
 
     private static final String REPEATS_EXHAUSTED = "Calls of repeats have used up the retry budget of a service below";
 
+    private static final String NODE_STOPS = "The node is stopping";
+
     private static final EventLog LOG = EventLog.of("gate");
 
     private final TrafficLoop loop;
@@ -158,6 +160,17 @@
                 slotTimeAverages.higherClassFraction(callClass));
     }
 
+    int waitingCalls() {
+        return waiting.size();
+    }
+
+    /** Refuses the calls in the queue, because the process ends. */
+    void refuseWaiting() {
+        List<BackendCall> calls = List.copyOf(waiting.values());
+        waiting.clear();
+        calls.forEach(call -> call.refuse(NODE_STOPS, 0));
+    }
+
     private void run(BackendCall call) {
         running++;
         loop.context().runningRepeats().started(call.repeatPermille());
--- a/daemon/src/main/java/org/mimosahinge/daemon/traffic/CallerConnection.java
+++ b/daemon/src/main/java/org/mimosahinge/daemon/traffic/CallerConnection.java
@@ -116,6 +116,14 @@
         }
     }
 
+    @Override
+    public void endCalls() {
+        if (exchange != null && !exchange.responseDecided) {
+            exchange.call.nodeStops();
+            channel.flush();
+        }
+    }
+
     @Override
     protected void channelRead0(ChannelHandlerContext context, HttpObject message) {
         boolean continuesRequest = exchange != null && !exchange.requestComplete && pipelined.isEmpty();
--- a/daemon/src/main/java/org/mimosahinge/daemon/traffic/EntryCall.java
+++ b/daemon/src/main/java/org/mimosahinge/daemon/traffic/EntryCall.java
@@ -24,6 +24,8 @@
     /** Remaining time assumed for a call that is refused before its route is known. */
     private static final long ASSUMED_REMAINING_MS = 1_000;
 
+    private static final String NODE_STOPS = "The node is stopping";
+
     private final TrafficLoop loop;
     private final CallRequest request;
     private final CallerSink sink;
@@ -85,6 +87,10 @@
                     "The deadline passed while earlier requests of the connection were served");
             return;
         }
+        if (!loop.plane().admits(route, deadlineMs - times.elapsedMs())) {
+            refuse(ErrorCode.NOT_READY, NODE_STOPS);
+            return;
+        }
         timer = loop.eventLoop().schedule(this::deadlinePassed, deadlineMs - times.elapsedMs(), TimeUnit.MILLISECONDS);
         if (route.atMostOnce()) {
             String key = request.headers().getOrDefault(AtMostOnceGuard.KEY_HEADER, "");
@@ -190,6 +196,19 @@
         }
     }
 
+    /** Ends the call with a failure, because this node's process ends. */
+    void nodeStops() {
+        if (ended) {
+            return;
+        }
+        if (attempt == null) {
+            notRun(ErrorCode.NOT_READY, NODE_STOPS);
+            return;
+        }
+        attempt.abandon();
+        conclude(CallException.mayHaveRun(ErrorCode.CONNECTION_LOST, NODE_STOPS));
+    }
+
     void started(Attempt from, Frame.ResponseStart start) {
         if (from != attempt || ended) {
             return;
@@ -319,7 +338,7 @@
         Optional<Map<String, String>> headers = progress.begun()
                 ? progress.resumeHeaders().map(this::withRequestHeaders)
                 : Optional.of(request.headers());
-        if (headers.isEmpty() || !plan.mayRetry(failure.notRun() && !progress.begun())) {
+        if (headers.isEmpty() || loop.plane().endingCalls() || !plan.mayRetry(failure.notRun() && !progress.begun())) {
             conclude(CallFailures.exception(failure, mayHaveRun));
             return;
         }
--- a/daemon/src/main/java/org/mimosahinge/daemon/traffic/InboundPeerConnection.java
+++ b/daemon/src/main/java/org/mimosahinge/daemon/traffic/InboundPeerConnection.java
@@ -68,6 +68,12 @@
         channel.eventLoop().schedule(this::closeWhenIdle, DRAIN_NOTICE_MS, TimeUnit.MILLISECONDS);
     }
 
+    /** The sender learns from the end of the connection that its calls may have run. */
+    @Override
+    public void endCalls() {
+        channel.flush();
+    }
+
     private void closeWhenIdle() {
         if (!busy()) {
             channel.close();
--- a/daemon/src/main/java/org/mimosahinge/daemon/traffic/TrafficLoop.java
+++ b/daemon/src/main/java/org/mimosahinge/daemon/traffic/TrafficLoop.java
@@ -166,6 +166,18 @@
         return open;
     }
 
+    /** Returns the number of calls in the queue of a backend server on this node. */
+    int waitingCalls(String endpointId) {
+        BackendAdmission admission = admissions.get(endpointId);
+        return admission == null ? 0 : admission.waitingCalls();
+    }
+
+    /** Ends all calls in flight; those in a queue of this node's backend servers are refused as not run. */
+    void endCalls() {
+        List.copyOf(admissions.values()).forEach(BackendAdmission::refuseWaiting);
+        List.copyOf(connections).forEach(Drainable::endCalls);
+    }
+
     long nextConnectionId() {
         return ++lastConnectionId;
     }
--- a/daemon/src/main/java/org/mimosahinge/daemon/traffic/TrafficPlane.java
+++ b/daemon/src/main/java/org/mimosahinge/daemon/traffic/TrafficPlane.java
@@ -25,9 +25,11 @@
 import java.util.concurrent.atomic.AtomicReference;
 import java.util.function.Consumer;
 import java.util.function.LongSupplier;
+import org.mimosahinge.api.contract.Route;
 import org.mimosahinge.api.platform.TableService;
 import org.mimosahinge.api.world.HostPort;
 import org.mimosahinge.api.world.NodeId;
+import org.mimosahinge.core.admission.ShutdownAdmission;
 import org.mimosahinge.core.poison.CrashRegistry;
 import org.mimosahinge.core.poison.Fingerprint;
 import org.mimosahinge.core.retry.RunningRepeats;
@@ -39,6 +41,8 @@
 /** Forwards a node's calls: from callers, to and from other nodes, and to the backend servers on this node. */
 public final class TrafficPlane implements AutoCloseable {
 
+    private static final ShutdownAdmission SHUTDOWN = ShutdownAdmission.internalChecksThatEndInTime();
+
     private static final long DRAIN_CHECK_MS = 20;
 
     /** Maximum size of the parts in which bodies are forwarded, Netty's default. */
@@ -60,6 +64,8 @@
     private Channel server;
     private volatile boolean draining;
     private volatile boolean closingCallers;
+    private volatile boolean endingCalls;
+    private volatile LongSupplier remainingGraceMs;
     private volatile List<Frame> initialFrames = List.of();
     private volatile LongSupplier revisionSource = () -> 0;
 
@@ -304,9 +310,36 @@
                 loop.eventLoop().execute(() -> List.copyOf(loop.connections()).forEach(Drainable::drain)));
     }
 
-    /** Accepts no new connections of callers; open connections stay open. */
-    public void stopAccepting() {
-        server.close();
+    /**
+     * Refuses most calls that begin from now on, as not run; connections are still accepted.
+     *
+     * @param remainingMs returns the time left until the process ends
+     */
+    public void stopAdmitting(LongSupplier remainingMs) {
+        remainingGraceMs = remainingMs;
+    }
+
+    /** Returns whether a call may begin. */
+    boolean admits(Route route, long deadlineMs) {
+        LongSupplier remainingMs = remainingGraceMs;
+        return remainingMs == null || SHUTDOWN.admits(route.callClass(), deadlineMs, remainingMs.getAsLong());
+    }
+
+    /**
+     * Answers all calls that are still in flight: those that wait at a backend server of this node have not run.
+     *
+     * @return completes when all are answered
+     */
+    public CompletionStage<Void> endCalls() {
+        endingCalls = true;
+        return CompletableFuture.allOf(orderedLoops.stream()
+                .map(loop -> CompletableFuture.runAsync(loop::endCalls, loop.eventLoop()))
+                .toArray(CompletableFuture[]::new));
+    }
+
+    /** Returns whether calls are being ended, so that none may be attempted again. */
+    boolean endingCalls() {
+        return endingCalls;
     }
 
     /**
