--- a/api/src/main/java/org/mimosahinge/api/world/HostPort.java
+++ b/api/src/main/java/org/mimosahinge/api/world/HostPort.java
@@ -5,6 +5,9 @@
 /**
  * A TCP socket address.
  *
+ * <p>{@code equals} and {@code hashCode} are written out: the generated ones link method handles at their first use,
+ * which delays the start of a node, and stay slow where only the first compiler tier is used.
+ *
  * @param host IP address
  * @param port TCP port from 1 to 65535; 0 lets the operating system choose one when a server binds
  */
@@ -44,4 +47,14 @@
     public String toString() {
         return host + ":" + port;
     }
+
+    @Override
+    public boolean equals(Object other) {
+        return other instanceof HostPort address && port == address.port && host.equals(address.host);
+    }
+
+    @Override
+    public int hashCode() {
+        return 31 * host.hashCode() + port;
+    }
 }
