--- a/daemon/src/main/java/org/mimosahinge/daemon/fleet/FleetControlPlane.java
+++ b/daemon/src/main/java/org/mimosahinge/daemon/fleet/FleetControlPlane.java
@@ -47,7 +47,7 @@
     /**
      * Fraction of the fleet's retry limit that is used: its time windows slide, and its calls are counted elsewhere.
      */
-    private static final double RETRY_BUDGET_FRACTION = 0.6;
+    private static final double RETRY_BUDGET_FRACTION = 0.75;
 
     /** Additional delay per rank before a node does work that any node could do, so that usually one node does it. */
     private static final long RANK_DELAY_NANOS = TimeUnit.MILLISECONDS.toNanos(300);
@@ -57,6 +57,9 @@
 
     private static final long REGISTRATION_RETRY_NANOS = TimeUnit.MILLISECONDS.toNanos(500);
 
+    /** Nodes that start at the same time learn of each other from rows that are read after both have registered. */
+    private static final long JOINING_NANOS = TimeUnit.SECONDS.toNanos(3);
+
     private static final int PERCENT = 100;
 
     private final Node self;
@@ -78,11 +81,13 @@
     private long configReceivedNanos;
     private long nextRegistrationNanos;
     private boolean registered;
+    private long registeredNanos;
     private boolean registering;
     private boolean stopping;
     private long lastTickNanos;
     private volatile Optional<ServerReport> serverReport = Optional.empty();
     private volatile boolean ready;
+    private volatile boolean fleetRowsUrgent = true;
     private volatile long newestRevision;
 
     /**
@@ -166,6 +171,16 @@
         return ready;
     }
 
+    /**
+     * Returns whether a change of the rows of nodes and of outcomes is needed within seconds; may be called on any
+     * thread.
+     *
+     * @return true while this node joins the fleet or a move has no published outcome
+     */
+    public boolean needsFleetRowsSoon() {
+        return fleetRowsUrgent;
+    }
+
     /**
      * Applies the operators' rows that this node has read from the platform.
      *
@@ -473,6 +488,7 @@
             publishSnapshot();
         }
         lastTickNanos = nowNanos;
+        fleetRowsUrgent = !registered || nowNanos - registeredNanos < JOINING_NANOS || moveRegistry.hasUnsettledMoves();
         publishMoveOutcomes(nowNanos);
         rowReplicator.tick(peers.connected(), peers.connectionsVersion(), nowNanos);
         removeUnreachable(nowNanos);
@@ -488,6 +504,7 @@
         store.registerNode(self).whenComplete((done, failure) -> {
             registering = false;
             registered = failure == null;
+            registeredNanos = nowNanos();
             if (registered) {
                 LOG.info("node_registered", "node", self.id(), "address", self.address());
             }
--- a/daemon/src/main/java/org/mimosahinge/daemon/fleet/MoveRegistry.java
+++ b/daemon/src/main/java/org/mimosahinge/daemon/fleet/MoveRegistry.java
@@ -86,13 +86,17 @@
 
         /** Returns the state that is not yet published, or empty if there is none or a write is in progress. */
         Optional<MoveOutcome> unpublishedOutcome() {
-            boolean finalPublished = publishedPhase == MovePhase.DONE || publishedPhase == MovePhase.TAKEN_BACK;
-            if (writing || finalPublished || step.phase() == publishedPhase) {
+            if (writing || isSettled() || step.phase() == publishedPhase) {
                 return Optional.empty();
             }
             return Optional.of(new MoveOutcome(order.service(), order.to(), step.phase()));
         }
 
+        /** Returns whether a published outcome ends the move. */
+        private boolean isSettled() {
+            return publishedPhase == MovePhase.DONE || publishedPhase == MovePhase.TAKEN_BACK;
+        }
+
         long publishedRevision() {
             return publishedRevision;
         }
@@ -123,6 +127,10 @@
         }
     }
 
+    boolean hasUnsettledMoves() {
+        return moves.values().stream().anyMatch(move -> !move.isSettled());
+    }
+
     void addOrder(MoveOrder order, long revision, long nowNanos) {
         Move existing = moves.get(order.service());
         if (existing != null && existing.orderRevision >= revision) {
