--- a/daemon/src/test/java/org/mimosahinge/daemon/LocalFleet.java
+++ b/daemon/src/test/java/org/mimosahinge/daemon/LocalFleet.java
@@ -1,10 +1,6 @@
 package org.mimosahinge.daemon;
 
 import io.netty.channel.nio.NioEventLoopGroup;
-import java.io.IOException;
-import java.io.UncheckedIOException;
-import java.net.InetAddress;
-import java.net.ServerSocket;
 import java.time.Duration;
 import java.util.ArrayDeque;
 import java.util.Deque;
@@ -71,11 +67,7 @@
     }
 
     private static HostPort freePort() {
-        try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
-            return new HostPort("127.0.0.1", socket.getLocalPort());
-        } catch (IOException e) {
-            throw new UncheckedIOException(e);
-        }
+        return new HostPort("127.0.0.1", FreePorts.next());
     }
 
     /** Starts a backend server that returns its version and announces itself to its local node every second. */
--- a/daemon/src/test/java/org/mimosahinge/daemon/traffic/TestMesh.java
+++ b/daemon/src/test/java/org/mimosahinge/daemon/traffic/TestMesh.java
@@ -3,8 +3,6 @@
 import com.codahale.metrics.MetricRegistry;
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
-import java.net.InetSocketAddress;
-import java.net.ServerSocket;
 import java.net.Socket;
 import java.net.SocketException;
 import java.net.URI;
@@ -23,7 +21,6 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.CopyOnWriteArrayList;
-import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.UnaryOperator;
 import org.mimosahinge.api.config.Snapshot;
 import org.mimosahinge.api.contract.CallClass;
@@ -42,6 +39,7 @@
 import org.mimosahinge.api.world.Node;
 import org.mimosahinge.api.world.NodeId;
 import org.mimosahinge.api.world.Region;
+import org.mimosahinge.daemon.FreePorts;
 
 /** Traffic planes of several nodes of one zone in one process, connected by real sockets. */
 final class TestMesh implements AutoCloseable {
@@ -237,32 +235,4 @@
     public void close() {
         planes.forEach(TrafficPlane::close);
     }
-
-    /**
-     * Finds ports for servers whose address must be known before they start.
-     *
-     * <p>They lie below the ephemeral ports, since a connection could take one of these before the server is bound.
-     */
-    static final class FreePorts {
-
-        private static final int FIRST = 10_000;
-        private static final int LAST = 30_000;
-        private static final AtomicInteger NEXT =
-                new AtomicInteger((int) (ProcessHandle.current().pid() * 97 % (LAST - FIRST)));
-
-        private FreePorts() {}
-
-        static int next() {
-            while (true) {
-                int port = FIRST + Math.floorMod(NEXT.getAndIncrement(), LAST - FIRST);
-                try (ServerSocket probe = new ServerSocket()) {
-                    probe.bind(new InetSocketAddress("127.0.0.1", port));
-                    return port;
-                } catch (IOException e) {
-                    // Another process uses the port; the next one may be free.
-                    continue;
-                }
-            }
-        }
-    }
 }
