--- a/daemon/src/main/java/org/mimosahinge/daemon/fleet/FleetControlPlane.java
+++ b/daemon/src/main/java/org/mimosahinge/daemon/fleet/FleetControlPlane.java
@@ -13,6 +13,7 @@
 import java.util.TreeSet;
 import java.util.concurrent.TimeUnit;
 import java.util.function.LongSupplier;
+import java.util.stream.Collectors;
 import org.mimosahinge.api.config.Snapshot;
 import org.mimosahinge.api.contract.CallClass;
 import org.mimosahinge.api.contract.Route;
@@ -20,6 +21,7 @@
 import org.mimosahinge.api.contract.ServiceLimits;
 import org.mimosahinge.api.contract.ServiceShare;
 import org.mimosahinge.api.world.Endpoint;
+import org.mimosahinge.api.world.EndpointState;
 import org.mimosahinge.api.world.Node;
 import org.mimosahinge.api.world.NodeId;
 import org.mimosahinge.core.admission.InternalCheckDetector;
@@ -60,6 +62,12 @@
     /** Nodes that start at the same time learn of each other from rows that are read after both have registered. */
     private static final long JOINING_NANOS = TimeUnit.SECONDS.toNanos(3);
 
+    /**
+     * A starting node gets two messages from each other node; with a snapshot for each, over all nodes and routes, it
+     * would spend more on them than on its own start.
+     */
+    private static final long MIN_PUBLICATION_INTERVAL_NANOS = TimeUnit.MILLISECONDS.toNanos(100);
+
     private static final int PERCENT = 100;
 
     private final Node self;
@@ -84,6 +92,9 @@
     private long registeredNanos;
     private boolean registering;
     private boolean stopping;
+    private boolean snapshotStale;
+    private long publishedNanos;
+    private Set<String> routedServices = Set.of();
     private long lastTickNanos;
     private volatile Optional<ServerReport> serverReport = Optional.empty();
     private volatile boolean ready;
@@ -121,6 +132,7 @@
         moveRegistry = new MoveRegistry(nanoTime.getAsLong());
         nextRegistrationNanos = nanoTime.getAsLong();
         lastTickNanos = nanoTime.getAsLong();
+        publishedNanos = nanoTime.getAsLong();
     }
 
     /**
@@ -266,6 +278,10 @@
         }
         config = Optional.of(next);
         routes = classifyInternalChecks(next.routes());
+        routedServices = next.routes().stream()
+                .flatMap(route -> route.shares().stream())
+                .map(ServiceShare::service)
+                .collect(Collectors.toUnmodifiableSet());
         LOG.info(
                 "update_applied",
                 "version",
@@ -408,7 +424,7 @@
         if (addressesChanged) {
             traffic.maintainPeers(peers.addresses());
         }
-        publishSnapshot();
+        publishSnapshotSoon();
     }
 
     private void peerConnected(TrafficEvent.PeerArrived connected) {
@@ -434,7 +450,13 @@
                         endpoint.server().version(),
                         "node",
                         received.node().id()));
-                publishSnapshot();
+                boolean onlyReady =
+                        sentEndpoints.stream().allMatch(endpoint -> endpoint.state() == EndpointState.READY);
+                if (onlyReady && !sentEndpoints.isEmpty()) {
+                    publishSnapshotSoon();
+                } else {
+                    publishSnapshot();
+                }
             }
         } else if (received.frame() instanceof Frame.RowSubscription request) {
             rowReplicator.subscriptionReceived(received.node().id(), request, nowNanos());
@@ -483,6 +505,7 @@
                 .forEach((service, outcomes) -> traffic.sendToInbound(CallOutcomeFrames.toFrame(service, outcomes)));
         boolean changed = moveRegistry.advance(snapshots.get().endpoints(), nowNanos);
         if (changed
+                || snapshotStale
                 || peers.anyReconnectTimedOut(nowNanos, lastTickNanos)
                 || !snapshots.get().haltMarks().isEmpty()) {
             publishSnapshot();
@@ -572,11 +595,22 @@
         LOG.info("leaving", "node", self.id());
     }
 
+    /** Publishes at once, or with the next tick if a snapshot was published just before. */
+    private void publishSnapshotSoon() {
+        if (nowNanos() - publishedNanos >= MIN_PUBLICATION_INTERVAL_NANOS) {
+            publishSnapshot();
+        } else {
+            snapshotStale = true;
+        }
+    }
+
     private void publishSnapshot() {
+        snapshotStale = false;
         if (config.isEmpty()) {
             return;
         }
         long nowNanos = nowNanos();
+        publishedNanos = nowNanos;
         FleetConfig current = config.get();
         Map<String, List<Endpoint>> endpoints = new TreeMap<>();
         List<Endpoint> all = new ArrayList<>(peers.endpoints(nowNanos));
@@ -612,9 +646,7 @@
     private Map<String, Service> toServices(FleetConfig current, Map<String, List<Endpoint>> endpoints) {
         Set<String> names = new TreeSet<>(current.maxConnectionsByService().keySet());
         names.addAll(endpoints.keySet());
-        current.routes()
-                .forEach(route ->
-                        route.shares().stream().map(ServiceShare::service).forEach(names::add));
+        names.addAll(routedServices);
         int nodes = 1 + peers.peerCount();
         ServiceLimits limits = new ServiceLimits(
                 MAX_QUEUED_CALLS, (int) Math.round(PERCENT * settings.retryRatio() * RETRY_BUDGET_FRACTION), (int)
