--- a/net/src/main/java/org/mimosahinge/net/log/AsyncLogHandler.java
+++ b/net/src/main/java/org/mimosahinge/net/log/AsyncLogHandler.java
@@ -7,6 +7,8 @@
 import java.util.List;
 import java.util.concurrent.ArrayBlockingQueue;
 import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.LongSupplier;
 import java.util.logging.Formatter;
@@ -28,6 +30,14 @@
     /** Maximum number of lines written with one system call, to keep bursts cheap. */
     private static final int MAX_BATCH_LINES = 64;
 
+    /** Bounds the time for which output that nobody reads delays the end of the process. */
+    private static final long CLOSE_TIMEOUT_MS = 200;
+
+    /** Marks the end of the log in the queue. */
+    private final LogRecord end = new LogRecord(Level.OFF, "");
+
+    private final CountDownLatch endWritten = new CountDownLatch(1);
+
     private final BlockingQueue<LogRecord> queue = new ArrayBlockingQueue<>(QUEUE_CAPACITY);
     private final AtomicLong droppedLines = new AtomicLong();
     private final OutputStream out;
@@ -89,6 +99,7 @@
             while (true) {
                 batch.add(queue.take());
                 queue.drainTo(batch, MAX_BATCH_LINES - 1);
+                boolean last = batch.remove(end);
                 StringBuilder lines = new StringBuilder();
                 batch.forEach(entry -> lines.append(getFormatter().format(entry)));
                 suppressionRecords()
@@ -96,6 +107,9 @@
                 batch.clear();
                 out.write(lines.toString().getBytes(StandardCharsets.UTF_8));
                 out.flush();
+                if (last) {
+                    endWritten.countDown();
+                }
             }
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
@@ -126,8 +140,15 @@
         // The writer thread flushes after each batch.
     }
 
+    /** Waits until the queued lines are written; the last ones tell why a process ends. */
     @Override
     public void close() {
-        // The writer is a daemon thread, which ends with the process.
+        try {
+            if (queue.offer(end, CLOSE_TIMEOUT_MS, TimeUnit.MILLISECONDS)) {
+                endWritten.await(CLOSE_TIMEOUT_MS, TimeUnit.MILLISECONDS);
+            }
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
     }
 }
