--- a/net/src/main/java/org/mimosahinge/net/frame/FrameCodec.java
+++ b/net/src/main/java/org/mimosahinge/net/frame/FrameCodec.java
@@ -142,7 +142,7 @@
                     in.textMap(),
                     in.flag(),
                     in.integer(),
-                    in.smallInteger());
+                    in.permille());
             case BODY -> new Frame.Body(in.integer(), in.bytes(), in.flag());
             case CREDIT -> new Frame.Credit(in.integer(), in.smallInteger());
             case CANCEL -> new Frame.Cancel(in.integer());
--- a/net/src/main/java/org/mimosahinge/net/frame/Unpacker.java
+++ b/net/src/main/java/org/mimosahinge/net/frame/Unpacker.java
@@ -21,6 +21,8 @@
     private static final MessagePack.UnpackerConfig CONFIG =
             new MessagePack.UnpackerConfig().withStringDecoderBufferSize(256);
 
+    private static final int MAX_PERMILLE = 1_000;
+
     private final MessageUnpacker in;
     private final int length;
 
@@ -51,6 +53,14 @@
         return translateFailures(in::unpackInt);
     }
 
+    int permille() {
+        int value = smallInteger();
+        if (value < 0 || value > MAX_PERMILLE) {
+            throw new FrameException("Malformed frame: share " + value + " is not in 0.." + MAX_PERMILLE);
+        }
+        return value;
+    }
+
     boolean flag() {
         return translateFailures(in::unpackBoolean);
     }
--- a/net/src/test/java/org/mimosahinge/net/frame/FrameCodecTest.java
+++ b/net/src/test/java/org/mimosahinge/net/frame/FrameCodecTest.java
@@ -134,6 +134,19 @@
                 new Frame.CallFailure(1, "overloaded", true, "queue full", new Frame.Load(2500, 80), 120));
     }
 
+    /** Guards against a share of repeats that no node may send and that would distort the retry budget for good. */
+    @ParameterizedTest(name = "share {0}: rejected {1}")
+    @CsvSource({"-1, true", "0, false", "1000, false", "1001, true", "2147483647, true"})
+    void shareOfRepeatsIsChecked(int permille, boolean rejected) {
+        byte[] encoded = FrameCodec.encode(new Frame.CallStart(
+                1, "n1/a", "ledger", CallClass.BATCH, 500, 20, "GET", "/c", Map.of(), false, 0, permille));
+        if (rejected) {
+            assertThrows(FrameException.class, () -> FrameCodec.decode(encoded));
+        } else {
+            assertEquals(permille, ((Frame.CallStart) FrameCodec.decode(encoded)).repeatPermille());
+        }
+    }
+
     @ParameterizedTest
     @MethodSource("frames")
     void decodingRestoresTheEncodedFrame(Frame frame) {
