--- a/daemon/src/main/java/org/mimosahinge/daemon/fleet/FleetControlPlane.java
+++ b/daemon/src/main/java/org/mimosahinge/daemon/fleet/FleetControlPlane.java
@@ -3,28 +3,16 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.Collection;
-import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
-import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
-import java.util.TreeMap;
-import java.util.TreeSet;
 import java.util.concurrent.TimeUnit;
 import java.util.function.LongSupplier;
-import java.util.stream.Collectors;
-import org.mimosahinge.api.config.Snapshot;
-import org.mimosahinge.api.contract.CallClass;
-import org.mimosahinge.api.contract.Route;
-import org.mimosahinge.api.contract.Service;
-import org.mimosahinge.api.contract.ServiceLimits;
-import org.mimosahinge.api.contract.ServiceShare;
 import org.mimosahinge.api.world.Endpoint;
 import org.mimosahinge.api.world.EndpointState;
 import org.mimosahinge.api.world.Node;
 import org.mimosahinge.api.world.NodeId;
-import org.mimosahinge.core.admission.InternalCheckDetector;
 import org.mimosahinge.core.fanout.RowSourcePolicy;
 import org.mimosahinge.core.membership.ServerReport;
 import org.mimosahinge.core.poison.Fingerprint;
@@ -43,14 +31,6 @@
 
     private static final EventLog LOG = EventLog.of("fleet");
 
-    /** Maximum calls that may queue for one backend server; the target latency limits the queue well before. */
-    private static final int MAX_QUEUED_CALLS = 256;
-
-    /**
-     * Fraction of the fleet's retry limit that is used: its time windows slide, and its calls are counted elsewhere.
-     */
-    private static final double RETRY_BUDGET_FRACTION = 0.75;
-
     /** Additional delay per rank before a node does work that any node could do, so that usually one node does it. */
     private static final long RANK_DELAY_NANOS = TimeUnit.MILLISECONDS.toNanos(300);
 
@@ -68,8 +48,6 @@
      */
     private static final long MIN_PUBLICATION_INTERVAL_NANOS = TimeUnit.MILLISECONDS.toNanos(100);
 
-    private static final int PERCENT = 100;
-
     private final Node self;
     private FleetSettings settings;
     private final SnapshotReference snapshots;
@@ -84,8 +62,8 @@
     private final MoveRegistry moveRegistry;
     private TrafficPlane traffic;
     private PlatformRowFollower rowFollower;
+    private final FleetSnapshots fleetSnapshots = new FleetSnapshots();
     private Optional<FleetConfig> config = Optional.empty();
-    private List<Route> routes = List.of();
     private long configReceivedNanos;
     private long nextRegistrationNanos;
     private boolean registered;
@@ -94,7 +72,6 @@
     private boolean stopping;
     private boolean snapshotStale;
     private long publishedNanos;
-    private Set<String> routedServices = Set.of();
     private long lastTickNanos;
     private volatile Optional<ServerReport> serverReport = Optional.empty();
     private volatile boolean ready;
@@ -277,11 +254,7 @@
             configReceivedNanos = nowNanos();
         }
         config = Optional.of(next);
-        routes = classifyInternalChecks(next.routes());
-        routedServices = next.routes().stream()
-                .flatMap(route -> route.shares().stream())
-                .map(ServiceShare::service)
-                .collect(Collectors.toUnmodifiableSet());
+        fleetSnapshots.apply(next);
         LOG.info(
                 "update_applied",
                 "version",
@@ -611,57 +584,9 @@
         }
         long nowNanos = nowNanos();
         publishedNanos = nowNanos;
-        FleetConfig current = config.get();
-        Map<String, List<Endpoint>> endpoints = new TreeMap<>();
-        List<Endpoint> all = new ArrayList<>(peers.endpoints(nowNanos));
-        all.addAll(localServer.endpoints());
-        all.forEach(endpoint -> endpoints
-                .computeIfAbsent(endpoint.server().service(), key -> new ArrayList<>())
-                .add(endpoint));
-        snapshots.replace(new Snapshot(
-                current.version(),
-                new TreeMap<>(),
-                toServices(current, endpoints),
-                Map.of(),
-                routes,
-                moveRegistry.states(),
-                endpoints,
-                moveRegistry.haltMarks(endpoints, nowNanos),
-                true,
-                current.callerLimits()));
-    }
-
-    /**
-     * Assigns internal checks their call class. Returns the list in force if nothing changed, which keeps indexes built
-     * from it.
-     */
-    private List<Route> classifyInternalChecks(List<Route> next) {
-        Set<String> checks = InternalCheckDetector.detectRoutes(next);
-        List<Route> classified = next.stream()
-                .map(route -> checks.contains(route.name()) ? route.withCallClass(CallClass.INTERNAL_CHECK) : route)
-                .toList();
-        return routes.equals(classified) ? routes : classified;
-    }
-
-    private Map<String, Service> toServices(FleetConfig current, Map<String, List<Endpoint>> endpoints) {
-        Set<String> names = new TreeSet<>(current.maxConnectionsByService().keySet());
-        names.addAll(endpoints.keySet());
-        names.addAll(routedServices);
-        int nodes = 1 + peers.peerCount();
-        ServiceLimits limits = new ServiceLimits(
-                MAX_QUEUED_CALLS, (int) Math.round(PERCENT * settings.retryRatio() * RETRY_BUDGET_FRACTION), (int)
-                        Math.max(1, settings.retrySlack() * RETRY_BUDGET_FRACTION / nodes));
-        Map<String, Service> services = new HashMap<>();
-        for (String name : names) {
-            List<String> versions = endpoints.getOrDefault(name, List.of()).stream()
-                    .map(endpoint -> endpoint.server().version())
-                    .distinct()
-                    .sorted()
-                    .toList();
-            String first = versions.isEmpty() ? "" : versions.get(0);
-            services.put(name, new Service(name, versions, first, Optional.empty(), limits));
-        }
-        return services;
+        List<Endpoint> endpoints = new ArrayList<>(peers.endpoints(nowNanos));
+        endpoints.addAll(localServer.endpoints());
+        snapshots.replace(fleetSnapshots.assemble(endpoints, moveRegistry, 1 + peers.peerCount(), settings, nowNanos));
     }
 
     private long nowNanos() {
