--- a/core/src/main/java/org/mimosahinge/core/membership/HeartbeatPolicy.java
+++ b/core/src/main/java/org/mimosahinge/core/membership/HeartbeatPolicy.java
@@ -13,8 +13,8 @@
     public static final long TICK_MS = 500;
 
     /**
-     * A connection at rest is checked less often the more there are, with half the rate at 64 and a quarter at 150
-     * connections: the rate of a node then hardly grows, and fewer calls are lost with each connection.
+     * From this number of connections on, one at rest is checked half as often, and from the larger number below a
+     * quarter as often. An accepting node so sends at most 75 heartbeats a second at rest to up to 150 other nodes.
      */
     private static final int LARGE_FLEET_CONNECTIONS = 64;
 
