--- a/standin/src/main/java/org/mimosahinge/standin/backend/BackendStandin.java
+++ b/standin/src/main/java/org/mimosahinge/standin/backend/BackendStandin.java
@@ -118,7 +118,7 @@
      * @return the phase
      */
     public Phase phase() {
-        return group.submit(() -> phase).syncUninterruptibly().getNow();
+        return group.submit(this::currentPhase).syncUninterruptibly().getNow();
     }
 
     /**
@@ -167,21 +167,20 @@
             return;
         }
         group.schedule(this::announceAndRepeat, ANNOUNCE_INTERVAL_MS, TimeUnit.MILLISECONDS);
-        if (phase == Phase.STARTING && warmUpRemainingNanos() > 0) {
+        if (currentPhase() == Phase.STARTING) {
             // Announce the end of the warm-up at once; the next periodic announcement may come much later.
-            group.schedule(this::announceReady, warmUpRemainingNanos(), TimeUnit.NANOSECONDS);
-            announce();
-        } else {
-            announceReady();
+            group.schedule(this::announce, warmUpRemainingNanos(), TimeUnit.NANOSECONDS);
         }
+        announce();
     }
 
-    private void announceReady() {
-        if (phase == Phase.STARTING) {
+    /** Ends the warm-up by the clock, since a timer may run after the responses that waited for its end. */
+    private Phase currentPhase() {
+        if (phase == Phase.STARTING && warmUpRemainingNanos() == 0) {
             phase = Phase.READY;
             LOG.info("ready", "service", settings.service(), "version", settings.version(), "address", address);
         }
-        announce();
+        return phase;
     }
 
     private CompletionStage<Void> announce() {
@@ -195,7 +194,7 @@
                 address.port(),
                 settings.slots(),
                 settings.connections(),
-                phase.announcedState(),
+                currentPhase().announcedState(),
                 calls.loadPermille(),
                 settings.resources());
         return announcer.get().announce(announcement).thenAccept(drain -> {
@@ -251,7 +250,8 @@
 
         @Override
         public long warmUpRemainingMs() {
-            return TimeUnit.NANOSECONDS.toMillis(warmUpRemainingNanos());
+            // Rounded up, so that no response is sent before the end of the warm-up.
+            return TimeUnit.NANOSECONDS.toMillis(warmUpRemainingNanos() + TimeUnit.MILLISECONDS.toNanos(1) - 1);
         }
     }
 }
--- a/standin/src/test/java/org/mimosahinge/standin/backend/BackendStandinTest.java
+++ b/standin/src/test/java/org/mimosahinge/standin/backend/BackendStandinTest.java
@@ -21,6 +21,7 @@
 import org.junit.jupiter.api.AfterAll;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.RepeatedTest;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.Arguments;
@@ -102,6 +103,23 @@
         assertEquals(Phase.READY, backend.phase());
     }
 
+    /** Guards against a response in the last millisecond of the warm-up, which a delay in milliseconds left out. */
+    @RepeatedTest(5)
+    void respondsToNoCallWhileStarting() {
+        backend.close();
+        backend =
+                BackendStandin.start(settings().coldStart(Duration.ofMillis(50)).build());
+        // A call without time left is refused until the server is warm, so the first response marks the end.
+        int status = 504;
+        while (status == 504) {
+            status = send("GET", "/early", Map.of("x-deadline-ms", "0"), "")
+                    .join()
+                    .status();
+        }
+        assertEquals(200, status);
+        assertEquals(Phase.READY, backend.phase());
+    }
+
     /** Guards against a stop that aborts calls or is announced before they end. */
     @ParameterizedTest
     @CsvSource({"direct", "control", "announcement"})
