--- a/daemon/src/main/java/org/mimosahinge/daemon/control/ControlLoop.java
+++ b/daemon/src/main/java/org/mimosahinge/daemon/control/ControlLoop.java
@@ -4,6 +4,7 @@
 import com.lmax.disruptor.ExceptionHandler;
 import com.lmax.disruptor.dsl.Disruptor;
 import com.lmax.disruptor.dsl.ProducerType;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.Executor;
 import java.util.concurrent.RejectedExecutionException;
 import java.util.concurrent.TimeUnit;
@@ -26,6 +27,9 @@
     /** Longer waits are logged: a change must be in force within seconds, and 250 ms are a noticeable part of that. */
     private static final long LONG_DELAY_NANOS = TimeUnit.MILLISECONDS.toNanos(250);
 
+    /** A planned stop has a tenth of the grace time left, 600 ms, for this and for the end of the log. */
+    private static final long CLOSE_TIMEOUT_NANOS = TimeUnit.MILLISECONDS.toNanos(200);
+
     private static final EventLog LOG = EventLog.of("control");
 
     private final Disruptor<TaskEvent> disruptor;
@@ -80,16 +84,20 @@
      * @return false if the ring was full and the task was dropped
      */
     public boolean offer(Runnable task) {
-        boolean accepted = disruptor.getRingBuffer().tryPublishEvent((event, sequence) -> {
-            event.task = task;
-            event.offeredNanos = System.nanoTime();
-        });
+        boolean accepted = tryPublish(task);
         if (!accepted) {
             droppedTasks.incrementAndGet();
         }
         return accepted;
     }
 
+    private boolean tryPublish(Runnable task) {
+        return disruptor.getRingBuffer().tryPublishEvent((event, sequence) -> {
+            event.task = task;
+            event.offeredNanos = System.nanoTime();
+        });
+    }
+
     @Override
     public void execute(Runnable task) {
         if (!offer(task)) {
@@ -115,9 +123,28 @@
         return TimeUnit.NANOSECONDS.toMillis(longestDelayNanos.getAndSet(0));
     }
 
+    /** Runs the tasks that are queued and ends the thread; a task that does not end is left behind. */
     @Override
     public void close() {
-        disruptor.shutdown();
+        // Disruptor.shutdown() spins until the queue is empty, and a stop must not outlast the platform's grace time.
+        CountDownLatch reached = new CountDownLatch(1);
+        long deadlineNanos = System.nanoTime() + CLOSE_TIMEOUT_NANOS;
+        try {
+            boolean offered = tryPublish(reached::countDown);
+            while (!offered && System.nanoTime() - deadlineNanos < 0) {
+                TimeUnit.MILLISECONDS.sleep(1);
+                offered = tryPublish(reached::countDown);
+            }
+            if (!reached.await(deadlineNanos - System.nanoTime(), TimeUnit.NANOSECONDS)) {
+                LOG.warn(
+                        "control_tasks_left",
+                        "queued",
+                        RING_SIZE - disruptor.getRingBuffer().remainingCapacity());
+            }
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+        disruptor.halt();
     }
 
     private static final class LoggingExceptionHandler implements ExceptionHandler<TaskEvent> {
