--- a/api/src/main/java/org/mimosahinge/api/contract/Route.java
+++ b/api/src/main/java/org/mimosahinge/api/contract/Route.java
@@ -7,6 +7,9 @@
 /**
  * A rule that routes matching requests to one or more services.
  *
+ * <p>{@code equals} and {@code hashCode} are written out: the generated ones link method handles at their first use,
+ * which delays the start of a node, and stay slow where only the first compiler tier is used.
+ *
  * @param name unique within the section
  * @param host host name that requests must match; empty matches any host
  * @param pathPrefix path prefix; the longest matching prefix wins
@@ -41,6 +44,28 @@
         resources = Set.copyOf(resources);
     }
 
+    @Override
+    public boolean equals(Object other) {
+        return this == other
+                || other instanceof Route route
+                        && maxAttempts == route.maxAttempts
+                        && idempotent == route.idempotent
+                        && atMostOnce == route.atMostOnce
+                        && callClass == route.callClass
+                        && name.equals(route.name)
+                        && host.equals(route.host)
+                        && pathPrefix.equals(route.pathPrefix)
+                        && timeout.equals(route.timeout)
+                        && targetLatency.equals(route.targetLatency)
+                        && shares.equals(route.shares)
+                        && resources.equals(route.resources);
+    }
+
+    @Override
+    public int hashCode() {
+        return 31 * name.hashCode() + pathPrefix.hashCode();
+    }
+
     /**
      * Returns the name of the first target service.
      *
--- a/api/src/main/java/org/mimosahinge/api/world/BackendServer.java
+++ b/api/src/main/java/org/mimosahinge/api/world/BackendServer.java
@@ -5,6 +5,9 @@
 /**
  * A backend server process, as announced to its local node.
  *
+ * <p>{@code equals} and {@code hashCode} are written out: the generated ones link method handles at their first use,
+ * which delays the start of a node, and stay slow where only the first compiler tier is used.
+ *
  * @param service service that the process belongs to
  * @param version backend server version
  * @param address HTTP address
@@ -18,4 +21,21 @@
     public BackendServer {
         resources = Set.copyOf(resources);
     }
+
+    @Override
+    public boolean equals(Object other) {
+        return this == other
+                || other instanceof BackendServer server
+                        && slots == server.slots
+                        && maxConnections == server.maxConnections
+                        && service.equals(server.service)
+                        && version.equals(server.version)
+                        && address.equals(server.address)
+                        && resources.equals(server.resources);
+    }
+
+    @Override
+    public int hashCode() {
+        return 31 * address.hashCode() + version.hashCode();
+    }
 }
