--- a/bench/src/main/java/org/mimosahinge/bench/overload/ServiceModel.java
+++ b/bench/src/main/java/org/mimosahinge/bench/overload/ServiceModel.java
@@ -30,6 +30,7 @@
 import org.mimosahinge.core.admission.RetryAfterPolicy;
 import org.mimosahinge.core.admission.SlotRequest;
 import org.mimosahinge.core.admission.SlotTimeAverages;
+import org.mimosahinge.core.admission.TimelyDemand;
 import org.mimosahinge.core.admission.TypicalDeadline;
 import org.mimosahinge.core.routing.EndpointChoiceRequest;
 import org.mimosahinge.core.routing.EndpointLoad;
@@ -122,7 +123,9 @@
         private final TreeMap<SlotRequest, Caller> queue = new TreeMap<>();
         private final SlotTimeAverages slotTimes = new SlotTimeAverages();
         private final RecentRefusals recentRefusals = new RecentRefusals();
+        private final TimelyDemand timelyDemand = new TimelyDemand();
         private int running;
+        private int lateRunning;
         private int outstanding;
         private int reportedPermille;
         private double reportedMs = Double.NEGATIVE_INFINITY;
@@ -145,7 +148,9 @@
                     slotTimes.overallMs(),
                     (long) nowMs,
                     slotTimes.classMs(callClass),
-                    slotTimes.higherClassFraction(callClass));
+                    slotTimes.higherClassFraction(callClass),
+                    lateRunning,
+                    timelyDemand.slots((long) nowMs));
         }
 
         void report(double nowMs) {
@@ -243,10 +248,15 @@
     private AdmissionDecision offer(Server server, Caller caller, long targetMs, long remainingMs) {
         long latestEndMs = (long) nowMs + variant.latencyBudget().remainingMs(caller.callClass, targetMs, remainingMs);
         SlotRequest slotRequest = new SlotRequest(caller.callClass, latestEndMs, ++arrivals);
+        double typicalSlotMs = server.slotTimes.classMs(caller.callClass);
+        boolean late = AdmissionPolicy.isLate(slotRequest, (long) nowMs, typicalSlotMs);
+        if (!late) {
+            server.timelyDemand.arrived(typicalSlotMs, (long) nowMs);
+        }
         AdmissionDecision decision = AdmissionPolicy.decide(server.view(nowMs, caller.callClass), slotRequest);
         if (decision instanceof AdmissionDecision.Run) {
             recordSent(server);
-            run(server, caller);
+            run(server, caller, late);
         } else if (decision instanceof AdmissionDecision.Wait) {
             recordSent(server);
             server.queue.put(slotRequest, caller);
@@ -262,16 +272,18 @@
         server.sentSinceReport++;
     }
 
-    private void run(Server server, Caller caller) {
+    private void run(Server server, Caller caller, boolean late) {
         server.running++;
+        server.lateRunning += late ? 1 : 0;
         double workMs = MEAN_WORK_MS
                 / server.speed
                 * Math.exp(WORK_LOG_DEVIATION * random.nextGaussian() - WORK_LOG_DEVIATION * WORK_LOG_DEVIATION / 2);
-        events.add(new Event(nowMs + workMs, () -> completed(server, caller, workMs)));
+        events.add(new Event(nowMs + workMs, () -> completed(server, caller, workMs, late)));
     }
 
-    private void completed(Server server, Caller caller, double workMs) {
+    private void completed(Server server, Caller caller, double workMs, boolean late) {
         server.running--;
+        server.lateRunning -= late ? 1 : 0;
         server.outstanding--;
         server.slotTimes.observe(caller.callClass, workMs);
         if (nowMs - caller.firstCallMs <= caller.deadlineMs()) {
@@ -281,7 +293,7 @@
             var next = server.queue.pollFirstEntry();
             double typicalSlotMs = server.slotTimes.classMs(next.getValue().callClass);
             if (AdmissionPolicy.latestStartMs(next.getKey(), typicalSlotMs) >= nowMs) {
-                run(server, next.getValue());
+                run(server, next.getValue(), false);
             } else {
                 server.outstanding--;
                 scheduleRetry(next.getValue(), 0, 0);
--- a/core/src/main/java/org/mimosahinge/core/admission/AdmissionPolicy.java
+++ b/core/src/main/java/org/mimosahinge/core/admission/AdmissionPolicy.java
@@ -24,7 +24,9 @@
      * Decides on a call that has just arrived.
      *
      * <p>A call that cannot end before its deadline is refused immediately, while its caller still has time to try
-     * another endpoint.
+     * another endpoint. A call that is likely to be late gets a free slot only if calls that can be in time do not need
+     * it: under overload, callers that return would otherwise take the slots from those that come for the first time,
+     * and both would be late.
      *
      * @param view state of the endpoint
      * @param call the call
@@ -33,7 +35,7 @@
     public static AdmissionDecision decide(AdmissionView view, SlotRequest call) {
         int slots = view.limits().slotsFor(call.callClass());
         int callsAhead = view.waiting().headSet(call).size();
-        if (callsAhead == 0 && view.running() < slots) {
+        if (callsAhead == 0 && view.running() < slots && mayOccupySlot(view, call)) {
             return new Run();
         }
         double availableFraction = Math.max(MIN_AVAILABLE_FRACTION, 1 - view.higherClassFraction());
@@ -51,6 +53,25 @@
         return new Wait(Optional.of(view.waiting().last()));
     }
 
+    private static boolean mayOccupySlot(AdmissionView view, SlotRequest call) {
+        return !isLate(call, view.nowMs(), view.classServiceMs())
+                || view.lateRunning() < view.limits().slotsFor(call.callClass()) - view.timelySlots();
+    }
+
+    /**
+     * Returns whether a call is likely to end too late even if it starts now.
+     *
+     * <p>Internal checks are never late, because refusing one wastes the work of the call that made it.
+     *
+     * @param call the call
+     * @param nowMs the current time
+     * @param classServiceMs recent mean time for which calls of its class occupy a slot
+     * @return true if the remaining time is shorter than a typical call
+     */
+    public static boolean isLate(SlotRequest call, long nowMs, double classServiceMs) {
+        return call.callClass() != CallClass.INTERNAL_CHECK && call.deadlineMs() - nowMs < classServiceMs;
+    }
+
     /**
      * Returns the time until which a call may wait.
      *
--- a/core/src/main/java/org/mimosahinge/core/admission/AdmissionView.java
+++ b/core/src/main/java/org/mimosahinge/core/admission/AdmissionView.java
@@ -13,6 +13,8 @@
  * @param nowMs the current time
  * @param classServiceMs recent mean time for which calls of the arriving call's class occupy a slot
  * @param higherClassFraction fraction of the slots' time that higher classes use, 0 to 1
+ * @param lateRunning number of running calls that were expected to be late when they were admitted
+ * @param timelySlots number of slots that calls need which can still be in time
  */
 public record AdmissionView(
         AdmissionLimits limits,
@@ -21,10 +23,12 @@
         double serviceMs,
         long nowMs,
         double classServiceMs,
-        double higherClassFraction) {
+        double higherClassFraction,
+        int lateRunning,
+        double timelySlots) {
 
     /**
-     * Creates a view in which calls of all classes occupy their slots for the same time.
+     * Creates a view in which calls of all classes occupy their slots for the same time and none is late.
      *
      * @param limits limits of the endpoint
      * @param running number of calls that occupy a slot
@@ -34,6 +38,6 @@
      */
     public AdmissionView(
             AdmissionLimits limits, int running, SortedSet<SlotRequest> waiting, double serviceMs, long nowMs) {
-        this(limits, running, waiting, serviceMs, nowMs, serviceMs, 0);
+        this(limits, running, waiting, serviceMs, nowMs, serviceMs, 0, 0, 0);
     }
 }
--- /dev/null
+++ b/core/src/main/java/org/mimosahinge/core/admission/TimelyDemand.java
@@ -0,0 +1,35 @@
+package org.mimosahinge.core.admission;
+
+/**
+ * Estimates how many slots of an endpoint the calls need that can still be in time, from their arrivals; not
+ * thread-safe.
+ */
+public final class TimelyDemand {
+
+    /** Long enough for some tens of calls, and short enough to follow the burst after a failure. */
+    private static final double TIME_CONSTANT_MS = 1_000;
+
+    private double slots;
+    private long updatedMs;
+
+    /**
+     * Adds a call that can still be in time, whether it is admitted or not.
+     *
+     * @param slotMs expected time for which it occupies a slot, in milliseconds
+     * @param nowMs the current time
+     */
+    public void arrived(double slotMs, long nowMs) {
+        slots = slots(nowMs) + slotMs / TIME_CONSTANT_MS;
+        updatedMs = nowMs;
+    }
+
+    /**
+     * Returns the number of slots that such calls need on average.
+     *
+     * @param nowMs the current time
+     * @return number of slots, more than the endpoint has under overload
+     */
+    public double slots(long nowMs) {
+        return slots * Math.exp((updatedMs - nowMs) / TIME_CONSTANT_MS);
+    }
+}
--- a/core/src/test/java/org/mimosahinge/core/admission/LatencyBudgetTest.java
+++ b/core/src/test/java/org/mimosahinge/core/admission/LatencyBudgetTest.java
@@ -104,7 +104,7 @@
             queue.put(new SlotRequest(CallClass.INTERACTIVE, 200, i), 0.0);
         }
         AdmissionView view = new AdmissionView(
-                LIMITS, LIMITS.slots(), queue.navigableKeySet(), WORK_MS, 0, WORK_MS, higherClassFraction);
+                LIMITS, LIMITS.slots(), queue.navigableKeySet(), WORK_MS, 0, WORK_MS, higherClassFraction, 0, 0);
         AdmissionDecision decision = AdmissionPolicy.decide(view, new SlotRequest(CallClass.INTERACTIVE, 295, 99));
         assertEquals(expected, decision.getClass().getSimpleName());
     }
--- a/daemon/src/main/java/org/mimosahinge/daemon/traffic/BackendAdmission.java
+++ b/daemon/src/main/java/org/mimosahinge/daemon/traffic/BackendAdmission.java
@@ -14,6 +14,7 @@
 import org.mimosahinge.core.admission.AdmissionView;
 import org.mimosahinge.core.admission.SlotRequest;
 import org.mimosahinge.core.admission.SlotTimeAverages;
+import org.mimosahinge.core.admission.TimelyDemand;
 import org.mimosahinge.core.move.CallOutcomesKey;
 import org.mimosahinge.core.move.FailureKind;
 import org.mimosahinge.core.retry.RunningRepeats;
@@ -39,9 +40,11 @@
     private final TreeMap<SlotRequest, BackendCall> waiting = new TreeMap<>();
     private final List<BackendCall> callsWithLostConnection = new ArrayList<>();
     private final SlotTimeAverages slotTimeAverages = new SlotTimeAverages();
+    private final TimelyDemand timelyDemand = new TimelyDemand();
     private Endpoint endpoint;
     private AdmissionLimits limits;
     private int running;
+    private int lateRunning;
     private long arrivals;
 
     BackendAdmission(TrafficLoop loop, Endpoint endpoint) {
@@ -75,7 +78,12 @@
                         .latencyBudget()
                         .remainingMs(start.callClass(), start.targetMs(), start.deadlineMs());
         SlotRequest waiter = new SlotRequest(start.callClass(), finishMs, ++arrivals);
-        BackendCall call = new BackendCall(this, start, waiter, now + start.deadlineMs(), observer);
+        double classServiceMs = slotTimeAverages.classMs(start.callClass());
+        boolean late = AdmissionPolicy.isLate(waiter, now, classServiceMs);
+        if (!late) {
+            timelyDemand.arrived(classServiceMs, now);
+        }
+        BackendCall call = new BackendCall(this, start, waiter, late, now + start.deadlineMs(), observer);
         if (start.repeatPermille() == RunningRepeats.CERTAIN_PERMILLE
                 && loop.retryBudgets().isOverdrawn(now)) {
             logRefusal(start, REPEATS_EXHAUSTED, 0);
@@ -90,9 +98,7 @@
                     .map(waiting::remove)
                     .ifPresent(evicted -> evicted.refuse("Displaced by a call of a higher class", 0));
             waiting.put(waiter, call);
-            call.scheduleQueueTimeout(
-                    loop.eventLoop(),
-                    AdmissionPolicy.latestStartMs(waiter, slotTimeAverages.classMs(start.callClass())));
+            call.scheduleQueueTimeout(loop.eventLoop(), AdmissionPolicy.latestStartMs(waiter, classServiceMs));
         } else if (decision instanceof AdmissionDecision.Refuse refusal) {
             logRefusal(start, refusal.reason(), refusal.estimatedWaitMs());
             call.refuse(refusal.reason(), refusal.estimatedWaitMs());
@@ -157,7 +163,9 @@
                 slotTimeAverages.overallMs(),
                 nowMs,
                 slotTimeAverages.classMs(callClass),
-                slotTimeAverages.higherClassFraction(callClass));
+                slotTimeAverages.higherClassFraction(callClass),
+                lateRunning,
+                timelyDemand.slots(nowMs));
     }
 
     int waitingCalls() {
@@ -173,6 +181,7 @@
 
     private void run(BackendCall call) {
         running++;
+        lateRunning += call.late() ? 1 : 0;
         loop.context().runningRepeats().started(call.repeatPermille());
         call.admitted();
         pool.acquire(false, call::connected);
@@ -184,17 +193,18 @@
     }
 
     /** Releases the slot of a call and records how long it was occupied. */
-    void releaseSlot(CallClass callClass, int repeatPermille, long slotNanos) {
-        slotTimeAverages.observe(callClass, slotNanos / 1e6);
-        releaseUnusedSlot(callClass, repeatPermille);
+    void releaseSlot(BackendCall ended, long slotNanos) {
+        slotTimeAverages.observe(ended.callClass(), slotNanos / 1e6);
+        releaseUnusedSlot(ended);
     }
 
     /** Releases the slot of a call that was not sent, and runs waiting calls. */
-    void releaseUnusedSlot(CallClass callClass, int repeatPermille) {
+    void releaseUnusedSlot(BackendCall ended) {
         running--;
-        loop.context().runningRepeats().ended(repeatPermille);
+        lateRunning -= ended.late() ? 1 : 0;
+        loop.context().runningRepeats().ended(ended.repeatPermille());
         while (!waiting.isEmpty()) {
-            Optional<SlotRequest> next = AdmissionPolicy.nextToRun(view(0, callClass));
+            Optional<SlotRequest> next = AdmissionPolicy.nextToRun(view(0, ended.callClass()));
             if (next.isEmpty()) {
                 return;
             }
--- a/daemon/src/main/java/org/mimosahinge/daemon/traffic/BackendCall.java
+++ b/daemon/src/main/java/org/mimosahinge/daemon/traffic/BackendCall.java
@@ -8,6 +8,7 @@
 import java.util.Queue;
 import java.util.concurrent.ScheduledFuture;
 import java.util.concurrent.TimeUnit;
+import org.mimosahinge.api.contract.CallClass;
 import org.mimosahinge.api.error.ErrorCode;
 import org.mimosahinge.core.admission.SlotRequest;
 import org.mimosahinge.core.move.FailureKind;
@@ -37,6 +38,7 @@
     private final BackendAdmission admission;
     private final Frame.CallStart start;
     private final SlotRequest waiter;
+    private final boolean late;
     private final long deadlineAtMs;
     private final ResponseObserver observer;
     private final long arrivedNanos = System.nanoTime();
@@ -55,11 +57,13 @@
             BackendAdmission admission,
             Frame.CallStart start,
             SlotRequest waiter,
+            boolean late,
             long deadlineAtMs,
             ResponseObserver observer) {
         this.admission = admission;
         this.start = start;
         this.waiter = waiter;
+        this.late = late;
         this.deadlineAtMs = deadlineAtMs;
         this.observer = observer;
     }
@@ -86,6 +90,15 @@
         fail(new Frame.CallFailure(start.callId(), code.code(), true, reason, admission.load(), (int) estimatedWaitMs));
     }
 
+    CallClass callClass() {
+        return start.callClass();
+    }
+
+    /** Returns whether the call was likely to be late when it arrived. */
+    boolean late() {
+        return late;
+    }
+
     /** Returns the probability that this run of the call is a repeat, in permille. */
     int repeatPermille() {
         return start.repeatPermille();
@@ -292,9 +305,9 @@
             queueTimeout.cancel(false);
         }
         if (before == State.CONNECTING) {
-            admission.releaseUnusedSlot(start.callClass(), start.repeatPermille());
+            admission.releaseUnusedSlot(this);
         } else if (before != State.WAITING) {
-            admission.releaseSlot(start.callClass(), start.repeatPermille(), System.nanoTime() - admittedNanos);
+            admission.releaseSlot(this, System.nanoTime() - admittedNanos);
         }
     }
 }
