--- a/core/src/main/java/org/mimosahinge/core/admission/SlotTimeAverages.java
+++ b/core/src/main/java/org/mimosahinge/core/admission/SlotTimeAverages.java
@@ -31,6 +31,20 @@
         }
     }
 
+    /**
+     * Adds a call that ended without a response of its own, for example because its caller left. It would have occupied
+     * its slot for longer, so it counts only where it exceeds the mean.
+     *
+     * @param callClass its class
+     * @param slotMs time for which it occupied a slot, in milliseconds
+     */
+    public void observeUnfinished(CallClass callClass, double slotMs) {
+        double meanMs = classMs(callClass);
+        if (meanMs > 0 && slotMs > meanMs) {
+            observe(callClass, slotMs);
+        }
+    }
+
     /**
      * Returns the mean over all classes.
      *
--- a/daemon/src/main/java/org/mimosahinge/daemon/traffic/BackendAdmission.java
+++ b/daemon/src/main/java/org/mimosahinge/daemon/traffic/BackendAdmission.java
@@ -193,12 +193,18 @@
         waiting.remove(waiter);
     }
 
-    /** Releases the slot of a call and records how long it was occupied. */
+    /** Releases the slot of a call that was answered and records how long it was occupied. */
     void releaseSlot(BackendCall ended, long slotNanos) {
         slotTimeAverages.observe(ended.callClass(), slotNanos / 1e6);
         releaseUnusedSlot(ended);
     }
 
+    /** Releases the slot of a call that was cancelled, lost or refused by the backend server. */
+    void releaseSlotOfUnfinished(BackendCall ended, long slotNanos) {
+        slotTimeAverages.observeUnfinished(ended.callClass(), slotNanos / 1e6);
+        releaseUnusedSlot(ended);
+    }
+
     /** Releases the slot of a call that was not sent, and runs waiting calls. */
     void releaseUnusedSlot(BackendCall ended) {
         running--;
--- a/daemon/src/main/java/org/mimosahinge/daemon/traffic/BackendCall.java
+++ b/daemon/src/main/java/org/mimosahinge/daemon/traffic/BackendCall.java
@@ -244,12 +244,13 @@
         state = State.ANSWERED;
     }
 
+    private boolean refusedByBackend() {
+        return admission.protocol().refused().test(responseStatus, responseHeaders);
+    }
+
     private Optional<FailureKind> failureOfStatus() {
         if (responseStatus >= 500) {
-            return Optional.of(
-                    admission.protocol().refused().test(responseStatus, responseHeaders)
-                            ? FailureKind.SHED
-                            : FailureKind.SERVER_ERROR);
+            return Optional.of(refusedByBackend() ? FailureKind.SHED : FailureKind.SERVER_ERROR);
         }
         return responseStatus >= 400 ? Optional.of(FailureKind.CALLER_ERROR) : Optional.empty();
     }
@@ -306,8 +307,10 @@
         }
         if (before == State.CONNECTING) {
             admission.releaseUnusedSlot(this);
-        } else if (before != State.WAITING) {
+        } else if (before == State.ANSWERED && !refusedByBackend()) {
             admission.releaseSlot(this, System.nanoTime() - admittedNanos);
+        } else if (before != State.WAITING) {
+            admission.releaseSlotOfUnfinished(this, System.nanoTime() - admittedNanos);
         }
     }
 }
