--- a/core/src/main/java/org/mimosahinge/core/admission/TimelyDemand.java
+++ b/core/src/main/java/org/mimosahinge/core/admission/TimelyDemand.java
@@ -30,6 +30,6 @@
      * @return number of slots, more than the endpoint has under overload
      */
     public double slots(long nowMs) {
-        return slots * Math.exp((updatedMs - nowMs) / TIME_CONSTANT_MS);
+        return slots * Math.exp(Math.min(0, updatedMs - nowMs) / TIME_CONSTANT_MS);
     }
 }
--- a/core/src/test/java/org/mimosahinge/core/admission/SlowEndpointsUnderRetriesTest.java
+++ b/core/src/test/java/org/mimosahinge/core/admission/SlowEndpointsUnderRetriesTest.java
@@ -182,10 +182,18 @@
     }
 
     @ParameterizedTest(name = "a call of {0} ms each {1} ms, {2} ms after the last: {3} slots")
-    @CsvSource({"100, 10, 0, 10", "100, 10, 1000, 3.7", "100, 10, 10000, 0", "400, 10, 0, 40", "0, 10, 0, 0"})
+    @CsvSource({
+        "100, 10, 0, 10",
+        "100, 10, -20000, 10",
+        "100, 10, 1000, 3.7",
+        "100, 10, 10000, 0",
+        "400, 10, 0, 40",
+        "0, 10, 0, 0"
+    })
     void demandFollowsTheArrivals(double slotMs, long intervalMs, long afterMs, double slots) {
         TimelyDemand demand = new TimelyDemand();
-        long now = 0;
+        // The clock of the calls has no defined origin.
+        long now = -5_000;
         for (int i = 0; i < 1_000; i++) {
             now += intervalMs;
             demand.arrived(slotMs, now);
