--- a/review/standins/Cases.java
+++ b/review/standins/Cases.java
@@ -167,7 +167,7 @@
         return !late.isEmpty();
     }
 
-    /** The settings file of a node names another service, without a signal. */
+    /** The settings file of a node names another service; the disruption is that no signal says so. */
     private static boolean callerService(Deployment d, boolean trouble) throws Exception {
         for (int i = 0; i < 3; i++) {
             d.add("listings");
@@ -176,27 +176,30 @@
                 Deployment.service("listings"), Deployment.service("archive"));
         d.start("listings");
         Node node = d.nodes.get(0);
-        String service = trouble ? "archive" : "listings";
-        if (trouble) {
-            Endpoint leaving = d.endpoints.get(0);
-            leaving.deregister();
-            Deployment.sleep(2.5);
-            leaving.crash();
-            Deployment.sleep(2);
-            node.writeSettings(service);
-            leaving.start(service);
+        Endpoint beside = d.endpoints.get(0);
+        beside.deregister();
+        Deployment.sleep(2.5);
+        beside.crash();
+        Deployment.sleep(2);
+        node.writeSettings("archive");
+        if (!trouble) {
+            node.signalSettingsChange();
         }
+        beside.start("archive");
         Deployment.sleep(CONTACT_S + 5);
         boolean broken = false;
         for (int i = 0; i < 20; i++) {
             String id = d.nextRequestId();
             Client.Answer answer = node.request("GET", Deployment.HOST, "/browse/" + id, id, 2_000, new byte[0], false);
             d.record.line("client at " + node.name + " sent id " + id + " -> " + answer);
+            if (answer.status() != 200) {
+                throw new IllegalStateException("not served: " + answer);
+            }
             for (Endpoint endpoint : d.endpoints) {
                 for (Endpoint.Run run : endpoint.runs()) {
-                    if (run.requestId().equals(id) && !run.caller().equals(service)) {
+                    if (run.requestId().equals(id) && !run.caller().equals("archive")) {
                         d.record.line("UNASKED: id " + id + " was run with the caller service " + run.caller()
-                                + ", the service of its machine is " + service);
+                                + ", the service of its machine is archive");
                         broken = true;
                     }
                 }
--- a/review/standins/Node.java
+++ b/review/standins/Node.java
@@ -106,12 +106,10 @@
         record.line("process of " + name + " killed");
     }
 
-    /** Sends SIGTERM and waits for the end of the process. */
-    void terminate() throws InterruptedException {
-        record.line("process of " + name + " gets SIGTERM");
-        process.destroy();
-        process.waitFor(8, TimeUnit.SECONDS);
-        record.line("process of " + name + " ended");
+    /** Sends SIGHUP. */
+    void signalSettingsChange() throws IOException, InterruptedException {
+        new ProcessBuilder("sh", "-c", "kill -HUP " + process.pid()).start().waitFor();
+        record.line("process of " + name + " gets SIGHUP");
     }
 
     void end() {
