Review: a script that cannot start exits with 2

Without review/build.sh the JVM did not find its class and the script exited with 1, which stands for a broken rule.

--- a/review/standins/Cases.java
+++ b/review/standins/Cases.java
@@ -4,10 +4,10 @@
 import java.util.List;
 import java.util.Random;
 
-/** Runs one case: exits with 1 if the rule was broken, 0 if it held and 2 if the case could not run. */
+/** Runs one case: exits with 10 if the rule was broken, which no failure of the JVM uses, 0 if it held, else 2. */
 public final class Cases {
 
-    private static final int BROKEN = 1;
+    private static final int BROKEN = 10;
     private static final int HELD = 0;
     private static final int FAILED = 2;
     private static final double CONTACT_S = 3;
@@ -54,7 +54,7 @@
                     code = FAILED;
                 }
             }
-        } catch (Exception e) {
+        } catch (Exception | LinkageError e) {
             record.line("not run: " + e + " at " + Arrays.toString(e.getStackTrace()));
         }
         record.line("result: " + (code == BROKEN ? "broken" : code == HELD ? "held" : "not run"));
