Complete a response without a length only at the end of its stream

Cause: a write that fails closes the channel without an exception in its pipeline, and Netty's decoder takes every inactive channel for the end of a body without a length. A close by this process looked the same, so the client of the store used a response that had stalled until its timeout.

Change: the decoder that calls and the client of the store share enables half-closure. The end of the server's stream then is an event of its own, and only this event completes a body without a length.

Ruled out: the frames between nodes (fails beside the entry node too) and the read of the reset (held with a short request).

--- a/net/src/main/java/org/mimosahinge/net/http/PendingResponseDecoder.java
+++ b/net/src/main/java/org/mimosahinge/net/http/PendingResponseDecoder.java
@@ -2,6 +2,8 @@
 
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.socket.ChannelInputShutdownEvent;
 import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpResponse;
@@ -13,9 +15,13 @@
 import java.util.function.Supplier;
 
 /**
- * Decodes responses while a request is pending, and closes the connection when unsolicited bytes arrive.
+ * Decodes responses while a request is pending, and closes the connection when unsolicited bytes arrive or the server
+ * has closed its side.
  *
  * <p>Unsolicited bytes could otherwise be decoded as the start of the next response, or be read without limit.
+ *
+ * <p>A body without a length is complete only if the server has ended its stream. A reset, a failed write and a close by
+ * this process also make the channel inactive, but leave the body truncated.
  */
 public final class PendingResponseDecoder extends HttpResponseDecoder {
 
@@ -30,6 +36,28 @@
         this.pendingMethod = pendingMethod;
     }
 
+    /** Enables half-closure, since only then the end of the server's stream differs from the end of the channel. */
+    @Override
+    public void handlerAdded(ChannelHandlerContext context) throws Exception {
+        super.handlerAdded(context);
+        context.channel().config().setOption(ChannelOption.ALLOW_HALF_CLOSURE, true);
+    }
+
+    @Override
+    public void userEventTriggered(ChannelHandlerContext context, Object event) throws Exception {
+        super.userEventTriggered(context, event);
+        if (event instanceof ChannelInputShutdownEvent) {
+            context.close();
+        }
+    }
+
+    @Override
+    protected void decodeLast(ChannelHandlerContext context, ByteBuf buffer, List<Object> out) throws Exception {
+        if (context.channel().isActive()) {
+            super.decodeLast(context, buffer, out);
+        }
+    }
+
     @Override
     protected void decode(ChannelHandlerContext context, ByteBuf buffer, List<Object> out) throws Exception {
         if (pendingMethod.get().isPresent()) {
