Keep an acknowledged departure through restarts

Cause: a failed write of the report was never repeated, the restarted node trusted the older row, and the other nodes believed the restarted node over what they had heard before.

Change: ReportWriter repeats the newest report until it is settled, one write at a time, conditional on the row that it replaces, so that a late write of an older report cannot win. Nodes order the states of an endpoint by start and reported departure, and tell a restarted node what it has lost. A restored report counts for two heartbeats, not four.

Ruled out: a late write (the store's record shows none), and news that never reached the others (no call before the kill).

--- a/daemon/src/main/java/org/mimosahinge/daemon/fleet/FleetControlPlane.java
+++ b/daemon/src/main/java/org/mimosahinge/daemon/fleet/FleetControlPlane.java
@@ -7,10 +7,13 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
 import java.util.concurrent.TimeUnit;
 import java.util.function.LongSupplier;
 import org.mimosahinge.api.world.Endpoint;
 import org.mimosahinge.api.world.EndpointState;
+import org.mimosahinge.api.world.LogicalTimestamp;
 import org.mimosahinge.api.world.Node;
 import org.mimosahinge.api.world.NodeId;
 import org.mimosahinge.core.fanout.RowSourcePolicy;
@@ -59,6 +62,7 @@
     private final Set<String> deregistered = new HashSet<>();
     private final Peers peers;
     private final LocalBackendServer localServer;
+    private final ReportWriter reportWriter;
     private final MoveRegistry moveRegistry;
     private TrafficPlane traffic;
     private PlatformRowFollower rowFollower;
@@ -106,6 +110,7 @@
         peers = new Peers(self.id());
         rowReplicator = new RowReplicator(self, sources, new PeerRowTransport(), nanoTime.getAsLong());
         localServer = new LocalBackendServer(self);
+        reportWriter = new ReportWriter(self, store, nanoTime, this::reportRestored);
         moveRegistry = new MoveRegistry(nanoTime.getAsLong());
         nextRegistrationNanos = nanoTime.getAsLong();
         lastTickNanos = nanoTime.getAsLong();
@@ -274,35 +279,52 @@
      * Handles a report of the local backend server.
      *
      * @param report the report
+     * @return completes when the report may be acknowledged; a departure must first be saved, or known to the other
+     *     nodes while the platform is away
      */
-    public void reportReceived(ServerReport report) {
+    public CompletionStage<Void> reportReceived(ServerReport report) {
         boolean changed = localServer.recordReport(report, nowNanos());
         serverReport = localServer.newestReport();
         if (changed) {
             logEndpoint("report");
             publishLocalEndpoint();
-            store.saveReport(self, report);
+            reportWriter.write(report);
         }
+        return report.isLeaving() ? reportWriter.settledOrOverdue() : CompletableFuture.completedFuture(null);
     }
 
     /**
      * Restores the report that an earlier process of this node has saved, so that a restart need not wait for the next
-     * one.
+     * one. A report that was received since then is replaced only by one of a later start or state.
      *
      * <p>If the backend server is gone by now, a call to it is refused by whatever listens at its address.
      *
      * @param report the report
      */
     public void reportRestored(ServerReport report) {
-        if (localServer.newestReport().isEmpty()
-                && !deregistered.contains(report.id())
-                && localServer.recordReport(report, nowNanos())) {
+        if (deregistered.contains(report.id())) {
+            LogicalTimestamp stamp = new LogicalTimestamp(report.timestamp().incarnation(), Long.MAX_VALUE);
+            reportReceived(new ServerReport(report.id(), report.server(), EndpointState.GONE, stamp, 0));
+        } else if (localServer.recordRestored(report, nowNanos())) {
             serverReport = localServer.newestReport();
             logEndpoint("remembered");
             publishLocalEndpoint();
         }
     }
 
+    /** Takes over departures of the local backend server that were acknowledged by an earlier process of this node. */
+    private void departuresReceived(List<Endpoint> endpoints) {
+        for (Endpoint endpoint : endpoints) {
+            Optional<ServerReport> departure = ServerReport.departureOf(endpoint);
+            if (departure.isPresent() && localServer.recordReport(departure.get(), nowNanos())) {
+                serverReport = localServer.newestReport();
+                logEndpoint("told by another node");
+                publishLocalEndpoint();
+                reportWriter.write(departure.get());
+            }
+        }
+    }
+
     /**
      * Records that a backend server has deregistered, so that a saved report of it is not restored.
      *
@@ -404,6 +426,17 @@
         if (peers.addOrUpdate(connected.node(), nowNanos())) {
             traffic.maintainPeers(peers.addresses());
         }
+        sendDepartures(connected.node(), peers.departures(connected.node().id()));
+    }
+
+    /** Tells a node which of its endpoints have left, since a restarted node may have lost their reports. */
+    private void sendDepartures(Node node, List<Endpoint> departures) {
+        if (!departures.isEmpty()) {
+            // The receiver takes the endpoints of this node in the frame for all that it has.
+            List<Endpoint> endpoints = new ArrayList<>(localServer.endpoints());
+            endpoints.addAll(departures);
+            traffic.sendToInbound(node.id(), List.of(new Frame.Endpoints(endpoints)));
+        }
     }
 
     private void peerFrameReceived(TrafficEvent.PeerTold received) {
@@ -412,6 +445,23 @@
                     .filter(endpoint ->
                             endpoint.node().id().equals(received.node().id()))
                     .toList();
+            departuresReceived(endpoints.endpoints().stream()
+                    .filter(endpoint -> endpoint.node().id().equals(self.id()))
+                    .toList());
+            List<Endpoint> outdated = peers.departedBefore(received.node().id(), sentEndpoints);
+            if (!outdated.isEmpty()) {
+                outdated.forEach(endpoint -> LOG.info(
+                        "endpoint_outdated",
+                        "endpoint",
+                        endpoint.id(),
+                        "departure",
+                        endpoint.state(),
+                        "born",
+                        endpoint.timestamp().incarnation(),
+                        "node",
+                        received.node().id()));
+                sendDepartures(received.node(), outdated);
+            }
             if (peers.endpointsReceived(received.node(), sentEndpoints, received.connectionId())) {
                 sentEndpoints.forEach(endpoint -> LOG.info(
                         "endpoint_told",
@@ -486,6 +536,7 @@
         lastTickNanos = nowNanos;
         fleetRowsUrgent = !registered || nowNanos - registeredNanos < JOINING_NANOS || moveRegistry.hasUnsettledMoves();
         publishMoveOutcomes(nowNanos);
+        reportWriter.tick();
         rowReplicator.tick(peers.connected(), peers.connectionsVersion(), nowNanos);
         removeUnreachable(nowNanos);
         updateReady(nowNanos);
--- a/daemon/src/main/java/org/mimosahinge/daemon/fleet/FleetStore.java
+++ b/daemon/src/main/java/org/mimosahinge/daemon/fleet/FleetStore.java
@@ -1,5 +1,6 @@
 package org.mimosahinge.daemon.fleet;
 
+import java.util.Optional;
 import java.util.concurrent.CompletionStage;
 import org.mimosahinge.api.world.Node;
 import org.mimosahinge.core.membership.ServerReport;
@@ -16,13 +17,25 @@
     CompletionStage<Void> registerNode(Node self);
 
     /**
-     * Saves the newest report of the local backend server for the node's next start.
+     * Saves the newest report of the local backend server for the node's next start, unless the row has changed.
+     *
+     * <p>The condition keeps a delayed write of an older report from replacing a newer one.
      *
      * @param self the node
      * @param report the report
-     * @return completes exceptionally if the report may not have been saved
+     * @param replacedRevision revision of the row that this report replaces, 0 for none
+     * @return the result; completes exceptionally if it is unknown whether the report was saved
+     */
+    CompletionStage<SavedReport> saveReport(Node self, ServerReport report, long replacedRevision);
+
+    /**
+     * Result of saving a report.
+     *
+     * @param written whether the report was written
+     * @param revision revision of the row afterwards, 0 if there is none
+     * @param current the report in a row that has changed, empty if the report was written or the row cannot be read
      */
-    CompletionStage<Void> saveReport(Node self, ServerReport report);
+    record SavedReport(boolean written, long revision, Optional<ServerReport> current) {}
 
     /**
      * Removes the row of a node that no other node can reach.
--- a/daemon/src/main/java/org/mimosahinge/daemon/fleet/LocalBackendServer.java
+++ b/daemon/src/main/java/org/mimosahinge/daemon/fleet/LocalBackendServer.java
@@ -5,7 +5,6 @@
 import java.util.Optional;
 import org.mimosahinge.api.world.Endpoint;
 import org.mimosahinge.api.world.EndpointState;
-import org.mimosahinge.api.world.LogicalTimestamp;
 import org.mimosahinge.api.world.Node;
 import org.mimosahinge.core.membership.ServerReport;
 
@@ -15,9 +14,16 @@
     /** Reports may be late, so several must be missing before the backend server counts as gone. */
     private static final int MISSED_REPORTS = 4;
 
+    /**
+     * A restored report may precede a departure that could not be saved, so it counts only until a backend server that
+     * still runs has had the time for a report of its own.
+     */
+    private static final int MISSED_REPORTS_AFTER_RESTORE = 2;
+
     private final Node self;
     private ServerReport newestReport;
     private long lastReportNanos;
+    private boolean restored;
     private boolean unreachable;
     private boolean shuttingDown;
 
@@ -33,10 +39,19 @@
         Optional<Endpoint> before = endpoint();
         newestReport = report;
         lastReportNanos = nowNanos;
+        restored = false;
         unreachable = false;
         return !before.equals(endpoint());
     }
 
+    /** Records a report that was received by an earlier process of this node. */
+    boolean recordRestored(ServerReport report, long nowNanos) {
+        boolean newer = newestReport == null || report.replaces(newestReport);
+        boolean changed = recordReport(report, nowNanos);
+        restored |= newer;
+        return changed;
+    }
+
     Optional<ServerReport> newestReport() {
         return Optional.ofNullable(newestReport);
     }
@@ -50,7 +65,8 @@
 
     /** Marks the endpoint as gone when several reports are missing. */
     boolean expire(long nowNanos, Duration heartbeat) {
-        boolean silent = newestReport != null && nowNanos - lastReportNanos > heartbeat.toNanos() * MISSED_REPORTS;
+        int missed = restored ? MISSED_REPORTS_AFTER_RESTORE : MISSED_REPORTS;
+        boolean silent = newestReport != null && nowNanos - lastReportNanos > heartbeat.toNanos() * missed;
         return silent && markUnreachable(newestReport.id());
     }
 
@@ -63,9 +79,8 @@
         if (newestReport == null) {
             return Optional.empty();
         }
-        // The timestamp is that of the start, so that other nodes get changes of state and not each report.
-        LogicalTimestamp start = new LogicalTimestamp(newestReport.timestamp().incarnation(), 0);
-        return Optional.of(new Endpoint(newestReport.id(), newestReport.server(), self, state(), start));
+        return Optional.of(new Endpoint(
+                newestReport.id(), newestReport.server(), self, state(), newestReport.endpointTimestamp()));
     }
 
     List<Endpoint> endpoints() {
--- a/daemon/src/main/java/org/mimosahinge/daemon/fleet/Peers.java
+++ b/daemon/src/main/java/org/mimosahinge/daemon/fleet/Peers.java
@@ -1,6 +1,7 @@
 package org.mimosahinge.daemon.fleet;
 
 import java.util.HashMap;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -11,6 +12,7 @@
 import org.mimosahinge.api.world.HostPort;
 import org.mimosahinge.api.world.Node;
 import org.mimosahinge.api.world.NodeId;
+import org.mimosahinge.core.membership.ServerReport;
 
 /** The other nodes of the fleet, their connections and the endpoints that they have sent. */
 final class Peers {
@@ -26,6 +28,9 @@
      */
     private static final long REMOVAL_TIMEOUT_NANOS = TimeUnit.SECONDS.toNanos(30);
 
+    /** A node has one backend server at a time; departures of earlier ones matter only until late reports have passed. */
+    private static final int MAX_DEPARTED = 4;
+
     private final NodeId self;
     private final Map<NodeId, Peer> peers = new HashMap<>();
     private long connectionsVersion;
@@ -42,6 +47,24 @@
         private boolean connected;
         private long downSinceNanos;
         private List<Endpoint> endpoints = List.of();
+
+        /** Endpoints that have reported their departure, by id; the oldest first. */
+        private final Map<String, Endpoint> departed = new LinkedHashMap<>();
+
+        private boolean hasDeparted(Endpoint endpoint) {
+            Endpoint departure = departed.get(endpoint.id());
+            return departure != null && endpoint.timestamp().compareTo(departure.timestamp()) < 0;
+        }
+
+        private void recordDeparture(Endpoint endpoint) {
+            departed.remove(endpoint.id());
+            if (ServerReport.departureOf(endpoint).isPresent()) {
+                departed.put(endpoint.id(), endpoint);
+            }
+            if (departed.size() > MAX_DEPARTED) {
+                departed.remove(departed.keySet().iterator().next());
+            }
+        }
     }
 
     /** Adds or updates a node and returns whether the set of addresses to dial changed. */
@@ -102,8 +125,30 @@
         if (peer == null || connectionId < peer.connectionId || peer.endpoints.equals(endpoints)) {
             return false;
         }
-        peer.endpoints = List.copyOf(endpoints);
-        return true;
+        List<Endpoint> current = endpoints.stream()
+                .map(endpoint -> peer.hasDeparted(endpoint) ? peer.departed.get(endpoint.id()) : endpoint)
+                .toList();
+        current.forEach(peer::recordDeparture);
+        boolean changed = !peer.endpoints.equals(current);
+        peer.endpoints = current;
+        return changed;
+    }
+
+    /** Returns the departures of a node's endpoints that these states of them precede. */
+    List<Endpoint> departedBefore(NodeId node, List<Endpoint> endpoints) {
+        Peer peer = peers.get(node);
+        return peer == null
+                ? List.of()
+                : endpoints.stream()
+                        .filter(peer::hasDeparted)
+                        .map(endpoint -> peer.departed.get(endpoint.id()))
+                        .toList();
+    }
+
+    /** Returns the endpoints of a node that have reported their departure. */
+    List<Endpoint> departures(NodeId node) {
+        Peer peer = peers.get(node);
+        return peer == null ? List.of() : List.copyOf(peer.departed.values());
     }
 
     /** Returns the nodes to which this one is connected. */
--- a/daemon/src/test/java/org/mimosahinge/daemon/fleet/PeersTest.java
+++ b/daemon/src/test/java/org/mimosahinge/daemon/fleet/PeersTest.java
@@ -10,6 +10,7 @@
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.EnumSource;
 import org.mimosahinge.api.world.AvailabilityZone;
 import org.mimosahinge.api.world.BackendServer;
 import org.mimosahinge.api.world.Endpoint;
@@ -86,4 +87,88 @@
                 local.recordReport(
                         new ServerReport("e", server(), EndpointState.READY, new LogicalTimestamp(9, 2), 0), 1));
     }
+
+    @ParameterizedTest(name = "{0} of start {1} after the departure in start 5: current {2}, outdated {3}")
+    @CsvSource({
+        "READY, 4, GONE, true",
+        "READY, 5, GONE, true",
+        "DRAINING, 5, GONE, true",
+        "GONE, 5, GONE, false",
+        "READY, 6, READY, false",
+        "DRAINING, 6, DRAINING, false"
+    })
+    void departedEndpointDoesNotReturnWithARestartOfItsNode(
+            EndpointState state, long born, EndpointState current, boolean outdated) {
+        Peers peers = new Peers(new NodeId("self"));
+        Node node = node("n", 1, 5);
+        peers.addOrUpdate(node, 0);
+        peers.connectionOpened(node, 1);
+        peers.endpointsReceived(node, List.of(reported(node, EndpointState.READY, 5)), 1);
+        peers.endpointsReceived(node, List.of(reported(node, EndpointState.GONE, 5)), 1);
+        peers.connectionClosed(node.address(), 1, 0);
+        Node restarted = node("n", 2, 5);
+        peers.addOrUpdate(restarted, 0);
+        peers.connectionOpened(restarted, 2);
+        peers.endpointsReceived(restarted, List.of(), 2);
+        assertEquals(1, peers.departures(restarted.id()).size());
+        List<Endpoint> sent = List.of(reported(restarted, state, born));
+        assertEquals(outdated, !peers.departedBefore(restarted.id(), sent).isEmpty());
+        peers.endpointsReceived(restarted, sent, 2);
+        assertEquals(current, peers.endpoints(0).get(0).state());
+    }
+
+    /** A stop of the node or missing reports make its endpoint leave for other nodes, but it may come back. */
+    @ParameterizedTest(name = "{0}")
+    @EnumSource(
+            value = EndpointState.class,
+            names = {"DRAINING", "GONE"})
+    void endpointReturnsThatOnlyItsNodeTookOut(EndpointState derived) {
+        Peers peers = new Peers(new NodeId("self"));
+        Node node = node("n", 1, 5);
+        peers.addOrUpdate(node, 0);
+        peers.connectionOpened(node, 1);
+        Endpoint ready = reported(node, EndpointState.READY, 5);
+        peers.endpointsReceived(
+                node, List.of(new Endpoint(ready.id(), ready.server(), node, derived, ready.timestamp())), 1);
+        assertEquals(List.of(), peers.departures(node.id()));
+        peers.endpointsReceived(node, List.of(ready), 1);
+        assertEquals(EndpointState.READY, peers.endpoints(0).get(0).state());
+    }
+
+    @ParameterizedTest(name = "{0} endpoints have departed: {1} are kept")
+    @CsvSource({"1, 1", "4, 4", "100, 4"})
+    void departuresAreBounded(int count, int kept) {
+        Peers peers = new Peers(new NodeId("self"));
+        Node node = node("n", 1, 5);
+        peers.addOrUpdate(node, 0);
+        peers.connectionOpened(node, 1);
+        for (int i = 0; i < count; i++) {
+            Endpoint gone = reported(node, EndpointState.GONE, i);
+            peers.endpointsReceived(
+                    node, List.of(new Endpoint("e" + i, gone.server(), node, gone.state(), gone.timestamp())), 1);
+        }
+        assertEquals(kept, peers.departures(node.id()).size());
+    }
+
+    /** The state as the node of the endpoint sends it after a report of its backend server. */
+    private static Endpoint reported(Node node, EndpointState state, long born) {
+        LocalBackendServer local = new LocalBackendServer(node);
+        local.recordReport(new ServerReport("e", server(), state, new LogicalTimestamp(born, 1), 0), 0);
+        return local.endpoint().orElseThrow();
+    }
+
+    /** A restored report may precede a departure that was acknowledged and could not be saved. */
+    @ParameterizedTest(name = "{0} ms after the restore, {1} ms after a report: {2}")
+    @CsvSource({"1900, -1, READY", "2100, -1, GONE", "2100, 1000, READY", "3900, 0, READY", "4100, 0, GONE"})
+    void restoredReportCountsForAShorterTime(long silentMs, long reportedMs, EndpointState expected) {
+        LocalBackendServer local = new LocalBackendServer(node("self", 1, 5));
+        local.recordRestored(new ServerReport("e", server(), EndpointState.READY, new LogicalTimestamp(9, 1), 0), 0);
+        if (reportedMs >= 0) {
+            local.recordReport(
+                    new ServerReport("e", server(), EndpointState.READY, new LogicalTimestamp(9, 2), 0),
+                    TimeUnit.MILLISECONDS.toNanos(reportedMs));
+        }
+        local.expire(TimeUnit.MILLISECONDS.toNanos(silentMs), Duration.ofSeconds(1));
+        assertEquals(expected, local.endpoint().orElseThrow().state());
+    }
 }
