Hold a request's body until an attempt has it

Cause: the received parts were dropped once they exceeded the window up to which a body is kept for a repeat, also while the call still waited and no attempt had them. A call that waits for its at-most-once claim lost its body in the same way. A chunked body that filled the window exactly was waited for although its caller is not read then.

Change: the parts are held until an attempt has been given them; the caller's window bounds them. The comparison with quarantined bodies ends when the window is full, and a stated length of a window or more is not waited for.

Ruled out: lost credit (the endpoint gets the end of the body), queues, opening connections and other threads (they keep the parts in order).

--- a/daemon/src/main/java/org/mimosahinge/daemon/traffic/EntryCall.java
+++ b/daemon/src/main/java/org/mimosahinge/daemon/traffic/EntryCall.java
@@ -167,7 +167,7 @@
             if (request.hasBody()) {
                 attempt.requestBody(bytes, last);
             }
-        } else if (awaitingBody && !ended && (last || !body.replayable())) {
+        } else if (awaitingBody && !ended && (last || !body.fitsWindow())) {
             admit();
         }
     }
--- a/daemon/src/main/java/org/mimosahinge/daemon/traffic/PoisonRequestGuard.java
+++ b/daemon/src/main/java/org/mimosahinge/daemon/traffic/PoisonRequestGuard.java
@@ -20,10 +20,11 @@
         this.body = body;
     }
 
-    /** Returns whether the body is needed to decide if the request is refused. */
+    /** Returns whether the body is needed to decide if the request is refused; one that is too long never is. */
     boolean needsBody() {
         CrashRegistry registry = context.crashes().get();
         return request.hasBody()
+                && HeaderMaps.contentLength(request.headers()) < FlowWindow.BYTES
                 && !registry.records().isEmpty()
                 && registry.needsBody(route, request.method(), request.uri(), TrafficLoop.nowMs());
     }
--- a/daemon/src/main/java/org/mimosahinge/daemon/traffic/RequestBody.java
+++ b/daemon/src/main/java/org/mimosahinge/daemon/traffic/RequestBody.java
@@ -6,27 +6,48 @@
 import java.util.Optional;
 import org.mimosahinge.api.platform.ObjectHash;
 
-/** The received part of a request's body; kept for further attempts while it fits one flow-control window. */
+/**
+ * The received part of a request's body. All of it is held until an attempt has been given it, so that no wait before the
+ * first attempt loses a part; then it is kept for further attempts while it fits one flow-control window.
+ *
+ * <p>The caller gets credit only for what an attempt has sent on, which bounds what is held before the first one.
+ */
 final class RequestBody {
 
     private final List<byte[]> parts = new ArrayList<>(1);
     private long receivedBytes;
     private long grantedBytes;
     private boolean complete;
+    private boolean replayed;
+    private boolean dropped;
 
     void add(byte[] bytes, boolean last) {
         receivedBytes += bytes.length;
         complete = last;
-        if (replayable()) {
+        if (!dropped) {
             parts.add(bytes);
-        } else {
+            dropIfTooLong();
+        }
+    }
+
+    private void dropIfTooLong() {
+        if (replayed && !fitsWindow()) {
+            dropped = true;
             parts.clear();
         }
     }
 
     /** Returns whether another attempt can send the body from its start. */
     boolean replayable() {
-        return receivedBytes <= FlowWindow.BYTES;
+        return !dropped;
+    }
+
+    /**
+     * Returns whether the received part leaves room in one flow-control window. A caller is not read once its window is
+     * full, so nothing may wait for more of a body that does not fit.
+     */
+    boolean fitsWindow() {
+        return receivedBytes < FlowWindow.BYTES;
     }
 
     /** Sends the received parts. */
@@ -34,14 +55,16 @@
         for (int i = 0; i < parts.size(); i++) {
             attempt.requestBody(parts.get(i), complete && i == parts.size() - 1);
         }
+        replayed = true;
+        dropIfTooLong();
     }
 
-    /** Returns the hash of the body, or empty if the body is incomplete or too long to be kept. */
+    /** Returns the hash of the body, or empty if the body is incomplete or too long to be compared. */
     Optional<String> hash(boolean hasBody) {
         if (!hasBody) {
             return Optional.of("");
         }
-        if (!complete || !replayable()) {
+        if (!complete || !fitsWindow()) {
             return Optional.empty();
         }
         ByteArrayOutputStream content = new ByteArrayOutputStream();
--- a/daemon/src/test/java/org/mimosahinge/daemon/traffic/TestCaller.java
+++ b/daemon/src/test/java/org/mimosahinge/daemon/traffic/TestCaller.java
@@ -2,6 +2,7 @@
 
 import java.io.IOException;
 import java.io.InputStream;
+import java.io.OutputStream;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
@@ -29,6 +30,10 @@
         return this;
     }
 
+    OutputStream output() throws IOException {
+        return socket.getOutputStream();
+    }
+
     /** Reads one response with a stated length and returns its status. */
     int status() throws IOException {
         return Integer.parseInt(response()[0].split(" ", -1)[1]);
