Apply a departure without a start only while nothing newer is known

It now applies only while no report has been received.

The revision of the row that is read at a start is passed to the writer, which saves a write that would fail its condition after each restart.

--- a/daemon/src/main/java/org/mimosahinge/daemon/fleet/FleetControlPlane.java
+++ b/daemon/src/main/java/org/mimosahinge/daemon/fleet/FleetControlPlane.java
@@ -300,9 +300,16 @@
      * <p>If the backend server is gone by now, a call to it is refused by whatever listens at its address.
      *
      * @param report the report
+     * @param revision revision of its row
      */
-    public void reportRestored(ServerReport report) {
-        if (deregistered.contains(report.id())) {
+    public void savedReportRead(ServerReport report, long revision) {
+        reportWriter.rowRead(revision);
+        reportRestored(report);
+    }
+
+    private void reportRestored(ServerReport report) {
+        // A report that has been received since may be of a later start under the same identifier.
+        if (deregistered.contains(report.id()) && localServer.newestReport().isEmpty()) {
             LogicalTimestamp stamp = new LogicalTimestamp(report.timestamp().incarnation(), Long.MAX_VALUE);
             reportReceived(new ServerReport(report.id(), report.server(), EndpointState.GONE, stamp, 0));
         } else if (localServer.recordRestored(report, nowNanos())) {
--- a/daemon/src/main/java/org/mimosahinge/daemon/fleet/ReportWriter.java
+++ b/daemon/src/main/java/org/mimosahinge/daemon/fleet/ReportWriter.java
@@ -58,6 +58,13 @@
         this.newerReportListener = newerReportListener;
     }
 
+    /** Takes over the revision of a row that an earlier process has written, which saves a write that would fail. */
+    void rowRead(long rowRevision) {
+        if (revision == 0 && !writing) {
+            revision = rowRevision;
+        }
+    }
+
     /** Writes a report, which replaces one that is not settled yet. */
     void write(ServerReport report) {
         newest = report;
