Let reports of a draining backend server follow a told departure

Measured: the new case of PeersTest fails with the highest number and passes with the first one; PeersTest, ReportWriterTest 345 of 345.

--- a/core/src/main/java/org/mimosahinge/core/membership/ServerReport.java
+++ b/core/src/main/java/org/mimosahinge/core/membership/ServerReport.java
@@ -31,7 +31,8 @@
         }
         EndpointState state =
                 reported == EndpointState.DRAINING.ordinal() ? EndpointState.DRAINING : EndpointState.GONE;
-        LogicalTimestamp stamp = new LogicalTimestamp(endpoint.timestamp().incarnation(), Long.MAX_VALUE);
+        // The first number, so that the reports of a backend server that still drains are newer.
+        LogicalTimestamp stamp = new LogicalTimestamp(endpoint.timestamp().incarnation(), 0);
         return Optional.of(new ServerReport(endpoint.id(), endpoint.server(), state, stamp, 0));
     }
 
--- a/daemon/src/test/java/org/mimosahinge/daemon/fleet/PeersTest.java
+++ b/daemon/src/test/java/org/mimosahinge/daemon/fleet/PeersTest.java
@@ -171,4 +171,21 @@
         local.expire(TimeUnit.MILLISECONDS.toNanos(silentMs), Duration.ofSeconds(1));
         assertEquals(expected, local.endpoint().orElseThrow().state());
     }
+
+    /** A departure that another node has told must not make later reports of the draining backend server look old. */
+    @ParameterizedTest(name = "{0} ms after the departure was told, {1} ms after a report: {2}")
+    @CsvSource({"4100, 3000, DRAINING", "4100, 0, GONE"})
+    void reportsKeepADepartureAliveThatWasTold(long silentMs, long reportedMs, EndpointState expected) {
+        Node self = node("self", 1, 5);
+        LocalBackendServer local = new LocalBackendServer(self);
+        local.recordReport(
+                ServerReport.departureOf(reported(self, EndpointState.DRAINING, 9))
+                        .orElseThrow(),
+                0);
+        local.recordReport(
+                new ServerReport("e", server(), EndpointState.DRAINING, new LogicalTimestamp(9, 2), 0),
+                TimeUnit.MILLISECONDS.toNanos(reportedMs));
+        local.expire(TimeUnit.MILLISECONDS.toNanos(silentMs), Duration.ofSeconds(1));
+        assertEquals(expected, local.endpoint().orElseThrow().state());
+    }
 }
