--- a/daemon/src/main/java/org/mimosahinge/daemon/traffic/PoisonRequestGuard.java
+++ b/daemon/src/main/java/org/mimosahinge/daemon/traffic/PoisonRequestGuard.java
@@ -5,7 +5,7 @@
 import org.mimosahinge.core.poison.CrashRegistry;
 import org.mimosahinge.core.poison.Fingerprint;
 
-/** Refuses requests that crash backend servers; requests with bodies above one flow-control window are not covered. */
+/** Refuses requests that crash backend servers; requests with bodies of one flow-control window or more are not covered. */
 final class PoisonRequestGuard {
 
     private final TrafficContext context;
