Let a node be ready only once it knows the other nodes

Callers saw: 503 no_endpoint from a node that was ready.

Cause: two faults of the same kind. A node counted as ready when it was connected to all nodes that it knew, also before it had read the rows of the nodes, when it knows none. And the test took two ready nodes for two nodes that know each other's endpoints, which is not so for nodes that start at the same time.

Change: FleetReadiness holds the decision and needs the rows of the nodes, or 700 ms with a configuration as before.

The single failure was not seen again, so which of the two caused it is read from the code, not shown by a run.

--- a/daemon/src/main/java/org/mimosahinge/daemon/fleet/FleetControlPlane.java
+++ b/daemon/src/main/java/org/mimosahinge/daemon/fleet/FleetControlPlane.java
@@ -37,9 +37,6 @@
     /** Additional delay per rank before a node does work that any node could do, so that usually one node does it. */
     private static final long RANK_DELAY_NANOS = TimeUnit.MILLISECONDS.toNanos(300);
 
-    /** Time after which a node becomes ready even if it is not connected to all other nodes. */
-    private static final long READY_TIMEOUT_NANOS = TimeUnit.MILLISECONDS.toNanos(700);
-
     private static final long REGISTRATION_RETRY_NANOS = TimeUnit.MILLISECONDS.toNanos(500);
 
     /** Nodes that start at the same time learn of each other from rows that are read after both have registered. */
@@ -64,21 +61,19 @@
     private final LocalBackendServer localServer;
     private final ReportWriter reportWriter;
     private final MoveRegistry moveRegistry;
+    private final FleetReadiness readiness = new FleetReadiness();
     private TrafficPlane traffic;
     private PlatformRowFollower rowFollower;
     private final FleetSnapshots fleetSnapshots = new FleetSnapshots();
     private Optional<FleetConfig> config = Optional.empty();
-    private long configReceivedNanos;
     private long nextRegistrationNanos;
     private boolean registered;
     private long registeredNanos;
     private boolean registering;
-    private boolean stopping;
     private boolean snapshotStale;
     private long publishedNanos;
     private long lastTickNanos;
     private volatile Optional<ServerReport> serverReport = Optional.empty();
-    private volatile boolean ready;
     private volatile boolean fleetRowsUrgent = true;
     private volatile long newestRevision;
 
@@ -158,11 +153,11 @@
     /**
      * Returns whether this node is ready for callers; may be called on any thread.
      *
-     * @return true if a configuration is in force and connections to the other nodes are open or were tried for long
+     * @return true if a configuration is in force, and the other nodes are known and connected or were tried for long
      *     enough
      */
     public boolean ready() {
-        return ready;
+        return readiness.ready();
     }
 
     /**
@@ -183,16 +178,17 @@
      * @param platformMs the platform's clock at its response, in milliseconds
      */
     public void operatorRowsRead(Collection<StoredRow> rows, long readRevision, long platformMs) {
-        rowsRead(rows);
+        applyRows(rows, Optional.empty());
         rowReplicator.platformRead(readRevision, platformMs, nowNanos());
     }
 
     /**
-     * Applies rows that this node has read from the platform.
+     * Applies the rows of nodes and of outcomes of moves that this node has read from the platform.
      *
      * @param rows the rows, in any order
      */
-    public void rowsRead(Collection<StoredRow> rows) {
+    public void fleetRowsRead(Collection<StoredRow> rows) {
+        readiness.nodesRead();
         applyRows(rows, Optional.empty());
     }
 
@@ -255,9 +251,7 @@
             LOG.info("update_ignored", "version", next.version(), "held", currentVersion, "revision", revision);
             return false;
         }
-        if (config.isEmpty()) {
-            configReceivedNanos = nowNanos();
-        }
+        readiness.configurationApplied(nowNanos());
         config = Optional.of(next);
         fleetSnapshots.apply(next);
         LOG.info(
@@ -546,11 +540,11 @@
         reportWriter.tick();
         rowReplicator.tick(peers.connected(), peers.connectionsVersion(), nowNanos);
         removeUnreachable(nowNanos);
-        updateReady(nowNanos);
+        readiness.update(peers, nowNanos);
     }
 
     private void register(long nowNanos) {
-        if (registered || registering || stopping || nowNanos - nextRegistrationNanos < 0) {
+        if (registered || registering || readiness.withdrawn() || nowNanos - nextRegistrationNanos < 0) {
             return;
         }
         registering = true;
@@ -602,20 +596,9 @@
                 });
     }
 
-    private void updateReady(long nowNanos) {
-        boolean reachedPeers =
-                config.isPresent() && (peers.allConnected() || nowNanos - configReceivedNanos >= READY_TIMEOUT_NANOS);
-        boolean next = reachedPeers && !stopping;
-        if (next != ready) {
-            LOG.info("ready", "ready", next, "peers_up", peers.connectedCount(), "peers_known", peers.peerCount());
-        }
-        ready = next;
-    }
-
     /** Withdraws readiness before a planned stop; the endpoint keeps serving while callers move to other nodes. */
     public void withdrawReadiness() {
-        stopping = true;
-        ready = false;
+        readiness.withdraw();
     }
 
     /** Drains the local endpoint before a planned stop. */
