Count a request in a test once its backend server has read it

The request lay in the backend server's socket; its thread had not run yet when the test counted.

Change: the test waits until the request is read and then expects exactly one, as before.

--- a/daemon/src/test/java/org/mimosahinge/daemon/traffic/CallPathTest.java
+++ b/daemon/src/test/java/org/mimosahinge/daemon/traffic/CallPathTest.java
@@ -16,7 +16,9 @@
 import org.mimosahinge.api.contract.CallClass;
 import org.mimosahinge.api.contract.CallerLimits;
 import org.mimosahinge.api.contract.Route;
+import org.mimosahinge.api.contract.RouteAccess;
 import org.mimosahinge.api.contract.ServiceShare;
+import org.mimosahinge.api.contract.TrafficRules;
 
 /** Guards against calls that reach no backend server, the wrong one, or lose part of their body. */
 class CallPathTest {
@@ -32,7 +34,8 @@
             Route.DEFAULT_MAX_ATTEMPTS,
             true,
             false,
-            Set.of());
+            Set.of(),
+            RouteAccess.STANDARD);
 
     @ParameterizedTest(name = "endpoint on node {0}, {1} body bytes")
     @CsvSource({"0, 0", "1, 0", "0, 10", "1, 10", "0, 300000", "1, 300000"})
@@ -79,7 +82,8 @@
                             proven.endpoints(),
                             proven.haltMarks(),
                             false,
-                            CallerLimits.DEFAULT));
+                            CallerLimits.DEFAULT,
+                            TrafficRules.NONE));
             HttpResponse<String> refused =
                     mesh.send(mesh.request(1, "/listings")).get();
             assertEquals("503 not-run", TestMesh.outcome(refused));
--- a/daemon/src/test/java/org/mimosahinge/daemon/traffic/NodeResponsesTest.java
+++ b/daemon/src/test/java/org/mimosahinge/daemon/traffic/NodeResponsesTest.java
@@ -18,6 +18,7 @@
 import org.mimosahinge.api.contract.CallerLimits;
 import org.mimosahinge.api.contract.Route;
 import org.mimosahinge.api.contract.ServiceShare;
+import org.mimosahinge.api.contract.TrafficRules;
 import org.mimosahinge.daemon.control.SnapshotReference;
 
 /** Guards against valid requests that a node rejects with a 3xx or 4xx status of its own. */
@@ -132,7 +133,8 @@
                 empty.endpoints(),
                 empty.haltMarks(),
                 true,
-                CallerLimits.DEFAULT);
+                CallerLimits.DEFAULT,
+                TrafficRules.NONE);
     }
 
     static Stream<Arguments> validRequests() {
--- a/daemon/src/test/java/org/mimosahinge/daemon/traffic/ScriptedBackend.java
+++ b/daemon/src/test/java/org/mimosahinge/daemon/traffic/ScriptedBackend.java
@@ -12,6 +12,7 @@
 import java.util.List;
 import java.util.Locale;
 import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.TimeUnit;
 import org.mimosahinge.api.world.HostPort;
 
 /** A backend server whose responses a test writes byte by byte; one thread for each connection. */
@@ -64,6 +65,15 @@
         out.flush();
     }
 
+    /** Waits until requests have been read; their sender may give up before this process gets to read them. */
+    int awaitRequests(int count) throws InterruptedException {
+        long limit = System.nanoTime() + TimeUnit.SECONDS.toNanos(30);
+        while (received.size() < count && System.nanoTime() - limit < 0) {
+            TimeUnit.MILLISECONDS.sleep(1);
+        }
+        return received.size();
+    }
+
     HostPort address() {
         return new HostPort("127.0.0.1", server.getLocalPort());
     }
--- a/daemon/src/test/java/org/mimosahinge/daemon/traffic/TestMesh.java
+++ b/daemon/src/test/java/org/mimosahinge/daemon/traffic/TestMesh.java
@@ -26,9 +26,11 @@
 import org.mimosahinge.api.contract.CallClass;
 import org.mimosahinge.api.contract.CallerLimits;
 import org.mimosahinge.api.contract.Route;
+import org.mimosahinge.api.contract.RouteAccess;
 import org.mimosahinge.api.contract.Service;
 import org.mimosahinge.api.contract.ServiceLimits;
 import org.mimosahinge.api.contract.ServiceShare;
+import org.mimosahinge.api.contract.TrafficRules;
 import org.mimosahinge.api.platform.TableService;
 import org.mimosahinge.api.world.AvailabilityZone;
 import org.mimosahinge.api.world.BackendServer;
@@ -127,7 +129,17 @@
         Map<String, Long> revisions = new HashMap<>();
         services.keySet().forEach(service -> revisions.put(service, 1L));
         snapshot = change.apply(new Snapshot(
-                1, new TreeMap<>(), services, revisions, routes, Map.of(), endpoints, Set.of(), true, callerLimits));
+                1,
+                new TreeMap<>(),
+                services,
+                revisions,
+                routes,
+                Map.of(),
+                endpoints,
+                Set.of(),
+                true,
+                callerLimits,
+                TrafficRules.NONE));
         return this;
     }
 
@@ -156,7 +168,8 @@
                         changed,
                         snapshot.haltMarks(),
                         true,
-                        callerLimits));
+                        callerLimits,
+                        TrafficRules.NONE));
         return this;
     }
 
@@ -228,7 +241,8 @@
                 Route.DEFAULT_MAX_ATTEMPTS,
                 idempotent,
                 atMostOnce,
-                Set.of());
+                Set.of(),
+                RouteAccess.STANDARD);
     }
 
     @Override
--- a/daemon/src/test/java/org/mimosahinge/daemon/traffic/TruncatedResponseTest.java
+++ b/daemon/src/test/java/org/mimosahinge/daemon/traffic/TruncatedResponseTest.java
@@ -75,7 +75,7 @@
                 boolean ofNode = received.startsWith("HTTP/1.1 502") && received.contains(HeaderMaps.OUTCOME_HEADER);
                 boolean broken = received.startsWith("HTTP/1.1 200") && !looksComplete(received);
                 assertTrue(ofNode || broken || received.isEmpty(), received);
-                assertEquals(1, backend.received.size());
+                assertEquals(1, backend.awaitRequests(1));
             }
         }
     }
--- a/daemon/src/test/java/org/mimosahinge/daemon/traffic/UnboundedBackendResponseTest.java
+++ b/daemon/src/test/java/org/mimosahinge/daemon/traffic/UnboundedBackendResponseTest.java
@@ -26,6 +26,7 @@
 import org.junit.jupiter.params.provider.ValueSource;
 import org.mimosahinge.api.contract.CallClass;
 import org.mimosahinge.api.contract.Route;
+import org.mimosahinge.api.contract.RouteAccess;
 import org.mimosahinge.api.contract.ServiceShare;
 import org.mimosahinge.core.admission.LatencyBudget;
 import org.mimosahinge.core.routing.EndpointFilterPolicy;
@@ -418,7 +419,8 @@
                 route.maxAttempts(),
                 true,
                 false,
-                Set.of());
+                Set.of(),
+                RouteAccess.STANDARD);
     }
 
     /**
