Set down the interfaces of organisations, quotas, placement, pace and homes

CallRouting takes the checks before the first attempt out of EntryCall. Frame.Load can carry the figures that only some backend servers state.

A deployment without organisations, regions and load headers sends the frames of before.

--- a/api/src/main/java/org/mimosahinge/api/config/Snapshot.java
+++ b/api/src/main/java/org/mimosahinge/api/config/Snapshot.java
@@ -9,6 +9,7 @@
 import org.mimosahinge.api.contract.CallerLimits;
 import org.mimosahinge.api.contract.Route;
 import org.mimosahinge.api.contract.Service;
+import org.mimosahinge.api.contract.TrafficRules;
 import org.mimosahinge.api.world.Endpoint;
 
 /**
@@ -24,6 +25,7 @@
  * @param haltMarks halted backend server versions
  * @param provenCurrent whether the version is proven to be up to date, so that calls of callers may be routed by it
  * @param callerLimits limits for callers
+ * @param rules rules that only some configurations have
  */
 public record Snapshot(
         long version,
@@ -35,7 +37,8 @@
         Map<String, List<Endpoint>> endpoints,
         Set<HaltMark> haltMarks,
         boolean provenCurrent,
-        CallerLimits callerLimits) {
+        CallerLimits callerLimits,
+        TrafficRules rules) {
     /** Snapshot of a node that has just started. */
     public static final Snapshot EMPTY = new Snapshot(
             0,
@@ -47,7 +50,8 @@
             Map.of(),
             Set.of(),
             false,
-            CallerLimits.DEFAULT);
+            CallerLimits.DEFAULT,
+            TrafficRules.NONE);
 
     /** Makes immutable copies of the collections. */
     public Snapshot {
--- a/api/src/main/java/org/mimosahinge/api/contract/Route.java
+++ b/api/src/main/java/org/mimosahinge/api/contract/Route.java
@@ -21,6 +21,7 @@
  * @param idempotent whether a call may safely run more than once
  * @param atMostOnce whether a call needs an idempotency key and runs at most once
  * @param resources resources that the route requires
+ * @param access who may call the route, and where
  */
 public record Route(
         String name,
@@ -33,7 +34,8 @@
         int maxAttempts,
         boolean idempotent,
         boolean atMostOnce,
-        Set<String> resources) {
+        Set<String> resources,
+        RouteAccess access) {
 
     /** Default for {@link #maxAttempts}; further attempts rarely succeed. */
     public static final int DEFAULT_MAX_ATTEMPTS = 4;
@@ -58,7 +60,8 @@
                         && timeout.equals(route.timeout)
                         && targetLatency.equals(route.targetLatency)
                         && shares.equals(route.shares)
-                        && resources.equals(route.resources);
+                        && resources.equals(route.resources)
+                        && access.equals(route.access);
     }
 
     @Override
@@ -93,7 +96,8 @@
                 maxAttempts,
                 idempotent,
                 atMostOnce,
-                resources);
+                resources,
+                access);
     }
 
     /**
@@ -118,6 +122,7 @@
         private Duration targetLatency = Duration.ofSeconds(30);
         private int maxAttempts = DEFAULT_MAX_ATTEMPTS;
         private boolean idempotent;
+        private RouteAccess access = RouteAccess.STANDARD;
 
         private Builder(String name) {
             this.name = name;
@@ -184,6 +189,17 @@
             return this;
         }
 
+        /**
+         * Sets who may call and where calls may be served.
+         *
+         * @param newAccess who may call, and where
+         * @return this builder
+         */
+        public Builder access(RouteAccess newAccess) {
+            access = newAccess;
+            return this;
+        }
+
         /**
          * Builds the route.
          *
@@ -201,7 +217,8 @@
                     maxAttempts,
                     idempotent,
                     false,
-                    Set.of());
+                    Set.of(),
+                    access);
         }
     }
 }
--- a/api/src/main/java/org/mimosahinge/api/document/SectionReader.java
+++ b/api/src/main/java/org/mimosahinge/api/document/SectionReader.java
@@ -11,6 +11,7 @@
 import org.mimosahinge.api.contract.CallClass;
 import org.mimosahinge.api.contract.Move;
 import org.mimosahinge.api.contract.Route;
+import org.mimosahinge.api.contract.RouteAccess;
 import org.mimosahinge.api.contract.Section;
 import org.mimosahinge.api.contract.Service;
 import org.mimosahinge.api.contract.ServiceLimits;
@@ -124,7 +125,8 @@
                         Route.DEFAULT_MAX_ATTEMPTS,
                         idempotent.get(),
                         atMostOnce.get(),
-                        resources.get()))
+                        resources.get(),
+                        RouteAccess.STANDARD))
                 : Optional.empty();
     }
 
--- a/api/src/main/java/org/mimosahinge/api/error/ErrorCode.java
+++ b/api/src/main/java/org/mimosahinge/api/error/ErrorCode.java
@@ -44,6 +44,10 @@
     NO_ENDPOINT(503),
     /** The endpoint and its queue are at their limits. */
     OVERLOADED(503),
+    /** The caller's API key is missing or belongs to no organisation. */
+    UNAUTHENTICATED(401),
+    /** The organisation's quota is used up. */
+    QUOTA_EXCEEDED(429),
     /** The deadline passed. */
     DEADLINE_EXCEEDED(504),
     /** The node has no proof that its configuration is up to date. */
--- a/api/src/test/java/org/mimosahinge/api/document/RoundTripTest.java
+++ b/api/src/test/java/org/mimosahinge/api/document/RoundTripTest.java
@@ -19,6 +19,7 @@
 import org.mimosahinge.api.contract.CallClass;
 import org.mimosahinge.api.contract.Move;
 import org.mimosahinge.api.contract.Route;
+import org.mimosahinge.api.contract.RouteAccess;
 import org.mimosahinge.api.contract.Section;
 import org.mimosahinge.api.contract.Service;
 import org.mimosahinge.api.contract.ServiceLimits;
@@ -89,7 +90,8 @@
                                 Route.DEFAULT_MAX_ATTEMPTS,
                                 once == 1,
                                 once == 2,
-                                resources)));
+                                resources,
+                                RouteAccess.STANDARD)));
         return Combinators.combine(
                         names,
                         sets,
--- a/bench/src/main/java/org/mimosahinge/bench/calls/CallMesh.java
+++ b/bench/src/main/java/org/mimosahinge/bench/calls/CallMesh.java
@@ -18,9 +18,11 @@
 import org.mimosahinge.api.contract.CallClass;
 import org.mimosahinge.api.contract.CallerLimits;
 import org.mimosahinge.api.contract.Route;
+import org.mimosahinge.api.contract.RouteAccess;
 import org.mimosahinge.api.contract.Service;
 import org.mimosahinge.api.contract.ServiceLimits;
 import org.mimosahinge.api.contract.ServiceShare;
+import org.mimosahinge.api.contract.TrafficRules;
 import org.mimosahinge.api.world.AvailabilityZone;
 import org.mimosahinge.api.world.BackendServer;
 import org.mimosahinge.api.world.Endpoint;
@@ -118,7 +120,8 @@
                 Route.DEFAULT_MAX_ATTEMPTS,
                 !atMostOnce,
                 atMostOnce,
-                Set.of());
+                Set.of(),
+                RouteAccess.STANDARD);
     }
 
     private synchronized void startBackend(Node node) {
@@ -145,7 +148,8 @@
                 Map.of(SERVICE, List.copyOf(endpoints.values())),
                 Set.of(),
                 true,
-                CallerLimits.DEFAULT);
+                CallerLimits.DEFAULT,
+                TrafficRules.NONE);
     }
 
     /** Removes an endpoint after its death or two refused connections, as the control thread of a daemon does. */
--- a/bench/src/main/java/org/mimosahinge/bench/overload/ServiceModel.java
+++ b/bench/src/main/java/org/mimosahinge/bench/overload/ServiceModel.java
@@ -13,6 +13,7 @@
 import org.mimosahinge.api.config.Snapshot;
 import org.mimosahinge.api.contract.CallClass;
 import org.mimosahinge.api.contract.CallerLimits;
+import org.mimosahinge.api.contract.TrafficRules;
 import org.mimosahinge.api.world.AvailabilityZone;
 import org.mimosahinge.api.world.BackendServer;
 import org.mimosahinge.api.world.Endpoint;
@@ -83,7 +84,8 @@
                 Map.of("shop", servers.stream().map(server -> server.endpoint).toList()),
                 Set.of(),
                 true,
-                CallerLimits.DEFAULT);
+                CallerLimits.DEFAULT,
+                TrafficRules.NONE);
     }
 
     private record Event(double atMs, Runnable action) implements Comparable<Event> {
--- a/cli/src/main/java/org/mimosahinge/cli/ExitCode.java
+++ b/cli/src/main/java/org/mimosahinge/cli/ExitCode.java
@@ -75,6 +75,7 @@
                     NOT_READY,
                     CONNECTION_LOST,
                     ANSWER_TRUNCATED,
+                    QUOTA_EXCEEDED,
                     REQUEST_QUARANTINED -> UNAVAILABLE;
             case DEADLINE_EXCEEDED -> TIMEOUT;
             case NOT_FOUND, NO_ROUTE -> NOT_FOUND;
@@ -82,6 +83,7 @@
                     UPDATE_REJECTED,
                     FRAME_INVALID,
                     KEY_REQUIRED,
+                    UNAUTHENTICATED,
                     OUTCOME_UNKNOWN,
                     CANCELLED,
                     INTERNAL -> INTERNAL;
--- a/core/src/main/java/org/mimosahinge/core/config/SnapshotBuilder.java
+++ b/core/src/main/java/org/mimosahinge/core/config/SnapshotBuilder.java
@@ -19,6 +19,7 @@
 import org.mimosahinge.api.contract.Route;
 import org.mimosahinge.api.contract.Section;
 import org.mimosahinge.api.contract.Service;
+import org.mimosahinge.api.contract.TrafficRules;
 import org.mimosahinge.api.error.UpdateRejectedException;
 import org.mimosahinge.api.world.Endpoint;
 
@@ -210,7 +211,8 @@
                 current.endpoints(),
                 haltMarks,
                 current.provenCurrent(),
-                CallerLimits.DEFAULT);
+                CallerLimits.DEFAULT,
+                TrafficRules.NONE);
     }
 
     // Marks of unknown services are retained: they may arrive over the tree before the section does.
@@ -236,7 +238,8 @@
                 endpoints,
                 haltMarks,
                 provenCurrent,
-                CallerLimits.DEFAULT);
+                CallerLimits.DEFAULT,
+                TrafficRules.NONE);
     }
 
     private static UpdateRejectedException rejected(Snapshot current, ConfigUpdate update, String reason) {
--- /dev/null
+++ b/core/src/main/java/org/mimosahinge/core/organisation/package-info.java
@@ -0,0 +1,2 @@
+/** Decisions on the calls of organisations: who may call, and how much. */
+package org.mimosahinge.core.organisation;
--- a/core/src/test/java/org/mimosahinge/core/Samples.java
+++ b/core/src/test/java/org/mimosahinge/core/Samples.java
@@ -14,6 +14,7 @@
 import org.mimosahinge.api.contract.CallClass;
 import org.mimosahinge.api.contract.Move;
 import org.mimosahinge.api.contract.Route;
+import org.mimosahinge.api.contract.RouteAccess;
 import org.mimosahinge.api.contract.Section;
 import org.mimosahinge.api.contract.Service;
 import org.mimosahinge.api.contract.ServiceLimits;
@@ -57,7 +58,8 @@
                 Route.DEFAULT_MAX_ATTEMPTS,
                 true,
                 false,
-                Set.of(resources));
+                Set.of(resources),
+                RouteAccess.STANDARD);
     }
 
     /** Returns a section with one service and one resource named after the team, and routes to the given services. */
--- a/core/src/test/java/org/mimosahinge/core/routing/ExpectedTimeChooserTest.java
+++ b/core/src/test/java/org/mimosahinge/core/routing/ExpectedTimeChooserTest.java
@@ -14,6 +14,7 @@
 import org.junit.jupiter.params.provider.CsvSource;
 import org.mimosahinge.api.config.Snapshot;
 import org.mimosahinge.api.contract.CallerLimits;
+import org.mimosahinge.api.contract.TrafficRules;
 import org.mimosahinge.api.world.AvailabilityZone;
 import org.mimosahinge.api.world.BackendServer;
 import org.mimosahinge.api.world.Endpoint;
@@ -54,7 +55,8 @@
                 Map.of("shop", endpoints),
                 Set.of(),
                 true,
-                CallerLimits.DEFAULT);
+                CallerLimits.DEFAULT,
+                TrafficRules.NONE);
     }
 
     @ParameterizedTest(name = "near {0} permille {1} ms {2} failing, next {3} permille, {4} KB: chooses {5}")
--- a/core/src/test/java/org/mimosahinge/core/routing/RoutingTest.java
+++ b/core/src/test/java/org/mimosahinge/core/routing/RoutingTest.java
@@ -25,9 +25,11 @@
 import org.mimosahinge.api.contract.CallClass;
 import org.mimosahinge.api.contract.CallerLimits;
 import org.mimosahinge.api.contract.Route;
+import org.mimosahinge.api.contract.RouteAccess;
 import org.mimosahinge.api.contract.Service;
 import org.mimosahinge.api.contract.ServiceLimits;
 import org.mimosahinge.api.contract.ServiceShare;
+import org.mimosahinge.api.contract.TrafficRules;
 import org.mimosahinge.api.world.AvailabilityZone;
 import org.mimosahinge.api.world.BackendServer;
 import org.mimosahinge.api.world.Endpoint;
@@ -61,7 +63,8 @@
                 Route.DEFAULT_MAX_ATTEMPTS,
                 true,
                 false,
-                Set.of());
+                Set.of(),
+                RouteAccess.STANDARD);
     }
 
     private static Endpoint endpoint(String id, String version, String zone, EndpointState state) {
@@ -83,7 +86,8 @@
                 Map.of("shop", List.of(endpoints)),
                 halts,
                 true,
-                CallerLimits.DEFAULT);
+                CallerLimits.DEFAULT,
+                TrafficRules.NONE);
     }
 
     @ParameterizedTest(name = "{0} goes to {1}")
--- a/daemon/src/main/java/org/mimosahinge/daemon/fleet/DecodedRow.java
+++ b/daemon/src/main/java/org/mimosahinge/daemon/fleet/DecodedRow.java
@@ -26,6 +26,13 @@
      */
     record MoveOutcomeRow(MoveOutcome outcome) implements DecodedRow {}
 
+    /**
+     * An order to evacuate an availability zone.
+     *
+     * @param zone name of the zone
+     */
+    record EvacuationRow(String zone) implements DecodedRow {}
+
     /**
      * A node that has registered itself.
      *
--- a/daemon/src/main/java/org/mimosahinge/daemon/fleet/FleetConfig.java
+++ b/daemon/src/main/java/org/mimosahinge/daemon/fleet/FleetConfig.java
@@ -3,6 +3,8 @@
 import java.util.List;
 import java.util.Map;
 import org.mimosahinge.api.contract.CallerLimits;
+import org.mimosahinge.api.contract.ColdStart;
+import org.mimosahinge.api.contract.Organisations;
 import org.mimosahinge.api.contract.Route;
 
 /**
@@ -12,13 +14,21 @@
  * @param routes all routes
  * @param maxConnectionsByService connections that each endpoint of a service accepts, by service
  * @param callerLimits limits on callers
+ * @param organisations organisations of the callers
+ * @param coldStarts limits of cold backend servers, by service
  */
 public record FleetConfig(
-        long version, List<Route> routes, Map<String, Integer> maxConnectionsByService, CallerLimits callerLimits) {
+        long version,
+        List<Route> routes,
+        Map<String, Integer> maxConnectionsByService,
+        CallerLimits callerLimits,
+        Organisations organisations,
+        Map<String, ColdStart> coldStarts) {
 
     /** Copies the collections. */
     public FleetConfig {
         routes = List.copyOf(routes);
         maxConnectionsByService = Map.copyOf(maxConnectionsByService);
+        coldStarts = Map.copyOf(coldStarts);
     }
 }
--- a/daemon/src/main/java/org/mimosahinge/daemon/fleet/FleetSnapshots.java
+++ b/daemon/src/main/java/org/mimosahinge/daemon/fleet/FleetSnapshots.java
@@ -15,6 +15,7 @@
 import org.mimosahinge.api.contract.Service;
 import org.mimosahinge.api.contract.ServiceLimits;
 import org.mimosahinge.api.contract.ServiceShare;
+import org.mimosahinge.api.contract.TrafficRules;
 import org.mimosahinge.api.world.Endpoint;
 import org.mimosahinge.core.admission.InternalCheckDetector;
 
@@ -34,6 +35,7 @@
     private FleetConfig config;
     private List<Route> routes = List.of();
     private Set<String> routedServices = Set.of();
+    private Set<String> evacuatedZones = Set.of();
 
     /** Puts a configuration in force. */
     void apply(FleetConfig next) {
@@ -45,6 +47,11 @@
                 .collect(Collectors.toUnmodifiableSet());
     }
 
+    /** Sets the zones whose endpoints get no calls. */
+    void evacuate(Set<String> zones) {
+        evacuatedZones = Set.copyOf(zones);
+    }
+
     /** Assembles a snapshot; a configuration must be in force. */
     Snapshot assemble(List<Endpoint> endpoints, MoveRegistry moves, int nodes, FleetSettings settings, long nowNanos) {
         Map<String, List<Endpoint>> endpointsByService = new TreeMap<>();
@@ -61,7 +68,8 @@
                 endpointsByService,
                 moves.haltMarks(endpointsByService, nowNanos),
                 true,
-                config.callerLimits());
+                config.callerLimits(),
+                new TrafficRules(config.organisations(), config.coldStarts(), evacuatedZones));
     }
 
     /**
--- a/daemon/src/main/java/org/mimosahinge/daemon/traffic/CallProtocol.java
+++ b/daemon/src/main/java/org/mimosahinge/daemon/traffic/CallProtocol.java
@@ -1,9 +1,13 @@
 package org.mimosahinge.daemon.traffic;
 
+import java.util.Map;
+import java.util.Optional;
+import java.util.function.Function;
 import java.util.function.LongFunction;
 import java.util.function.Supplier;
 import java.util.function.ToIntFunction;
 import org.mimosahinge.api.error.CallException;
+import org.mimosahinge.api.world.ServerLoad;
 
 /**
  * HTTP headers and statuses of calls on connections to callers and backend servers; header names are in lower case.
@@ -17,6 +21,9 @@
  * @param authentic whether the backend server generated the complete response
  * @param status HTTP status with which a failure is reported to a caller
  * @param retryAfter formats a time in milliseconds as the value of the Retry-After header
+ * @param credentialHeader header with the API key of a caller, as a bearer token; empty if callers have no keys
+ * @param organisationHeader header that tells a backend server the organisation of a call; empty to send none
+ * @param serverLoad reads the load that a backend server states in a response
  */
 public record CallProtocol(
         String deadlineHeader,
@@ -27,7 +34,10 @@
         ResponsePredicate refused,
         ResponsePredicate authentic,
         ToIntFunction<CallException> status,
-        LongFunction<String> retryAfter) {
+        LongFunction<String> retryAfter,
+        String credentialHeader,
+        String organisationHeader,
+        Function<Map<String, String>, Optional<ServerLoad>> serverLoad) {
 
     /** The headers of this product. */
     public static final CallProtocol STANDARD = builder().build();
@@ -57,8 +67,36 @@
         private ToIntFunction<CallException> status = failure -> failure.code().httpStatus();
         private LongFunction<String> retryAfter = ms -> Long.toString((ms + MS_PER_SECOND - 1) / MS_PER_SECOND);
 
+        private String credentialHeader = "";
+        private String organisationHeader = "";
+        private Function<Map<String, String>, Optional<ServerLoad>> serverLoad = headers -> Optional.empty();
+
         private Builder() {}
 
+        /**
+         * Sets the headers of organisations.
+         *
+         * @param credential name of the header with a caller's API key
+         * @param organisation name of the header with the organisation of a call
+         * @return this builder
+         */
+        public Builder organisationHeaders(String credential, String organisation) {
+            credentialHeader = credential;
+            organisationHeader = organisation;
+            return this;
+        }
+
+        /**
+         * Sets how the load of a backend server is read from the headers of its responses.
+         *
+         * @param reader reads the load, empty if a response states none
+         * @return this builder
+         */
+        public Builder serverLoad(Function<Map<String, String>, Optional<ServerLoad>> reader) {
+            serverLoad = reader;
+            return this;
+        }
+
         /**
          * Sets the headers of a request.
          *
@@ -137,7 +175,10 @@
                     refused,
                     authentic,
                     status,
-                    retryAfter);
+                    retryAfter,
+                    credentialHeader,
+                    organisationHeader,
+                    serverLoad);
         }
     }
 }
--- a/daemon/src/main/java/org/mimosahinge/daemon/traffic/EntryCall.java
+++ b/daemon/src/main/java/org/mimosahinge/daemon/traffic/EntryCall.java
@@ -7,7 +7,6 @@
 import java.util.concurrent.TimeUnit;
 import org.mimosahinge.api.config.Snapshot;
 import org.mimosahinge.api.contract.Route;
-import org.mimosahinge.api.contract.Service;
 import org.mimosahinge.api.error.CallException;
 import org.mimosahinge.api.error.ErrorCode;
 import org.mimosahinge.core.admission.RetryAfterPolicy;
@@ -24,7 +23,7 @@
     /** Remaining time assumed for a call that is refused before its route is known. */
     private static final long ASSUMED_REMAINING_MS = 1_000;
 
-    private static final String NODE_STOPS = "The node is stopping";
+    static final String NODE_STOPS = "The node is stopping";
 
     private final TrafficLoop loop;
     private final CallRequest request;
@@ -56,49 +55,22 @@
 
     /** Routes the call and starts its first attempt, or refuses it. */
     void begin() {
-        if (!snapshot.provenCurrent()) {
-            refuse(ErrorCode.NOT_READY, "The node has no proof that its configuration is current");
+        CallRouting routing = CallRouting.of(loop, request, snapshot, body, delay);
+        plan = routing.plan();
+        deadlineMs = routing.deadlineMs();
+        if (routing.refusal().isPresent()) {
+            refuse(routing.refusal().get().code(), routing.refusal().get().reason());
             return;
         }
-        Optional<Route> matched = loop.routes(snapshot).match(request.host(), request.uri());
-        if (matched.isEmpty()) {
-            loop.callLog().noRoute(request, snapshot);
-            refuse(ErrorCode.NO_ROUTE, "No route of version " + snapshot.version() + " matches host and path");
-            return;
-        }
-        Route route = matched.get();
-        String target = loop.roundRobin().next(route);
-        Service service = snapshot.services().get(target);
-        deadlineMs = HeaderMaps.deadlineMs(
-                request.headers(),
-                loop.protocol().deadlineHeader(),
-                route.timeout().toMillis());
-        if (service == null) {
-            refuse(ErrorCode.NO_ENDPOINT, "Service \"" + target + "\" is not configured");
-            return;
-        }
-        long statedMs = HeaderMaps.number(request.headers(), loop.protocol().deadlineHeader());
-        long earlierAttemptsMs = loop.callerDeadlines().earlierAttemptsMs(route, statedMs);
-        CallTimes times = new CallTimes(deadlineMs, earlierAttemptsMs, delay.elapsedMs(deadlineMs));
-        plan = new CallPlan(loop, request, body, route, service, times);
-        if (times.elapsedMs() >= deadlineMs) {
-            refuse(
-                    ErrorCode.DEADLINE_EXCEEDED,
-                    "The deadline passed while earlier requests of the connection were served");
-            return;
-        }
-        if (!loop.plane().admits(route, deadlineMs - times.elapsedMs())) {
-            refuse(ErrorCode.NOT_READY, NODE_STOPS);
-            return;
-        }
-        timer = loop.eventLoop().schedule(this::deadlinePassed, deadlineMs - times.elapsedMs(), TimeUnit.MILLISECONDS);
+        Route route = plan.route();
+        timer = loop.eventLoop().schedule(this::deadlinePassed, deadlineMs - plan.elapsedMs(), TimeUnit.MILLISECONDS);
         if (route.atMostOnce()) {
             String key = request.headers().getOrDefault(AtMostOnceGuard.KEY_HEADER, "");
             if (!AtMostOnceGuard.isValidKey(key)) {
                 refuse(ErrorCode.KEY_REQUIRED, "Route \"" + route.name() + "\" needs an idempotency-key");
                 return;
             }
-            atMostOnce = new AtMostOnceGuard(loop, service.name(), key, request);
+            atMostOnce = new AtMostOnceGuard(loop, plan.service().name(), key, request);
         }
         poisonRequests = new PoisonRequestGuard(loop.context(), route.name(), request, body);
         awaitingBody = poisonRequests.needsBody();
--- a/net/src/main/java/org/mimosahinge/net/frame/Frame.java
+++ b/net/src/main/java/org/mimosahinge/net/frame/Frame.java
@@ -302,8 +302,25 @@
      *
      * @param permille running and queued calls, in thousandths of the endpoint's slots
      * @param serviceMs mean time that a call occupies a slot, in milliseconds; 0 when unknown
+     * @param workPercent how long work takes on its VM at this moment, 100 for the usual time; 0 when not stated
+     * @param room calls that the endpoint may have in its slots at present, 0 for all its slots
      */
-    record Load(int permille, int serviceMs) {
+    record Load(int permille, int serviceMs, int workPercent, int room) {
+
+        /**
+         * Creates the load of an endpoint that states nothing about its VM and uses all its slots.
+         *
+         * @param permille running and queued calls, in thousandths of the endpoint's slots
+         * @param serviceMs mean time that a call occupies a slot, in milliseconds; 0 when unknown
+         */
+        public Load(int permille, int serviceMs) {
+            this(permille, serviceMs, 0, 0);
+        }
+
+        /** Returns whether the endpoint states anything beyond the occupancy of its slots. */
+        boolean tellsMachine() {
+            return workPercent != 0 || room != 0;
+        }
 
         /** Load of an endpoint that has not been measured. */
         public static final Load UNKNOWN = new Load(0, 0);
--- a/net/src/main/java/org/mimosahinge/net/frame/FrameCodec.java
+++ b/net/src/main/java/org/mimosahinge/net/frame/FrameCodec.java
@@ -114,11 +114,22 @@
     }
 
     private static void packLoad(Packer out, Frame.Load load) {
-        out.integer(load.permille()).integer(load.serviceMs());
+        if (load.tellsMachine()) {
+            // A negative first number announces the figures that only some backend servers state.
+            out.integer(-1 - load.permille())
+                    .integer(load.serviceMs())
+                    .integer(load.workPercent())
+                    .integer(load.room());
+        } else {
+            out.integer(load.permille()).integer(load.serviceMs());
+        }
     }
 
     private static Frame.Load unpackLoad(Unpacker in) {
-        return new Frame.Load(in.smallInteger(), in.smallInteger());
+        int permille = in.smallInteger();
+        return permille >= 0
+                ? new Frame.Load(permille, in.smallInteger())
+                : new Frame.Load(-1 - permille, in.smallInteger(), in.smallInteger(), in.smallInteger());
     }
 
     private static void packCallStart(Packer out, Frame.CallStart call) {
--- a/net/src/test/java/org/mimosahinge/net/frame/FrameCodecTest.java
+++ b/net/src/test/java/org/mimosahinge/net/frame/FrameCodecTest.java
@@ -38,6 +38,7 @@
 import org.mimosahinge.api.config.RevisedSection;
 import org.mimosahinge.api.contract.CallClass;
 import org.mimosahinge.api.contract.Route;
+import org.mimosahinge.api.contract.RouteAccess;
 import org.mimosahinge.api.contract.Section;
 import org.mimosahinge.api.contract.Service;
 import org.mimosahinge.api.contract.ServiceLimits;
@@ -85,7 +86,8 @@
                         Route.DEFAULT_MAX_ATTEMPTS,
                         true,
                         false,
-                        Set.of("index"))));
+                        Set.of("index"),
+                        RouteAccess.STANDARD)));
         MoveState move = new MoveState(
                 "listings", "v1", "v2", 3, 20, MovePhase.RUNNING, "canary", Instant.ofEpochMilli(1_700_000_000_000L));
         ConfigUpdate update = new ConfigUpdate(
