Enforce quotas at the entry nodes with a coordinator of the fleet

Cause: the decisions on quotas had no messages and no place in the call path.

Change: frames QuotaUse and QuotaAllowances between nodes and their quota coordinator, sent only while an organisation has a quota. QuotaCoordinator on the control thread reports and answers; QuotaGates, shared by the traffic threads, admits each call after all other checks of CallRouting. A refusal is 429 with the gate's Retry-After, at most a third of the caller's time; a call that is refused further on as not run gives its credit back.

--- a/core/src/main/java/org/mimosahinge/core/admission/RetryAfterPolicy.java
+++ b/core/src/main/java/org/mimosahinge/core/admission/RetryAfterPolicy.java
@@ -44,4 +44,15 @@
         long spreadMs = timely ? minWaitMs : maxWaitMs - minWaitMs;
         return Math.max(1, Math.min(maxWaitMs, minWaitMs + random.nextInt((int) spreadMs + 1)));
     }
+
+    /**
+     * Returns a known wait, limited to what callers accept.
+     *
+     * @param waitMs time until the call is likely to be admitted, 0 when it is not told
+     * @param remainingMs time remaining until the caller's deadline
+     * @return milliseconds, 0 when it is not told
+     */
+    public static long limited(long waitMs, long remainingMs) {
+        return waitMs > 0 ? Math.min(waitMs, Math.max(1, remainingMs / MAX_WAIT_DIVISOR)) : 0;
+    }
 }
--- a/daemon/src/main/java/org/mimosahinge/daemon/fleet/FleetControlPlane.java
+++ b/daemon/src/main/java/org/mimosahinge/daemon/fleet/FleetControlPlane.java
@@ -63,6 +63,7 @@
     private final MoveRegistry moveRegistry;
     private final FleetReadiness readiness = new FleetReadiness();
     private TrafficPlane traffic;
+    private QuotaCoordinator quotas;
     private PlatformRowFollower rowFollower;
     private final FleetSnapshots fleetSnapshots = new FleetSnapshots();
     private Optional<FleetConfig> config = Optional.empty();
@@ -119,6 +120,7 @@
      */
     public void initialize(TrafficPlane trafficPlane) {
         traffic = trafficPlane;
+        quotas = new QuotaCoordinator(self, peers, trafficPlane.quotas(), new PeerQuotaTransport(trafficPlane));
         trafficPlane.setRevisionSource(() -> newestRevision);
     }
 
@@ -503,6 +505,8 @@
                     new Fingerprint(request.route(), request.method(), request.uri(), request.bodyHash());
             quarantinedRequests.add(fingerprint);
             traffic.quarantine(fingerprint, Duration.ofMillis(request.refusedForMs()));
+        } else {
+            quotas.frameReceived(received.node(), received.frame(), nowNanos());
         }
     }
 
@@ -540,6 +544,7 @@
         reportWriter.tick();
         rowReplicator.tick(peers.connected(), peers.connectionsVersion(), nowNanos);
         removeUnreachable(nowNanos);
+        quotas.tick(snapshots.get().rules().organisations(), settings.organisationBounds(), nowNanos);
         readiness.update(peers, nowNanos);
     }
 
--- a/daemon/src/main/java/org/mimosahinge/daemon/traffic/CallRouting.java
+++ b/daemon/src/main/java/org/mimosahinge/daemon/traffic/CallRouting.java
@@ -17,16 +17,20 @@
  * @param plan state of the routed call, null if the request was refused before its service was known
  * @param deadlineMs time from its arrival after which the call is answered with a failure, 0 without a route
  * @param refusal why the request is refused, empty if it is not
+ * @param credit admission under the quota of its organisation
  */
-record CallRouting(CallPlan plan, long deadlineMs, Optional<Refusal> refusal) {
+record CallRouting(CallPlan plan, long deadlineMs, Optional<Refusal> refusal, QuotaGates.Credit credit) {
 
     /**
      * Why a request is refused.
      *
      * @param code error code
      * @param reason text for the caller and the log
+     * @param retryAfterMs time after which the caller should retry, 0 to derive it from the code
      */
-    record Refusal(ErrorCode code, String reason) {}
+    record Refusal(ErrorCode code, String reason, long retryAfterMs) {}
+
+    private static final String QUOTA_USED = "The organisation has used its quota";
 
     static CallRouting of(
             TrafficLoop loop, CallRequest request, Snapshot snapshot, RequestBody body, RequestDelay delay) {
@@ -72,11 +76,18 @@
         if (!loop.plane().admits(route, deadlineMs - times.elapsedMs())) {
             return refused(plan, deadlineMs, ErrorCode.NOT_READY, EntryCall.NODE_STOPS);
         }
-        return new CallRouting(plan, deadlineMs, Optional.empty());
+        // Last, so that a call which is refused for another reason takes no credit.
+        QuotaGates.Credit credit = access instanceof AccessDecision.Member member
+                ? loop.context().quotas().admit(member.organisation())
+                : QuotaGates.Credit.NONE;
+        Optional<Refusal> refusal = credit.retryAfterMs() > 0
+                ? Optional.of(new Refusal(ErrorCode.QUOTA_EXCEEDED, QUOTA_USED, credit.retryAfterMs()))
+                : Optional.empty();
+        return new CallRouting(plan, deadlineMs, refusal, credit);
     }
 
     private static CallRouting refused(CallPlan plan, long deadlineMs, ErrorCode code, String reason) {
-        return new CallRouting(plan, deadlineMs, Optional.of(new Refusal(code, reason)));
+        return new CallRouting(plan, deadlineMs, Optional.of(new Refusal(code, reason, 0)), QuotaGates.Credit.NONE);
     }
 
     private static AccessDecision identify(TrafficLoop loop, CallRequest request, Snapshot snapshot, Route route) {
--- a/daemon/src/main/java/org/mimosahinge/daemon/traffic/EntryCall.java
+++ b/daemon/src/main/java/org/mimosahinge/daemon/traffic/EntryCall.java
@@ -36,6 +36,7 @@
     private PoisonRequestGuard poisonRequests;
     private AtMostOnceGuard atMostOnce;
     private ScheduledFuture<?> timer;
+    private QuotaGates.Credit credit = QuotaGates.Credit.NONE;
     private Attempt attempt;
     private BufferedResponse bufferedResponse;
     private long deadlineMs;
@@ -58,8 +59,9 @@
         CallRouting routing = CallRouting.of(loop, request, snapshot, body, delay);
         plan = routing.plan();
         deadlineMs = routing.deadlineMs();
+        credit = routing.credit();
         if (routing.refusal().isPresent()) {
-            refuse(routing.refusal().get().code(), routing.refusal().get().reason());
+            refuse(routing.refusal().get());
             return;
         }
         Route route = plan.route();
@@ -164,6 +166,8 @@
             end();
             if (attempt != null) {
                 attempt.abandon();
+            } else {
+                credit.giveBack();
             }
         }
     }
@@ -373,18 +377,24 @@
     }
 
     private void refuse(ErrorCode code, String message) {
-        CallException refusal = CallException.notRun(code, message);
+        refuse(new CallRouting.Refusal(code, message, 0));
+    }
+
+    /** Refuses the call, which has not run. */
+    private void refuse(CallRouting.Refusal refusal) {
+        credit.giveBack();
+        ErrorCode code = refusal.code();
         boolean retryable = code.httpStatus() >= MIN_SERVER_ERROR_STATUS && code != ErrorCode.REQUEST_QUARANTINED;
         long remainingMs = plan == null ? ASSUMED_REMAINING_MS : Math.max(0, deadlineMs - plan.elapsedMs());
         long targetMs = plan == null ? 0 : plan.targetMs();
-        fail(
-                retryable
-                        ? refusal.withRetryAfterMs(RetryAfterPolicy.retryAfterMs(
-                                estimatedWaitMs,
-                                targetMs,
-                                remainingMs,
-                                loop.context().policies().random()))
-                        : refusal);
+        long retryAfterMs = retryable
+                ? RetryAfterPolicy.retryAfterMs(
+                        estimatedWaitMs,
+                        targetMs,
+                        remainingMs,
+                        loop.context().policies().random())
+                : RetryAfterPolicy.limited(refusal.retryAfterMs(), remainingMs);
+        fail(CallException.notRun(code, refusal.reason()).withRetryAfterMs(retryAfterMs));
     }
 
     private void fail(CallException failure) {
--- a/daemon/src/main/java/org/mimosahinge/daemon/traffic/InboundPeerConnection.java
+++ b/daemon/src/main/java/org/mimosahinge/daemon/traffic/InboundPeerConnection.java
@@ -93,7 +93,7 @@
         } else if (frame instanceof Frame.Hello hello) {
             node = hello.node();
             loop.context().listener().on(new TrafficEvent.PeerArrived(node, hello.version()));
-        } else if (frame instanceof Frame.RowSubscription && node != null) {
+        } else if ((frame instanceof Frame.RowSubscription || frame instanceof Frame.QuotaUse) && node != null) {
             loop.context().listener().on(new TrafficEvent.PeerTold(node, frame, 0));
         } else if (!(frame instanceof Frame.Heartbeat)) {
             // Frames of control connections are invalid here.
--- a/daemon/src/main/java/org/mimosahinge/daemon/traffic/TrafficContext.java
+++ b/daemon/src/main/java/org/mimosahinge/daemon/traffic/TrafficContext.java
@@ -16,6 +16,7 @@
  * @param crashes requests that crashed backend servers; updated only after crashes
  * @param metrics counts calls
  * @param runningRepeats calls that run at the backend servers of this node
+ * @param quotas admits the calls of organisations with a quota
  */
 record TrafficContext(
         TrafficConfig config,
@@ -25,4 +26,5 @@
         TrafficPolicies policies,
         AtomicReference<CrashRegistry> crashes,
         CallMetrics metrics,
-        RunningRepeats runningRepeats) {}
+        RunningRepeats runningRepeats,
+        QuotaGates quotas) {}
--- a/daemon/src/main/java/org/mimosahinge/daemon/traffic/TrafficPlane.java
+++ b/daemon/src/main/java/org/mimosahinge/daemon/traffic/TrafficPlane.java
@@ -113,7 +113,8 @@
                 policies,
                 new AtomicReference<>(CrashRegistry.EMPTY),
                 new CallMetrics(config.registry()),
-                new RunningRepeats()));
+                new RunningRepeats(),
+                new QuotaGates(policies.random(), config.registry())));
         plane.bind();
         return plane;
     }
@@ -284,6 +285,19 @@
                 .forEach(peer -> frames.forEach(peer::send))));
     }
 
+    /**
+     * Sends a frame to some of the nodes that have connected to this one.
+     *
+     * @param nodes the nodes
+     * @param frame the frame
+     */
+    public void sendToInbound(Set<NodeId> nodes, Frame frame) {
+        orderedLoops.forEach(loop -> loop.eventLoop().execute(() -> List.copyOf(loop.inbound()).stream()
+                .filter(peer ->
+                        peer.node() != null && nodes.contains(peer.node().id()))
+                .forEach(peer -> peer.send(frame))));
+    }
+
     /**
      * Sends a frame to a node to which this one has connected.
      *
@@ -358,6 +372,15 @@
                         counts.stream().mapToInt(CompletableFuture::join).sum());
     }
 
+    /**
+     * Returns the admission of calls of organisations with a quota.
+     *
+     * @return the gates, shared by all traffic threads
+     */
+    public QuotaGates quotas() {
+        return context.quotas();
+    }
+
     TrafficContext context() {
         return context;
     }
--- a/net/src/main/java/org/mimosahinge/net/frame/Frame.java
+++ b/net/src/main/java/org/mimosahinge/net/frame/Frame.java
@@ -183,6 +183,40 @@
      */
     record RowFreshness(long revision, long readRevision, long platformMs) implements Frame {}
 
+    /**
+     * Reports the calls of organisations with a quota to the quota coordinator.
+     *
+     * @param first whether this is the sender's first report to this receiver, which then counts from here
+     * @param uses calls by organisation; organisations without a change may be missing
+     */
+    record QuotaUse(boolean first, List<OrganisationUse> uses) implements Frame {}
+
+    /**
+     * Numbers of an organisation's calls at a node since its start.
+     *
+     * @param organisation name of the organisation
+     * @param admitted calls that were admitted and not given back
+     * @param refused calls that were refused for the quota
+     */
+    record OrganisationUse(String organisation, long admitted, long refused) {}
+
+    /**
+     * Tells the nodes which part of the calls of organisations they may admit; they admit all calls of the others.
+     *
+     * @param allowances allowances of the limited organisations
+     */
+    record QuotaAllowances(List<Allowance> allowances) implements Frame {}
+
+    /**
+     * Part of the calls of an organisation that each node may admit.
+     *
+     * @param organisation name of the organisation
+     * @param permille part of the arriving calls
+     * @param waitMs time until a refused caller may be admitted
+     * @param spreadMs time that the refused callers need after that to be admitted one after the other
+     */
+    record Allowance(String organisation, int permille, int waitMs, int spreadMs) {}
+
     /**
      * Starts a call.
      *
--- a/net/src/main/java/org/mimosahinge/net/frame/FrameCodec.java
+++ b/net/src/main/java/org/mimosahinge/net/frame/FrameCodec.java
@@ -107,6 +107,10 @@
             RowFields.packDelta(out, row);
         } else if (frame instanceof Frame.RowFreshness freshness) {
             out.integer(freshness.revision()).integer(freshness.readRevision()).integer(freshness.platformMs());
+        } else if (frame instanceof Frame.QuotaUse use) {
+            QuotaFields.packUse(out, use);
+        } else if (frame instanceof Frame.QuotaAllowances allowances) {
+            QuotaFields.packAllowances(out, allowances);
         } else if (frame instanceof Frame.VersionReport report) {
             out.list(report.nodesByVersion().entrySet(), (packer, entry) -> packer.integer(entry.getKey())
                     .integer(entry.getValue()));
@@ -180,6 +184,8 @@
             case ROW_SUBSCRIPTION -> RowFields.unpackSubscription(in);
             case ROW_DELTA -> RowFields.unpackDelta(in);
             case ROW_FRESHNESS -> RowFields.unpackFreshness(in);
+            case QUOTA_USE -> QuotaFields.unpackUse(in);
+            case QUOTA_ALLOWANCES -> QuotaFields.unpackAllowances(in);
             case VERSION_REPORT -> new Frame.VersionReport(unpackNodesByVersion(in));
         };
     }
--- a/net/src/main/java/org/mimosahinge/net/frame/FrameType.java
+++ b/net/src/main/java/org/mimosahinge/net/frame/FrameType.java
@@ -24,7 +24,9 @@
     CREDIT(18, Frame.Credit.class),
     CANCEL(19, Frame.Cancel.class),
     RESPONSE_START(20, Frame.ResponseStart.class),
-    CALL_FAILURE(21, Frame.CallFailure.class);
+    CALL_FAILURE(21, Frame.CallFailure.class),
+    QUOTA_USE(22, Frame.QuotaUse.class),
+    QUOTA_ALLOWANCES(23, Frame.QuotaAllowances.class);
 
     private static final FrameType[] BY_NUMBER = new FrameType[32];
 
--- a/net/src/test/java/org/mimosahinge/net/frame/FrameCodecTest.java
+++ b/net/src/test/java/org/mimosahinge/net/frame/FrameCodecTest.java
@@ -117,6 +117,14 @@
                 new Frame.RowSubscription(Map.of("operator/document", 17L, "fleet/moves", Long.MAX_VALUE)),
                 new Frame.RowDelta("operator/document", 17, 18, DELTA),
                 new Frame.RowFreshness(18, 19, 350),
+                new Frame.QuotaUse(true, List.of()),
+                new Frame.QuotaUse(
+                        false,
+                        List.of(
+                                new Frame.OrganisationUse("archive", 1L << 40, 0),
+                                new Frame.OrganisationUse("press", -1, 7))),
+                new Frame.QuotaAllowances(List.of()),
+                new Frame.QuotaAllowances(List.of(new Frame.Allowance("archive", 180, 0, 2_500))),
                 new Frame.CallStart(
                         1,
                         "n1/a",
@@ -149,6 +157,23 @@
         }
     }
 
+    /** Guards against an allowance above all calls or a negative wait, with which a node could not compute. */
+    @ParameterizedTest(name = "part {0}, wait {1}, spread {2}: rejected {3}")
+    @CsvSource({"1000, 0, 0, false", "1001, 0, 0, true", "-1, 0, 0, true", "0, -1, 0, true", "0, 0, -1, true"})
+    void allowanceIsChecked(int permille, int waitMs, int spreadMs, boolean rejected) {
+        byte[] encoded = FrameCodec.encode(
+                new Frame.QuotaAllowances(List.of(new Frame.Allowance("archive", permille, waitMs, spreadMs))));
+        if (rejected) {
+            assertThrows(FrameException.class, () -> FrameCodec.decode(encoded));
+        } else {
+            assertEquals(
+                    1,
+                    ((Frame.QuotaAllowances) FrameCodec.decode(encoded))
+                            .allowances()
+                            .size());
+        }
+    }
+
     @ParameterizedTest
     @MethodSource("frames")
     void decodingRestoresTheEncodedFrame(Frame frame) {
