--- a/daemon/src/main/java/org/mimosahinge/daemon/traffic/QuotaGates.java
+++ b/daemon/src/main/java/org/mimosahinge/daemon/traffic/QuotaGates.java
@@ -28,7 +28,13 @@
     private volatile int limited;
     private volatile boolean coordinating;
 
-    QuotaGates(RandomSource random, MetricRegistry registry) {
+    /**
+     * Creates the admission without quotas.
+     *
+     * @param random spreads callers over time and first calls over nodes
+     * @param registry registers the metrics
+     */
+    public QuotaGates(RandomSource random, MetricRegistry registry) {
         this.random = random;
         admitted = registry.counter("mimosahinge_quota_admitted_total");
         refused = registry.counter("mimosahinge_quota_refused_total");
