Serve calls only in the regions of their route and organisation

Change: PermittedPlaces, a pure filter over the regions of the route and the organisation and the evacuated zones, binds each choice, retry and exploration in CallPlan.choose. Without an endpoint there the call is refused at once as not run, and the reason names the homes.

--- a/core/src/main/java/org/mimosahinge/core/routing/EndpointFilter.java
+++ b/core/src/main/java/org/mimosahinge/core/routing/EndpointFilter.java
@@ -14,6 +14,16 @@
      */
     boolean admits(Endpoint endpoint);
 
+    /**
+     * Admits the endpoints that this filter and another one admit.
+     *
+     * @param other the other filter
+     * @return the filter
+     */
+    default EndpointFilter and(EndpointFilter other) {
+        return endpoint -> admits(endpoint) && other.admits(endpoint);
+    }
+
     /**
      * Admits the endpoints of one backend server version.
      *
--- a/daemon/src/main/java/org/mimosahinge/daemon/traffic/CallPlan.java
+++ b/daemon/src/main/java/org/mimosahinge/daemon/traffic/CallPlan.java
@@ -16,6 +16,7 @@
 import org.mimosahinge.core.routing.EndpointChoice;
 import org.mimosahinge.core.routing.EndpointChoiceRequest;
 import org.mimosahinge.core.routing.EndpointFilter;
+import org.mimosahinge.core.routing.PermittedPlaces;
 import org.mimosahinge.net.frame.Frame;
 
 /** State of a routed call: the endpoints tried so far, its deadline and the choice of the next endpoint. */
@@ -26,6 +27,7 @@
     private final RequestBody body;
     private final Route route;
     private final Service service;
+    private final Set<String> organisationRegions;
     private final long deadlineNanos;
     private final long startedNanos;
     private final long earlierAttemptsMs;
@@ -34,12 +36,20 @@
     private int inheritedPermille;
     private long estimatedWaitMs;
 
-    CallPlan(TrafficLoop loop, CallRequest request, RequestBody body, Route route, Service service, CallTimes times) {
+    CallPlan(
+            TrafficLoop loop,
+            CallRequest request,
+            RequestBody body,
+            Route route,
+            Service service,
+            CallTimes times,
+            Set<String> organisationRegions) {
         this.loop = loop;
         this.request = request;
         this.body = body;
         this.route = route;
         this.service = service;
+        this.organisationRegions = organisationRegions;
         earlierAttemptsMs = times.earlierAttemptsMs();
         startedNanos = System.nanoTime() - TimeUnit.MILLISECONDS.toNanos(times.elapsedMs());
         deadlineNanos = startedNanos + TimeUnit.MILLISECONDS.toNanos(times.deadlineMs());
@@ -60,12 +70,13 @@
     /** Chooses an endpoint that was not tried yet and has not recently refused similar calls. */
     Optional<EndpointChoice> choose() {
         Snapshot snapshot = loop.snapshot();
-        Set<String> excluded = excluded(snapshot);
+        PermittedPlaces places = places(snapshot);
+        Set<String> excluded = excluded(snapshot, places);
         TrafficPolicies policies = loop.context().policies();
         for (EndpointFilter filter : policies.filters().select(service, snapshot, policies.random())) {
             EndpointChoiceRequest choiceRequest = new EndpointChoiceRequest(
                     service.name(),
-                    filter,
+                    places.everywhere() ? filter : filter.and(places),
                     loop.context().config().self().zone(),
                     excluded,
                     loop.sizes().expectedKb(route.name()));
@@ -78,11 +89,31 @@
         return Optional.empty();
     }
 
-    private Set<String> excluded(Snapshot snapshot) {
+    private PermittedPlaces places(Snapshot snapshot) {
+        return new PermittedPlaces(
+                route.access().regions(),
+                organisationRegions,
+                snapshot.rules().evacuatedZones());
+    }
+
+    /** Returns why the last choice found no endpoint. */
+    String noEndpointReason() {
+        PermittedPlaces places = places(loop.snapshot());
+        String reason = "No endpoint of service \"" + service.name() + "\" can take the call";
+        return places.everywhere()
+                ? reason
+                : reason + "; regions of the route " + places.routeRegions() + ", of the organisation "
+                        + places.organisationRegions() + ", evacuated zones " + places.evacuatedZones();
+    }
+
+    private Set<String> excluded(Snapshot snapshot, PermittedPlaces places) {
         long now = TrafficLoop.nowMs();
         estimatedWaitMs = 0;
         Set<String> excluded = null;
         for (Endpoint endpoint : snapshot.endpoints().getOrDefault(service.name(), List.of())) {
+            if (!places.admits(endpoint)) {
+                continue;
+            }
             long waitMs = loop.tracker(endpoint.id())
                     .recentRefusals()
                     .estimatedWaitMs(route.callClass(), targetMissed(), now);
--- a/daemon/src/main/java/org/mimosahinge/daemon/traffic/CallRouting.java
+++ b/daemon/src/main/java/org/mimosahinge/daemon/traffic/CallRouting.java
@@ -1,6 +1,7 @@
 package org.mimosahinge.daemon.traffic;
 
 import java.util.Optional;
+import java.util.Set;
 import org.mimosahinge.api.config.Snapshot;
 import org.mimosahinge.api.contract.Organisation;
 import org.mimosahinge.api.contract.Organisations;
@@ -61,7 +62,10 @@
         long statedMs = HeaderMaps.number(request.headers(), loop.protocol().deadlineHeader());
         long earlierAttemptsMs = loop.callerDeadlines().earlierAttemptsMs(route, statedMs);
         CallTimes times = new CallTimes(deadlineMs, earlierAttemptsMs, delay.elapsedMs(deadlineMs));
-        CallPlan plan = new CallPlan(loop, request, body, route, service, times);
+        Set<String> regions = access instanceof AccessDecision.Member member
+                ? member.organisation().regions()
+                : Set.of();
+        CallPlan plan = new CallPlan(loop, request, body, route, service, times, regions);
         if (times.elapsedMs() >= deadlineMs) {
             return refused(
                     plan,
--- a/daemon/src/main/java/org/mimosahinge/daemon/traffic/EntryCall.java
+++ b/daemon/src/main/java/org/mimosahinge/daemon/traffic/EntryCall.java
@@ -114,9 +114,7 @@
             estimatedWaitMs = plan.estimatedWaitMs();
             notRun(ErrorCode.OVERLOADED, "All endpoints recently refused similar calls");
         } else if (choice.isEmpty()) {
-            notRun(
-                    ErrorCode.NO_ENDPOINT,
-                    "No endpoint of service \"" + plan.service().name() + "\" can take the call");
+            notRun(ErrorCode.NO_ENDPOINT, plan.noEndpointReason());
         } else {
             attempt(choice.get(), request.headers());
         }
