Evacuate availability zones by order of an operator

Cause: nodes ignored the rows op/evacuate/ZONE, so the endpoints of a zone kept getting calls.

A removed row is passed on with its revision (a negative revision in the frame, so frames of present rows stay as before). A read of the whole table shows the rows that it lacks as removed, and a node that never had a row tells its subscribers of the removal: without this an order stayed in force on nodes without a store after the readers had restarted (found by the model with 20 % of the frames lost, history dropped).

--- a/daemon/src/main/java/org/mimosahinge/daemon/fleet/DecodedRow.java
+++ b/daemon/src/main/java/org/mimosahinge/daemon/fleet/DecodedRow.java
@@ -30,8 +30,9 @@
      * An order to evacuate an availability zone.
      *
      * @param zone name of the zone
+     * @param ended whether the row was removed, which ends the evacuation
      */
-    record EvacuationRow(String zone) implements DecodedRow {}
+    record EvacuationRow(String zone, boolean ended) implements DecodedRow {}
 
     /**
      * A node that has registered itself.
--- a/daemon/src/main/java/org/mimosahinge/daemon/fleet/FleetControlPlane.java
+++ b/daemon/src/main/java/org/mimosahinge/daemon/fleet/FleetControlPlane.java
@@ -65,6 +65,7 @@
     private TrafficPlane traffic;
     private PlatformRowFollower rowFollower;
     private final FleetSnapshots fleetSnapshots = new FleetSnapshots();
+    private final Evacuations evacuations = new Evacuations(fleetSnapshots::evacuate);
     private Optional<FleetConfig> config = Optional.empty();
     private long nextRegistrationNanos;
     private boolean registered;
@@ -176,8 +177,12 @@
      * @param rows the rows, in any order
      * @param readRevision revision of the platform at its response
      * @param platformMs the platform's clock at its response, in milliseconds
+     * @param allRows whether these are all rows, so that those that are missing were removed
      */
-    public void operatorRowsRead(Collection<StoredRow> rows, long readRevision, long platformMs) {
+    public void operatorRowsRead(Collection<StoredRow> rows, long readRevision, long platformMs, boolean allRows) {
+        if (allRows) {
+            applyRows(rowReplicator.missingFrom(rows, readRevision), Optional.empty());
+        }
         applyRows(rows, Optional.empty());
         rowReplicator.platformRead(readRevision, platformMs, nowNanos());
     }
@@ -196,7 +201,7 @@
         boolean changed = false;
         boolean addressesChanged = false;
         for (StoredRow row : rows) {
-            Optional<DecodedRow> decoded = row.removed() ? Optional.empty() : decoder.decode(row);
+            Optional<DecodedRow> decoded = decoder.decode(row);
             if (decoded.isPresent() && decoded.get() instanceof DecodedRow.NodeRow nodeRow) {
                 addressesChanged |= peers.addOrUpdate(nodeRow.node(), nowNanos());
                 peers.recordRow(nodeRow.node(), row.revision());
@@ -242,7 +247,7 @@
         if (row instanceof DecodedRow.MoveOutcomeRow outcomeRow) {
             return moveRegistry.applyOutcome(outcomeRow.outcome(), revision, nowNanos());
         }
-        return false;
+        return row instanceof DecodedRow.EvacuationRow evacuation && evacuations.apply(evacuation, revision, source);
     }
 
     private boolean applyConfig(FleetConfig next, long revision, String source) {
@@ -493,7 +498,7 @@
                             applyRows(List.of(row), Optional.of(received.node().id())));
         } else if (received.frame() instanceof Frame.OperatorRow row) {
             applyRows(
-                    List.of(new StoredRow(row.key(), row.revision(), row.content(), false)),
+                    List.of(new StoredRow(row.key(), row.revision(), row.content(), row.removed())),
                     Optional.of(received.node().id()));
         } else if (received.frame() instanceof Frame.CallOutcomes outcomes) {
             moveRegistry.setPeerOutcomes(
--- a/daemon/src/main/java/org/mimosahinge/daemon/fleet/RowDecoder.java
+++ b/daemon/src/main/java/org/mimosahinge/daemon/fleet/RowDecoder.java
@@ -10,7 +10,8 @@
      * Decodes a row.
      *
      * @param row the row
-     * @return its content, or empty if the row is of no use here or invalid
+     * @return its content, or empty if the row is of no use here or invalid; for a removed row what its removal means,
+     *     or empty if it changes nothing
      */
     Optional<DecodedRow> decode(StoredRow row);
 }
--- a/daemon/src/main/java/org/mimosahinge/daemon/fleet/RowReplicator.java
+++ b/daemon/src/main/java/org/mimosahinge/daemon/fleet/RowReplicator.java
@@ -2,10 +2,13 @@
 
 import java.util.Collection;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import org.mimosahinge.api.config.ContentDelta;
 import org.mimosahinge.api.world.Node;
 import org.mimosahinge.api.world.NodeId;
 import org.mimosahinge.core.fanout.RowSourcePolicy;
@@ -57,6 +60,7 @@
     private final Map<NodeId, Child> children = new HashMap<>();
     private final Map<NodeId, Parent> parents = new HashMap<>();
     private RowSourcePolicy.Sources sources;
+    private TableRead tableRead = new TableRead("", 0);
     private long connectionsVersion = -1;
     private boolean readingPlatform = true;
     /** When a parent last showed that it gets rows from the platform. */
@@ -72,6 +76,19 @@
     private long sentPlatformMs;
     private int nextParentIndex;
 
+    /** The last read of all rows of the operators' table. */
+    private record TableRead(String prefix, long revision) {
+
+        private static String prefix(String key) {
+            return key.substring(0, key.indexOf('/') + 1);
+        }
+
+        /** Returns whether a row that is unknown here was removed before the read. */
+        boolean removed(String key, long heldRevision) {
+            return heldRevision < revision && key.startsWith(prefix);
+        }
+    }
+
     /** A node that has subscribed to rows of this node. */
     private static final class Child {
         private final Map<String, Long> heldRevisions = new HashMap<>();
@@ -119,13 +136,44 @@
         return true;
     }
 
+    /**
+     * Returns the removal of each row that a read of the whole table lacks. A row may have been removed while no node
+     * followed the changes, or the platform may have dropped the history that showed the removal.
+     *
+     * @param rows all rows of the table
+     * @param revision revision of the platform at the read
+     * @return removed rows with the revision of the read; rows of other tables are among them
+     */
+    List<StoredRow> missingFrom(Collection<StoredRow> rows, long revision) {
+        rows.stream().findAny().ifPresent(row -> tableRead = new TableRead(TableRead.prefix(row.key()), revision));
+        Set<String> present = new HashSet<>();
+        rows.forEach(row -> present.add(row.key()));
+        return cache.newestRows().stream()
+                .filter(row -> !row.removed() && row.revision() < revision && !present.contains(row.key()))
+                .map(row -> new StoredRow(row.key(), revision, new byte[0], true))
+                .toList();
+    }
+
+    /**
+     * Tells a node that rows which it has were removed before this node first read the table, which shows only that
+     * they are missing.
+     */
+    private void sendMissing(NodeId id, Child child) {
+        Map<String, Long> held = cache.newestRevisions();
+        for (Map.Entry<String, Long> row : Map.copyOf(child.heldRevisions).entrySet()) {
+            if (!held.containsKey(row.getKey()) && tableRead.removed(row.getKey(), row.getValue())) {
+                sendRow(new StoredRow(row.getKey(), tableRead.revision, new byte[0], true), id, child);
+            }
+        }
+    }
+
     private void sendRow(StoredRow row, NodeId id, Child child) {
         long baseRevision = child.heldRevisions.getOrDefault(row.key(), 0L);
         if (baseRevision >= row.revision()) {
             return;
         }
         child.heldRevisions.put(row.key(), row.revision());
-        Optional<Frame> deltaFrame = cache.deltaFrom(row, baseRevision)
+        Optional<Frame> deltaFrame = (row.removed() ? Optional.<ContentDelta>empty() : cache.deltaFrom(row, baseRevision))
                 .map(contentDelta -> new Frame.RowDelta(row.key(), baseRevision, row.revision(), contentDelta));
         LOG.info(
                 "row_passed_on",
@@ -136,8 +184,13 @@
                 "revision",
                 row.revision(),
                 "base",
-                deltaFrame.isPresent() ? baseRevision : 0);
-        transport.send(id, deltaFrame.orElseGet(() -> new Frame.OperatorRow(row.key(), row.revision(), row.content())));
+                deltaFrame.isPresent() ? baseRevision : 0,
+                "removed",
+                row.removed());
+        transport.send(
+                id,
+                deltaFrame.orElseGet(
+                        () -> new Frame.OperatorRow(row.key(), row.revision(), row.content(), row.removed())));
     }
 
     /** Rebuilds a row from a delta; requests the whole row if the base revision is missing. */
@@ -170,6 +223,7 @@
         child.heldRevisions.clear();
         child.heldRevisions.putAll(subscription.heldRevisions());
         cache.newestRows().forEach(row -> sendRow(row, id, child));
+        sendMissing(id, child);
         if (platformMs > 0) {
             transport.send(id, freshness());
         }
--- a/daemon/src/main/java/org/mimosahinge/daemon/traffic/BackendAdmission.java
+++ b/daemon/src/main/java/org/mimosahinge/daemon/traffic/BackendAdmission.java
@@ -69,6 +69,14 @@
         return loop.protocol();
     }
 
+    /** Returns whether the endpoint gets no calls because its zone is evacuated. */
+    boolean evacuated() {
+        return loop.snapshot()
+                .rules()
+                .evacuatedZones()
+                .contains(endpoint.node().zone().name());
+    }
+
     @Override
     public CallStream start(Frame.CallStart start, ResponseObserver observer) {
         long now = TrafficLoop.nowMs();
@@ -90,6 +98,10 @@
             call.refuse(REPEATS_EXHAUSTED, 0);
             return call;
         }
+        if (evacuated()) {
+            call.refuseEvacuated();
+            return call;
+        }
         AdmissionDecision decision = AdmissionPolicy.decide(view(now, start.callClass()), waiter);
         if (decision instanceof AdmissionDecision.Run) {
             run(call);
--- a/daemon/src/main/java/org/mimosahinge/daemon/traffic/BackendCall.java
+++ b/daemon/src/main/java/org/mimosahinge/daemon/traffic/BackendCall.java
@@ -24,6 +24,7 @@
     private static final long SUSPECT_SILENCE_NANOS = TimeUnit.MILLISECONDS.toNanos(500);
 
     private static final String DEADLINE_PASSED = "The deadline passed before a slot became free";
+    private static final String ZONE_EVACUATED = "The availability zone is evacuated";
     private static final String NO_SLOT = "No slot became free in time";
 
     private enum State {
@@ -114,6 +115,12 @@
         refuse(ErrorCode.DEADLINE_EXCEEDED, DEADLINE_PASSED, 0);
     }
 
+    /** Refuses a call to an endpoint that gets none; a sender with an older view may still choose it. */
+    void refuseEvacuated() {
+        admission.logRefusal(start, ZONE_EVACUATED, 0);
+        refuse(ErrorCode.NO_ENDPOINT, ZONE_EVACUATED, 0);
+    }
+
     void admitted() {
         state = State.CONNECTING;
         admittedNanos = System.nanoTime();
@@ -142,6 +149,12 @@
             refuseDeadlinePassed();
             return;
         }
+        if (admission.evacuated()) {
+            opened.detachCall();
+            admission.release(opened);
+            refuseEvacuated();
+            return;
+        }
         state = State.RUNNING;
         sentNanos = System.nanoTime();
         connection = opened;
--- a/daemon/src/test/java/org/mimosahinge/daemon/fleet/RowReplicationModel.java
+++ b/daemon/src/test/java/org/mimosahinge/daemon/fleet/RowReplicationModel.java
@@ -1,7 +1,6 @@
 package org.mimosahinge.daemon.fleet;
 
 import java.nio.charset.StandardCharsets;
-import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -25,6 +24,7 @@
 final class RowReplicationModel {
 
     private static final String KEY = "op/config";
+    private static final String ORDER_KEY = "op/evacuate/z1";
 
     /** One-way delay between two regions of the users' deployments. */
     private static final long CROSS_REGION_DELAY_MS = 12;
@@ -48,6 +48,7 @@
         final Node node;
         private RowReplicator replicator;
         private long heldRevision;
+        private StoredRow heldOrder = NO_ORDER;
         private boolean reading = true;
         private boolean rejectedByPlatform;
         private boolean frozen;
@@ -62,6 +63,7 @@
         private void start() {
             replicator = new RowReplicator(node, sourcePolicy, this, nowNanos());
             heldRevision = 0;
+            heldOrder = NO_ORDER;
             storeRevision = 0;
             reading = true;
             polling = false;
@@ -100,14 +102,22 @@
                 long readRevision = newestRevision;
                 long readMs = nowMs;
                 boolean hasRows = readRevision > storeRevision;
+                // A node without revision reads the whole table, in which a removed row is only missing.
+                boolean fullRead = storeRevision == 0 || historyDropped;
+                List<StoredRow> rows = rowsAfter(fullRead ? 0 : storeRevision).stream()
+                        .filter(row -> !fullRead || !row.removed())
+                        .toList();
                 storeResponsesWithRows += hasRows ? 1 : 0;
                 schedule(responseDelayMs(node.zone().region(), hasRows), () -> {
                     if (process == replicator && !frozen) {
                         if (hasRows) {
                             storeRevision = readRevision;
-                            applyRow(
-                                    new StoredRow(KEY, readRevision, contents.get((int) readRevision - 1), false),
-                                    Optional.empty());
+                            if (fullRead) {
+                                replicator
+                                        .missingFrom(rows, readRevision)
+                                        .forEach(row -> applyRow(row, Optional.empty()));
+                            }
+                            rows.forEach(row -> applyRow(row, Optional.empty()));
                         }
                         replicator.platformRead(readRevision, readMs, nowNanos());
                     }
@@ -130,7 +140,12 @@
         }
 
         private void applyRow(StoredRow row, Optional<NodeId> from) {
-            if (replicator.accept(row, true, from, nowNanos())) {
+            if (row.key().equals(ORDER_KEY)) {
+                heldOrder = replicator.accept(row, true, from, nowNanos()) ? row : heldOrder;
+                return;
+            }
+            // As on a node: the removal of the configuration changes nothing.
+            if (!row.removed() && replicator.accept(row, true, from, nowNanos())) {
                 if (row.revision() < heldRevision) {
                     throw new AssertionError(node.id() + " reverted to revision " + row.revision());
                 }
@@ -158,7 +173,7 @@
                         this,
                         other,
                         () -> other.applyRow(
-                                new StoredRow(row.key(), row.revision(), row.content(), false),
+                                new StoredRow(row.key(), row.revision(), row.content(), row.removed()),
                                 Optional.of(node.id())));
             } else if (frame instanceof Frame.RowFreshness freshness) {
                 deliver(this, other, () -> other.replicator.freshnessReceived(node, freshness, nowNanos()));
@@ -173,13 +188,17 @@
         }
     }
 
+    private static final StoredRow NO_ORDER = new StoredRow(ORDER_KEY, 0, new byte[0], true);
+
     final Map<NodeId, Member> members = new HashMap<>();
     final Map<NodeId, Long> sentBytes = new HashMap<>();
     private final RowSourcePolicy sourcePolicy;
     private final Random random;
     private final PriorityQueue<Event> events = new PriorityQueue<>(
             (a, b) -> a.atMs != b.atMs ? Long.compare(a.atMs, b.atMs) : Long.compare(a.sequence, b.sequence));
-    private final List<byte[]> contents = new ArrayList<>();
+    private StoredRow config;
+    private StoredRow order = NO_ORDER;
+    private boolean historyDropped;
     private final Set<NodeId> stoppedNodes = new HashSet<>();
     private final Map<Member, List<Node>> connectedNodes = new HashMap<>();
     private final Region storeRegion = new Region("r0");
@@ -219,7 +238,33 @@
             config.append("{\"name\":\"route-" + i + "\",\"prefix\":\"/p" + i * 7919 + "/\",\"timeoutS\":" + timeout
                     + ".5,\"service\":\"s" + i % 3 + "\"},");
         }
-        contents.add(config.append("{}]}").toString().getBytes(StandardCharsets.UTF_8));
+        byte[] content = config.append("{}]}").toString().getBytes(StandardCharsets.UTF_8);
+        this.config = new StoredRow(KEY, newestRevision, content, false);
+    }
+
+    /** Writes or removes an operator's order, as a row of its own. */
+    void setOrder(boolean present) {
+        order = new StoredRow(ORDER_KEY, ++newestRevision, new byte[0], !present);
+    }
+
+    /** Sets whether the platform has dropped its history, so that nodes read all rows instead of the changes. */
+    void setHistoryDropped(boolean dropped) {
+        historyDropped = dropped;
+    }
+
+    /** Counts the nodes on which the order is in force although it was removed, or the other way round. */
+    long nodesWithOutdatedOrder() {
+        return members.values().stream()
+                .filter(member -> !stoppedNodes.contains(member.node.id())
+                        && !member.frozen
+                        && member.heldOrder.removed() != order.removed())
+                .count();
+    }
+
+    private List<StoredRow> rowsAfter(long revision) {
+        return List.of(config, order).stream()
+                .filter(row -> row.revision() > revision)
+                .toList();
     }
 
     void run(long ms) {
@@ -236,12 +281,12 @@
         return members.values().stream()
                 .filter(member -> !stoppedNodes.contains(member.node.id())
                         && !member.frozen
-                        && member.heldRevision < newestRevision)
+                        && member.heldRevision < config.revision())
                 .count();
     }
 
     int configBytes() {
-        return contents.get(contents.size() - 1).length;
+        return config.content().length;
     }
 
     /** Returns the readers of a region, or of all regions for an empty name. */
--- a/daemon/src/test/java/org/mimosahinge/daemon/fleet/RowReplicationTest.java
+++ b/daemon/src/test/java/org/mimosahinge/daemon/fleet/RowReplicationTest.java
@@ -196,6 +196,47 @@
         assertEquals(0, fleet.laggingNodes());
     }
 
+    /**
+     * A removed row must end the order on all nodes, also on those that have it from neighbours only, and an older copy
+     * must not bring it back. In a read of all rows the removed row is only missing.
+     */
+    @ParameterizedTest(name = "frame loss {0}, history dropped {1}, nodes of region 1 turned away {2}, restart {3}")
+    @CsvSource({
+        "0, false, false, false",
+        "0, true, false, false",
+        "0, false, true, false",
+        "0, true, true, false",
+        "0.2, false, true, false",
+        "0.2, true, false, true",
+        "0, true, true, true"
+    })
+    void removedOrderEndsOnAllNodes(double loss, boolean historyDropped, boolean turnedAway, boolean restart) {
+        RowReplicationModel fleet = startFleet(64, 2, (long) (10 * loss) + (historyDropped ? 5 : 0));
+        if (turnedAway) {
+            fleet.rejectAtPlatform(fleet.members.values().stream()
+                    .filter(member -> member.node.zone().region().name().equals("r1"))
+                    .toList());
+        }
+        fleet.setFrameLoss(loss);
+        fleet.setHistoryDropped(historyDropped);
+        for (int i = 0; i < 3; i++) {
+            fleet.setOrder(true);
+            fleet.run(PROPAGATION_LIMIT_MS + REJECTION_ALLOWANCE_MS);
+            assertEquals(0, fleet.nodesWithOutdatedOrder(), "order given");
+            if (restart) {
+                List<RowReplicationModel.Member> readers = fleet.readers("");
+                fleet.kill(readers);
+                fleet.run(300);
+                fleet.setOrder(false);
+                fleet.start(readers);
+            } else {
+                fleet.setOrder(false);
+            }
+            fleet.run(PROPAGATION_LIMIT_MS + REJECTION_ALLOWANCE_MS);
+            assertEquals(0, fleet.nodesWithOutdatedOrder(), "order removed");
+        }
+    }
+
     /** Reads by all nodes must not keep the link between regions full, so that they never finish. */
     @ParameterizedTest(name = "platform down for {0} ms, responses wait {1} ms behind calls")
     @CsvSource({"0, 0", "2500, 0", "0, 600", "0, 900"})
--- a/net/src/main/java/org/mimosahinge/net/frame/Frame.java
+++ b/net/src/main/java/org/mimosahinge/net/frame/Frame.java
@@ -138,15 +138,17 @@
      *
      * @param key table and key of the row
      * @param revision revision of the row on the platform
-     * @param content value of the row
+     * @param content value of the row, empty if it was removed
+     * @param removed whether the row was removed
      */
-    record OperatorRow(String key, long revision, byte[] content) implements Frame {
+    record OperatorRow(String key, long revision, byte[] content, boolean removed) implements Frame {
 
         @Override
         public boolean equals(Object other) {
             return other instanceof OperatorRow row
                     && key.equals(row.key)
                     && revision == row.revision
+                    && removed == row.removed
                     && Arrays.equals(content, row.content);
         }
 
--- a/net/src/main/java/org/mimosahinge/net/frame/RowFields.java
+++ b/net/src/main/java/org/mimosahinge/net/frame/RowFields.java
@@ -11,11 +11,16 @@
     private RowFields() {}
 
     static void packRow(Packer out, Frame.OperatorRow row) {
-        out.text(row.key()).integer(row.revision()).bytes(Deflate.compress(row.content()));
+        // A negative revision announces a removed row; a release that knows none takes it for outdated.
+        out.text(row.key())
+                .integer(row.removed() ? -row.revision() : row.revision())
+                .bytes(Deflate.compress(row.content()));
     }
 
     static Frame.OperatorRow unpackRow(Unpacker in) {
-        return new Frame.OperatorRow(in.text(), in.integer(), Deflate.decompress(in.bytes()));
+        String key = in.text();
+        long revision = in.integer();
+        return new Frame.OperatorRow(key, Math.abs(revision), Deflate.decompress(in.bytes()), revision < 0);
     }
 
     static void packSubscription(Packer out, Frame.RowSubscription subscription) {
--- a/net/src/test/java/org/mimosahinge/net/frame/FrameCodecTest.java
+++ b/net/src/test/java/org/mimosahinge/net/frame/FrameCodecTest.java
@@ -112,8 +112,9 @@
                 new Frame.CallOutcomes(
                         "listings",
                         List.of(new Frame.OutcomeCounts("v2", "browse", "ch-west-1", 9, List.of(0L, 2L), List.of(7L)))),
-                new Frame.OperatorRow("operator/document", 17, new byte[3000]),
-                new Frame.OperatorRow("operator/document", 18, new byte[0]),
+                new Frame.OperatorRow("operator/document", 17, new byte[3000], false),
+                new Frame.OperatorRow("operator/document", 18, new byte[0], false),
+                new Frame.OperatorRow("operator/document", 19, new byte[0], true),
                 new Frame.RowSubscription(Map.of("operator/document", 17L, "fleet/moves", Long.MAX_VALUE)),
                 new Frame.RowDelta("operator/document", 17, 18, DELTA),
                 new Frame.RowFreshness(18, 19, 350),
@@ -196,7 +197,7 @@
     @ParameterizedTest
     @CsvSource({"1048576, true", "1048577, false"})
     void oversizedRowIsRejectedByTheEncoder(int length, boolean accepted) {
-        Frame row = new Frame.OperatorRow("operator/document", 17, new byte[length]);
+        Frame row = new Frame.OperatorRow("operator/document", 17, new byte[length], false);
         if (accepted) {
             assertEquals(row, FrameCodec.decode(FrameCodec.encode(row)));
         } else {
