Limit the calls to a cold backend server to the rate that it bears

Change: the node beside the backend server counts each call at the moment of its sending in a ring of the last calls (ColdSendLimit), so that the rate holds in any second, whenever it starts. A call above the rate waits if it can still end in time, else it is refused as not run with the time until there is room; Frame.Load.room tells entry nodes. Coldness comes from the last report; a restored report or none counts as cold. Services without a ColdStart are not counted.

--- a/daemon/src/main/java/org/mimosahinge/daemon/fleet/FleetControlPlane.java
+++ b/daemon/src/main/java/org/mimosahinge/daemon/fleet/FleetControlPlane.java
@@ -121,6 +121,7 @@
     public void initialize(TrafficPlane trafficPlane) {
         traffic = trafficPlane;
         trafficPlane.setRevisionSource(() -> newestRevision);
+        trafficPlane.setColdnessSource(localServer::coldness);
     }
 
     /**
--- a/daemon/src/main/java/org/mimosahinge/daemon/fleet/FleetSnapshots.java
+++ b/daemon/src/main/java/org/mimosahinge/daemon/fleet/FleetSnapshots.java
@@ -69,7 +69,8 @@
                 moves.haltMarks(endpointsByService, nowNanos),
                 true,
                 config.callerLimits(),
-                new TrafficRules(config.organisations(), config.coldStarts(), evacuatedZones));
+                new TrafficRules(
+                        config.organisations(), settings.coldBounds().limits(config.coldStarts()), evacuatedZones));
     }
 
     /**
--- a/daemon/src/main/java/org/mimosahinge/daemon/fleet/LocalBackendServer.java
+++ b/daemon/src/main/java/org/mimosahinge/daemon/fleet/LocalBackendServer.java
@@ -3,14 +3,19 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.Optional;
+import java.util.concurrent.TimeUnit;
 import org.mimosahinge.api.world.Endpoint;
 import org.mimosahinge.api.world.EndpointState;
 import org.mimosahinge.api.world.Node;
 import org.mimosahinge.core.membership.ServerReport;
+import org.mimosahinge.core.pace.Coldness;
+import org.mimosahinge.net.log.EventLog;
 
 /** The state of this node's backend server, from its reports. */
 final class LocalBackendServer {
 
+    private static final EventLog LOG = EventLog.of("fleet");
+
     /** Reports may be late, so several must be missing before the backend server counts as gone. */
     private static final int MISSED_REPORTS = 4;
 
@@ -26,6 +31,8 @@
     private boolean restored;
     private boolean unreachable;
     private boolean shuttingDown;
+    private boolean reportedCold;
+    private volatile Coldness coldness = Coldness.UNKNOWN;
 
     LocalBackendServer(Node self) {
         this.self = self;
@@ -33,23 +40,53 @@
 
     /** Records a report and returns whether the endpoint changed for other nodes. */
     boolean recordReport(ServerReport report, long nowNanos) {
+        return record(report, nowNanos, false);
+    }
+
+    private boolean record(ServerReport report, long nowNanos, boolean fromStore) {
         if (newestReport != null && !report.replaces(newestReport)) {
             return false;
         }
         Optional<Endpoint> before = endpoint();
         newestReport = report;
         lastReportNanos = nowNanos;
-        restored = false;
+        restored = fromStore;
         unreachable = false;
+        recordColdness();
         return !before.equals(endpoint());
     }
 
     /** Records a report that was received by an earlier process of this node. */
     boolean recordRestored(ServerReport report, long nowNanos) {
-        boolean newer = newestReport == null || report.replaces(newestReport);
-        boolean changed = recordReport(report, nowNanos);
-        restored |= newer;
-        return changed;
+        return record(report, nowNanos, true);
+    }
+
+    /** A restored report is too old to tell whether the backend server has become cold since. */
+    private void recordColdness() {
+        Coldness before = coldness;
+        long remainingMs = newestReport.warmUpRemainingMs();
+        coldness = restored
+                ? Coldness.UNKNOWN
+                : new Coldness(newestReport.id(), TimeUnit.NANOSECONDS.toMillis(lastReportNanos) + remainingMs);
+        boolean cold = restored || remainingMs > 0;
+        if (cold != reportedCold || !coldness.endpointId().equals(before.endpointId())) {
+            reportedCold = cold;
+            LOG.info(
+                    "backend_cold",
+                    "endpoint",
+                    newestReport.id(),
+                    "cold",
+                    cold,
+                    "cold_ms",
+                    remainingMs,
+                    "cause",
+                    restored ? "remembered" : "report");
+        }
+    }
+
+    /** Returns what is known about the coldness of the backend server; may be called on any thread. */
+    Coldness coldness() {
+        return coldness;
     }
 
     Optional<ServerReport> newestReport() {
--- a/daemon/src/main/java/org/mimosahinge/daemon/traffic/BackendAdmission.java
+++ b/daemon/src/main/java/org/mimosahinge/daemon/traffic/BackendAdmission.java
@@ -41,6 +41,7 @@
     private final List<BackendCall> callsWithLostConnection = new ArrayList<>();
     private final SlotTimeAverages slotTimeAverages = new SlotTimeAverages();
     private final TimelyDemand timelyDemand = new TimelyDemand();
+    private final ColdSending coldSending;
     private Endpoint endpoint;
     private AdmissionLimits limits;
     private int running;
@@ -50,12 +51,14 @@
     BackendAdmission(TrafficLoop loop, Endpoint endpoint) {
         this.loop = loop;
         pool = new BackendPool(loop, endpoint.server().address());
+        coldSending = new ColdSending(loop);
     }
 
     /** Updates the endpoint's announcement and the limits of its service. */
     BackendAdmission update(Endpoint latest, ServiceLimits serviceLimits) {
         if (latest != endpoint) {
             endpoint = latest;
+            coldSending.update(latest);
             limits = AdmissionLimits.of(latest.server(), serviceLimits);
         }
         return this;
@@ -102,7 +105,8 @@
             call.refuseEvacuated();
             return call;
         }
-        AdmissionDecision decision = AdmissionPolicy.decide(view(now, start.callClass()), waiter);
+        AdmissionView view = view(now, start.callClass());
+        AdmissionDecision decision = coldSending.decide(AdmissionPolicy.decide(view, waiter), view, waiter);
         if (decision instanceof AdmissionDecision.Run) {
             run(call);
         } else if (decision instanceof AdmissionDecision.Wait wait) {
@@ -111,6 +115,9 @@
                     .ifPresent(evicted -> evicted.refuse("Displaced by a call of a higher class", 0));
             waiting.put(waiter, call);
             call.scheduleQueueTimeout(loop.eventLoop(), AdmissionPolicy.latestStartMs(waiter, classServiceMs));
+            if (coldSending.waitMs() > 0) {
+                coldSending.wakeUp(this::runWaiting);
+            }
         } else if (decision instanceof AdmissionDecision.Refuse refusal) {
             logRefusal(start, refusal.reason(), refusal.estimatedWaitMs());
             call.refuse(refusal.reason(), refusal.estimatedWaitMs());
@@ -195,6 +202,7 @@
         running++;
         lateRunning += call.late() ? 1 : 0;
         loop.context().runningRepeats().started(call.repeatPermille());
+        coldSending.admitted();
         call.admitted();
         pool.acquire(false, call::connected);
     }
@@ -207,25 +215,45 @@
     /** Releases the slot of a call that was answered and records how long it was occupied. */
     void releaseSlot(BackendCall ended, long slotNanos) {
         slotTimeAverages.observe(ended.callClass(), slotNanos / 1e6);
-        releaseUnusedSlot(ended);
+        freeSlot(ended);
     }
 
     /** Releases the slot of a call that was cancelled, lost or refused by the backend server. */
     void releaseSlotOfUnfinished(BackendCall ended, long slotNanos) {
         slotTimeAverages.observeUnfinished(ended.callClass(), slotNanos / 1e6);
-        releaseUnusedSlot(ended);
+        freeSlot(ended);
     }
 
-    /** Releases the slot of a call that was not sent, and runs waiting calls. */
+    /** Releases the slot of a call that was not sent. */
     void releaseUnusedSlot(BackendCall ended) {
+        coldSending.notSent();
+        freeSlot(ended);
+    }
+
+    /** Counts a call that is about to be sent, or returns the time until the backend server bears it. */
+    long waitBeforeSendingMs() {
+        return coldSending.sending() ? 0 : Math.max(1, coldSending.waitMs());
+    }
+
+    private void freeSlot(BackendCall ended) {
         running--;
         lateRunning -= ended.late() ? 1 : 0;
         loop.context().runningRepeats().ended(ended.repeatPermille());
+        runWaiting();
+    }
+
+    /** Runs waiting calls in free slots. */
+    private void runWaiting() {
         while (!waiting.isEmpty()) {
-            Optional<SlotRequest> next = AdmissionPolicy.nextToRun(view(0, ended.callClass()));
+            Optional<SlotRequest> next =
+                    AdmissionPolicy.nextToRun(view(0, waiting.firstKey().callClass()));
             if (next.isEmpty()) {
                 return;
             }
+            if (coldSending.waitMs() > 0) {
+                coldSending.wakeUp(this::runWaiting);
+                return;
+            }
             BackendCall call = waiting.remove(next.get());
             if (call.deadlinePassed()) {
                 call.refuseDeadlinePassed();
@@ -294,6 +322,10 @@
     /** Returns the occupancy of the slots, which responses carry to other nodes as a hint. */
     Frame.Load load() {
         int permille = PERMILLE * (running + waiting.size()) / limits.slots();
-        return new Frame.Load(permille, (int) Math.round(slotTimeAverages.overallMs()));
+        return new Frame.Load(
+                permille,
+                (int) Math.round(slotTimeAverages.overallMs()),
+                0,
+                coldSending.room(running, limits.slots()));
     }
 }
--- a/daemon/src/main/java/org/mimosahinge/daemon/traffic/BackendCall.java
+++ b/daemon/src/main/java/org/mimosahinge/daemon/traffic/BackendCall.java
@@ -12,6 +12,7 @@
 import org.mimosahinge.api.error.ErrorCode;
 import org.mimosahinge.core.admission.SlotRequest;
 import org.mimosahinge.core.move.FailureKind;
+import org.mimosahinge.core.pace.ColdAdmission;
 import org.mimosahinge.net.frame.Frame;
 
 /** A call at a backend server on this node. */
@@ -155,6 +156,14 @@
             refuseEvacuated();
             return;
         }
+        long coldMs = admission.waitBeforeSendingMs();
+        if (coldMs > 0) {
+            opened.detachCall();
+            admission.release(opened);
+            admission.logRefusal(start, ColdAdmission.COLD, coldMs);
+            refuse(ColdAdmission.COLD, coldMs);
+            return;
+        }
         state = State.RUNNING;
         sentNanos = System.nanoTime();
         connection = opened;
@@ -233,7 +242,8 @@
                 status,
                 headers,
                 HeaderMaps.contentLength(headers),
-                new Frame.Load(Math.max(load.permille(), reported), load.serviceMs())));
+                new Frame.Load(
+                        Math.max(load.permille(), reported), load.serviceMs(), load.workPercent(), load.room())));
     }
 
     @Override
--- a/daemon/src/main/java/org/mimosahinge/daemon/traffic/TrafficPlane.java
+++ b/daemon/src/main/java/org/mimosahinge/daemon/traffic/TrafficPlane.java
@@ -25,11 +25,13 @@
 import java.util.concurrent.atomic.AtomicReference;
 import java.util.function.Consumer;
 import java.util.function.LongSupplier;
+import java.util.function.Supplier;
 import org.mimosahinge.api.contract.Route;
 import org.mimosahinge.api.platform.TableService;
 import org.mimosahinge.api.world.HostPort;
 import org.mimosahinge.api.world.NodeId;
 import org.mimosahinge.core.admission.ShutdownAdmission;
+import org.mimosahinge.core.pace.Coldness;
 import org.mimosahinge.core.poison.CrashRegistry;
 import org.mimosahinge.core.poison.Fingerprint;
 import org.mimosahinge.core.retry.RunningRepeats;
@@ -68,6 +70,7 @@
     private volatile LongSupplier remainingGraceMs;
     private volatile List<Frame> initialFrames = List.of();
     private volatile LongSupplier revisionSource = () -> 0;
+    private volatile Supplier<Coldness> coldnessSource = () -> Coldness.UNKNOWN;
 
     private TrafficPlane(TrafficContext context) {
         this.context = context;
@@ -252,6 +255,19 @@
         revisionSource = source;
     }
 
+    /**
+     * Sets the source of the coldness of this node's backend server.
+     *
+     * @param source returns what is known at present; called on the threads of the calls
+     */
+    public void setColdnessSource(Supplier<Coldness> source) {
+        coldnessSource = source;
+    }
+
+    Coldness coldness() {
+        return coldnessSource.get();
+    }
+
     long revision() {
         return maintainsPeers()
                 ? revisionSource.getAsLong()
