--- a/daemon/src/main/java/org/mimosahinge/daemon/traffic/BackendCall.java
+++ b/daemon/src/main/java/org/mimosahinge/daemon/traffic/BackendCall.java
@@ -12,6 +12,7 @@
 import org.mimosahinge.api.error.ErrorCode;
 import org.mimosahinge.core.admission.SlotRequest;
 import org.mimosahinge.core.move.FailureKind;
+import org.mimosahinge.core.pace.ColdAdmission;
 import org.mimosahinge.net.frame.Frame;
 
 /** A call at a backend server on this node. */
@@ -24,6 +25,7 @@
     private static final long SUSPECT_SILENCE_NANOS = TimeUnit.MILLISECONDS.toNanos(500);
 
     private static final String DEADLINE_PASSED = "The deadline passed before a slot became free";
+    private static final String ZONE_EVACUATED = "The availability zone is evacuated";
     private static final String NO_SLOT = "No slot became free in time";
 
     private enum State {
@@ -114,6 +116,12 @@
         refuse(ErrorCode.DEADLINE_EXCEEDED, DEADLINE_PASSED, 0);
     }
 
+    /** Refuses a call to an endpoint that gets none; a sender with an older view may still choose it. */
+    void refuseEvacuated() {
+        admission.logRefusal(start, ZONE_EVACUATED, 0);
+        refuse(ErrorCode.NO_ENDPOINT, ZONE_EVACUATED, 0);
+    }
+
     void admitted() {
         state = State.CONNECTING;
         admittedNanos = System.nanoTime();
@@ -142,6 +150,20 @@
             refuseDeadlinePassed();
             return;
         }
+        if (admission.evacuated()) {
+            opened.detachCall();
+            admission.release(opened);
+            refuseEvacuated();
+            return;
+        }
+        long coldMs = admission.waitBeforeSendingMs();
+        if (coldMs > 0) {
+            opened.detachCall();
+            admission.release(opened);
+            admission.logRefusal(start, ColdAdmission.COLD, coldMs);
+            refuse(ColdAdmission.COLD, coldMs);
+            return;
+        }
         state = State.RUNNING;
         sentNanos = System.nanoTime();
         connection = opened;
@@ -220,7 +242,8 @@
                 status,
                 headers,
                 HeaderMaps.contentLength(headers),
-                new Frame.Load(Math.max(load.permille(), reported), load.serviceMs())));
+                new Frame.Load(
+                        Math.max(load.permille(), reported), load.serviceMs(), load.workPercent(), load.room())));
     }
 
     @Override
