--- a/daemon/src/main/java/org/mimosahinge/daemon/traffic/CallMetrics.java
+++ b/daemon/src/main/java/org/mimosahinge/daemon/traffic/CallMetrics.java
@@ -34,6 +34,8 @@
     private final Counter responsesTruncated;
     private final Counter attemptsFailed;
     private final Counter callsReceived;
+    private final Counter startedBehindOthers;
+    private final Counter responsesHeld;
     private final AtomicLong longestDelayMs = new AtomicLong();
     private final AtomicLong longestTransitMs = new AtomicLong();
     private final Map<TrafficLoop, Long> notRead = new ConcurrentHashMap<>();
@@ -61,6 +63,8 @@
         responsesTruncated = registry.counter("mimosahinge_responses_cut_total");
         attemptsFailed = registry.counter("mimosahinge_attempts_failed_total");
         callsReceived = registry.counter("mimosahinge_calls_arrived_total");
+        startedBehindOthers = registry.counter("mimosahinge_calls_started_behind_others_total");
+        responsesHeld = registry.counter("mimosahinge_responses_held_total");
         gauge("mimosahinge_traffic_delay_ms", () -> longestDelayMs.getAndSet(0));
         gauge("mimosahinge_call_transit_ms", () -> longestTransitMs.getAndSet(0));
         gauge(
@@ -137,6 +141,16 @@
         counter("mimosahinge_calls_cancelled_total", "state", state).inc();
     }
 
+    /** Counts a call that is started while others before it on its caller's connection are unanswered. */
+    void startedBehindOthers() {
+        startedBehindOthers.inc();
+    }
+
+    /** Counts a response that is held until those before it on its caller's connection are written. */
+    void responseHeld() {
+        responsesHeld.inc();
+    }
+
     void callersNotRead(TrafficLoop loop, long connections) {
         notRead.put(loop, connections);
     }
