--- a/core/src/test/java/org/mimosahinge/core/organisation/QuotaFleet.java
+++ b/core/src/test/java/org/mimosahinge/core/organisation/QuotaFleet.java
@@ -27,6 +27,10 @@
 
     private static final int TICK_MS = 200;
     private static final int CHECK_MS = 10;
+
+    /** Wait of callers that are told none. */
+    private static final int UNTOLD_WAIT_MS = 300;
+
     private static final int MAX_RETRIES = 2;
     private static final int LIVENESS_TICKS = 2;
     private static final double CALLS_PER_S = 900;
@@ -151,6 +155,9 @@
     private final Map<String, Integer> refusedFirst = new HashMap<>();
     private final Admission admission;
     private final int nodeCount;
+    private int returned;
+    private int returnedAdmitted;
+    private boolean told = true;
     private double lossFraction;
     private double reportLossFraction;
     private int maxDelayMs = 40;
@@ -294,7 +301,12 @@
         while (dead.contains(node)) {
             node = random.nextInt(nodes.size());
         }
-        if (admission.admits(this, node, call.organisation())) {
+        boolean admits = admission.admits(this, node, call.organisation());
+        if (call.retries() > 0) {
+            returned++;
+            returnedAdmitted += admits ? 1 : 0;
+        }
+        if (admits) {
             if (random.nextDouble() < NOT_RUN_FRACTION) {
                 Node at = nodes.get(node);
                 at.gates.computeIfPresent(call.organisation(), (name, gate) -> gate.givenBack());
@@ -310,7 +322,8 @@
         if (call.retries() == 0) {
             refusedFirst.merge(call.organisation(), 1, Integer::sum);
         }
-        comeBack(call, nodes.get(node).gates.get(call.organisation()).retryAfterMs(nowMs, random::nextInt));
+        QuotaGate gate = nodes.get(node).gates.get(call.organisation());
+        comeBack(call, told ? gate.retryAfterMs(nowMs, random::nextInt) : UNTOLD_WAIT_MS);
     }
 
     private void comeBack(Call call, long afterMs) {
@@ -345,6 +358,16 @@
         maxDelayMs = delayMs;
     }
 
+    /** Lets callers come back after a constant time instead of the one that they are told. */
+    void withoutRetryAfter() {
+        told = false;
+    }
+
+    /** Returns the fraction of the callers that came back which were then admitted. */
+    double admittedOnReturn() {
+        return (double) returnedAdmitted / returned;
+    }
+
     void loseReports(double fraction) {
         reportLossFraction = fraction;
     }
--- a/core/src/test/java/org/mimosahinge/core/organisation/QuotaSchedulesTest.java
+++ b/core/src/test/java/org/mimosahinge/core/organisation/QuotaSchedulesTest.java
@@ -8,6 +8,7 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.Arguments;
 import org.junit.jupiter.params.provider.MethodSource;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /** Guards against quotas that are exceeded over all nodes together, and against refusals of what is below a quota. */
 class QuotaSchedulesTest {
@@ -123,6 +124,28 @@
                 fleet.worstExcess, fleet.wronglyRefused(), fleet.refusedOfOthers(hot), fleet.reports, fleet.answers);
     }
 
+    private static double admittedOnReturn(int jumpMs, Consumer<QuotaFleet> callers) {
+        QuotaFleet fleet = new QuotaFleet(80, 82, 7, QuotaFleet::coordinated);
+        callers.accept(fleet);
+        fleet.run(CALM_MS);
+        fleet.setDemand(LARGEST, JUMP_FACTOR);
+        fleet.run(jumpMs);
+        fleet.setDemand(LARGEST, 1);
+        fleet.run(CALM_MS);
+        return fleet.admittedOnReturn();
+    }
+
+    // A wait that does not come true costs the caller its few retries. Baseline: callers that are told no wait.
+    @ParameterizedTest
+    @ValueSource(ints = {500, 1_000})
+    void refusedCallersAreAdmittedMoreOftenAfterTheAnnouncedWait(int jumpMs) {
+        double told = admittedOnReturn(jumpMs, fleet -> {});
+        double untold = admittedOnReturn(jumpMs, QuotaFleet::withoutRetryAfter);
+        String figures = "admitted on return " + told + ", without the wait " + untold;
+        assertTrue(told > untold, figures);
+        assertTrue(told >= 0.5, figures);
+    }
+
     private static Stream<Schedule> jumps() {
         return schedules().filter(schedule -> schedule.name().endsWith("jumps"));
     }
