Test requests of one connection that run side by side

Write an interim response past the HTTP codec: the codec took 100 Continue for the response to its request, so the response behind it counted as that to the next request and lost its body if that one was a HEAD.

--- a/daemon/src/main/java/org/mimosahinge/daemon/traffic/RequestExchange.java
+++ b/daemon/src/main/java/org/mimosahinge/daemon/traffic/RequestExchange.java
@@ -3,7 +3,6 @@
 import io.netty.buffer.ByteBufUtil;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
-import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.DefaultHttpContent;
 import io.netty.handler.codec.http.DefaultHttpResponse;
 import io.netty.handler.codec.http.DefaultLastHttpContent;
@@ -13,9 +12,11 @@
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpServerCodec;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
+import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
@@ -30,6 +31,7 @@
 final class RequestExchange implements CallerSink {
 
     private static final String HOST = "host";
+    private static final byte[] CONTINUE = "HTTP/1.1 100 Continue\r\n\r\n".getBytes(StandardCharsets.US_ASCII);
 
     private final ExchangeQueue queue;
     private final TrafficLoop loop;
@@ -49,6 +51,7 @@
     private long bodyBytes;
     private boolean inTurn;
     private boolean requestComplete;
+    private boolean responseHeld;
     private boolean headWritten;
     private boolean responseDecided;
     private boolean responseWritten;
@@ -113,12 +116,16 @@
             return;
         }
         if (awaitsContinue) {
-            channel.writeAndFlush(new DefaultFullHttpResponse(
-                    HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE, Unpooled.EMPTY_BUFFER));
+            writeContinue();
         }
         call.begin();
     }
 
+    /** The codec would take this for the response to the request, and the response for that to the next request. */
+    private void writeContinue() {
+        channel.pipeline().context(HttpServerCodec.class).writeAndFlush(Unpooled.wrappedBuffer(CONTINUE));
+    }
+
     /** Writes what is held of the response, and the rest as it arrives. */
     void takeTurn() {
         for (int i = 0; i < held.size(); i++) {
@@ -136,7 +143,8 @@
             step.run();
             return;
         }
-        if (held.isEmpty()) {
+        if (!responseHeld) {
+            responseHeld = true;
             loop.context().metrics().responseHeld();
         }
         held.add(step);
--- a/daemon/src/test/java/org/mimosahinge/daemon/traffic/TestCaller.java
+++ b/daemon/src/test/java/org/mimosahinge/daemon/traffic/TestCaller.java
@@ -61,7 +61,11 @@
 
     /** Reads until the node closes the connection and returns the statuses of all responses. */
     String statuses() throws IOException {
-        String text = new String(socket.getInputStream().readAllBytes(), StandardCharsets.ISO_8859_1);
+        return statuses(new String(socket.getInputStream().readAllBytes(), StandardCharsets.ISO_8859_1));
+    }
+
+    /** Returns the statuses of all responses in a text. */
+    static String statuses(String text) {
         List<String> found =
                 STATUS.matcher(text).results().map(match -> match.group(1)).toList();
         return String.join(" ", found);
