--- a/daemon/src/main/java/org/mimosahinge/daemon/traffic/ExchangeQueue.java
+++ b/daemon/src/main/java/org/mimosahinge/daemon/traffic/ExchangeQueue.java
@@ -78,8 +78,7 @@
     /** Returns whether a request may be started although those before it are unanswered. */
     boolean mayStart(RequestExchange next) {
         return !loop.plane().closingCallers()
-                && POLICY.mayStart(
-                        exchanges.size(), exchanges.getLast().pipelinedRequest(), next.pipelinedRequest());
+                && POLICY.mayStart(exchanges.size(), exchanges.getLast().pipelinedRequest(), next.pipelinedRequest());
     }
 
     void start(RequestExchange exchange) {
--- a/daemon/src/main/java/org/mimosahinge/daemon/traffic/RequestExchange.java
+++ b/daemon/src/main/java/org/mimosahinge/daemon/traffic/RequestExchange.java
@@ -56,8 +56,7 @@
     private boolean responseDecided;
     private boolean responseWritten;
 
-    RequestExchange(
-            ExchangeQueue queue, TrafficLoop loop, HttpRequest request, Snapshot snapshot, RequestDelay delay) {
+    RequestExchange(ExchangeQueue queue, TrafficLoop loop, HttpRequest request, Snapshot snapshot, RequestDelay delay) {
         this.queue = queue;
         this.loop = loop;
         this.snapshot = snapshot;
--- a/daemon/src/test/java/org/mimosahinge/daemon/traffic/PipelinedRequestsTest.java
+++ b/daemon/src/test/java/org/mimosahinge/daemon/traffic/PipelinedRequestsTest.java
@@ -395,13 +395,17 @@
             }
             backend.awaitRequests(count);
             TrafficPlane plane = mesh.planes.get(0);
-            assertEquals(1, plane.closeIdleCallers(Duration.ZERO).toCompletableFuture().get());
+            assertEquals(
+                    1,
+                    plane.closeIdleCallers(Duration.ZERO).toCompletableFuture().get());
             release.countDown();
             for (int i = 1; i <= count; i++) {
                 assertEquals("/x/" + i, caller.body());
             }
             TimeUnit.MILLISECONDS.sleep(2);
-            assertEquals(0, plane.closeIdleCallers(Duration.ZERO).toCompletableFuture().get());
+            assertEquals(
+                    0,
+                    plane.closeIdleCallers(Duration.ZERO).toCompletableFuture().get());
             assertEquals("", caller.statuses());
             assertFalse(backend.received.isEmpty());
         }
@@ -425,7 +429,11 @@
             ScriptedBackend server = ScriptedBackend.start((request, out) -> {
                 if (!answer.respond(request, out)) {
                     try {
-                        holder.get(0).sockets.get(request.connection() - 1).getInputStream().transferTo(out);
+                        holder.get(0)
+                                .sockets
+                                .get(request.connection() - 1)
+                                .getInputStream()
+                                .transferTo(out);
                     } finally {
                         cancelled.countDown();
                     }
