Prefer a working set of endpoints whose load is known

Cause: an entry node compared all endpoints of a service and met each of 52 every 3 to 4 s, so that most choices assumed a load. Calls queued at some endpoints while others were idle.

Change: PreferenceOrder orders the endpoints of a service for each node.

--- a/core/src/main/java/org/mimosahinge/core/routing/EndpointChoiceRequest.java
+++ b/core/src/main/java/org/mimosahinge/core/routing/EndpointChoiceRequest.java
@@ -1,7 +1,9 @@
 package org.mimosahinge.core.routing;
 
 import java.util.Set;
+import java.util.function.Supplier;
 import org.mimosahinge.api.world.AvailabilityZone;
+import org.mimosahinge.core.placement.PreferenceOrder;
 
 /**
  * Describes a call that needs an endpoint of a service.
@@ -11,6 +13,27 @@
  * @param zone zone of the choosing node
  * @param excluded identifiers of endpoints that were already tried
  * @param expectedKb expected size of request and response together, in kilobytes
+ * @param preference order in which the choosing node prefers the endpoints; asked for only when a choice needs it
  */
 public record EndpointChoiceRequest(
-        String service, EndpointFilter filter, AvailabilityZone zone, Set<String> excluded, double expectedKb) {}
+        String service,
+        EndpointFilter filter,
+        AvailabilityZone zone,
+        Set<String> excluded,
+        double expectedKb,
+        Supplier<PreferenceOrder> preference) {
+
+    /**
+     * Describes a call of a node that prefers no endpoints.
+     *
+     * @param service the service
+     * @param filter selects the endpoints that may take the call
+     * @param zone zone of the choosing node
+     * @param excluded identifiers of endpoints that were already tried
+     * @param expectedKb expected size of request and response together, in kilobytes
+     */
+    public EndpointChoiceRequest(
+            String service, EndpointFilter filter, AvailabilityZone zone, Set<String> excluded, double expectedKb) {
+        this(service, filter, zone, excluded, expectedKb, () -> PreferenceOrder.NONE);
+    }
+}
--- a/core/src/main/java/org/mimosahinge/core/routing/EndpointChoosers.java
+++ b/core/src/main/java/org/mimosahinge/core/routing/EndpointChoosers.java
@@ -102,15 +102,19 @@
     static List<Endpoint> eligible(EndpointChoiceRequest request, Snapshot snapshot) {
         List<Endpoint> found = new ArrayList<>();
         for (Endpoint endpoint : snapshot.endpoints().getOrDefault(request.service(), List.of())) {
-            if (endpoint.state() == EndpointState.READY
-                    && request.filter().admits(endpoint)
-                    && !request.excluded().contains(endpoint.id())) {
+            if (isEligible(request, endpoint)) {
                 found.add(endpoint);
             }
         }
         return found;
     }
 
+    static boolean isEligible(EndpointChoiceRequest request, Endpoint endpoint) {
+        return endpoint.state() == EndpointState.READY
+                && request.filter().admits(endpoint)
+                && !request.excluded().contains(endpoint.id());
+    }
+
     private static Optional<EndpointChoice> choice(EndpointChoiceRequest request, Endpoint endpoint, int candidates) {
         return Optional.of(new EndpointChoice(endpoint, proximity(request, endpoint), candidates));
     }
