Carry stated loads to the entry nodes and count choices by their knowledge

Cause: the load that backend servers state in their responses was read nowhere, so that entry nodes sent calls to VMs on which work took 2.5 times as long, and no metric showed how old the knowledge behind a choice was.

Change: the last node reads the stated load of each response (BackendCall) and its frames carry the time of work as far as it still holds (WorkTime: the difference from the usual time is gone after 500 ms). Counters tell why endpoints were chosen and how old their reports were; the sampled routing line has both.

--- a/core/src/main/java/org/mimosahinge/core/placement/WorkTime.java
+++ b/core/src/main/java/org/mimosahinge/core/placement/WorkTime.java
@@ -16,6 +16,22 @@
     /** The figure changes many times a second; after this time it says nothing about the present. */
     private static final double LIFETIME_MS = 500;
 
+    /** Bounds of the figures that are believed; a garbled one must not keep calls away or attract all of them. */
+    private static final int MIN_PERCENT = 20;
+
+    private static final int MAX_PERCENT = 1_000;
+
+    /**
+     * Creates the record of a statement.
+     *
+     * @param percent the stated time of work, 100 for the usual time
+     * @param nowMs the current time
+     * @return the record
+     */
+    public static WorkTime stated(int percent, long nowMs) {
+        return new WorkTime(Math.max(MIN_PERCENT, Math.min(MAX_PERCENT, percent)), nowMs);
+    }
+
     /**
      * Returns the figure as far as it still holds; its difference from the usual time falls to zero with its age.
      *
--- a/daemon/src/main/java/org/mimosahinge/daemon/traffic/BackendAdmission.java
+++ b/daemon/src/main/java/org/mimosahinge/daemon/traffic/BackendAdmission.java
@@ -8,6 +8,7 @@
 import org.mimosahinge.api.contract.CallClass;
 import org.mimosahinge.api.contract.ServiceLimits;
 import org.mimosahinge.api.world.Endpoint;
+import org.mimosahinge.api.world.ServerLoad;
 import org.mimosahinge.core.admission.AdmissionDecision;
 import org.mimosahinge.core.admission.AdmissionLimits;
 import org.mimosahinge.core.admission.AdmissionPolicy;
@@ -17,6 +18,7 @@
 import org.mimosahinge.core.admission.TimelyDemand;
 import org.mimosahinge.core.move.CallOutcomesKey;
 import org.mimosahinge.core.move.FailureKind;
+import org.mimosahinge.core.placement.WorkTime;
 import org.mimosahinge.core.retry.RunningRepeats;
 import org.mimosahinge.net.frame.Frame;
 import org.mimosahinge.net.log.EventLog;
@@ -46,6 +48,7 @@
     private int running;
     private int lateRunning;
     private long arrivals;
+    private WorkTime workTime = WorkTime.NOT_STATED;
 
     BackendAdmission(TrafficLoop loop, Endpoint endpoint) {
         this.loop = loop;
@@ -279,9 +282,15 @@
         return running == 0 && waiting.isEmpty() && pool.idle();
     }
 
+    /** Records the load that the backend server has stated; its occupancy is known better from this node's calls. */
+    void stated(ServerLoad load) {
+        workTime = WorkTime.stated(load.workPercent(), TrafficLoop.nowMs());
+    }
+
     /** Returns the occupancy of the slots, which responses carry to other nodes as a hint. */
     Frame.Load load() {
         int permille = PERMILLE * (running + waiting.size()) / limits.slots();
-        return new Frame.Load(permille, (int) Math.round(slotTimeAverages.overallMs()));
+        return new Frame.Load(
+                permille, (int) Math.round(slotTimeAverages.overallMs()), workTime.percentAt(TrafficLoop.nowMs()), 0);
     }
 }
--- a/daemon/src/main/java/org/mimosahinge/daemon/traffic/BackendCall.java
+++ b/daemon/src/main/java/org/mimosahinge/daemon/traffic/BackendCall.java
@@ -213,6 +213,7 @@
         if (admission.protocol().refused().test(status, headers)) {
             connection.callRefused();
         }
+        admission.protocol().serverLoad().apply(headers).ifPresent(admission::stated);
         Frame.Load load = admission.load();
         int reported = (int) Math.min(1000, HeaderMaps.number(headers, "x-load"));
         observer.started(new Frame.ResponseStart(
@@ -220,7 +221,7 @@
                 status,
                 headers,
                 HeaderMaps.contentLength(headers),
-                new Frame.Load(Math.max(load.permille(), reported), load.serviceMs())));
+                load.withPermille(Math.max(load.permille(), reported))));
     }
 
     @Override
--- a/daemon/src/main/java/org/mimosahinge/daemon/traffic/CallMetrics.java
+++ b/daemon/src/main/java/org/mimosahinge/daemon/traffic/CallMetrics.java
@@ -10,6 +10,8 @@
 import java.util.concurrent.atomic.AtomicLong;
 import org.mimosahinge.api.contract.CallClass;
 import org.mimosahinge.api.error.ErrorCode;
+import org.mimosahinge.core.routing.ChoiceReason;
+import org.mimosahinge.core.routing.EndpointChoice;
 
 /**
  * Counts calls at their entry node by class and outcome, and their latencies.
@@ -21,6 +23,9 @@
     /** Upper bounds of the latency buckets in milliseconds, doubling from a local response to a long download. */
     private static final long[] BUCKETS_MS = {5, 10, 20, 40, 80, 160, 320, 640, 1_280, 2_560, 5_120};
 
+    /** Within 250 ms a backend server's load changes little; from 2 s on, a report counts for nothing or next to it. */
+    private static final long[] REPORT_AGES_MS = {250, 2_000};
+
     private static final int MIN_CALLER_ERROR_STATUS = 400;
 
     private final MetricRegistry registry;
@@ -28,6 +33,8 @@
     private final Map<ErrorCode, Counter> refused = new EnumMap<>(ErrorCode.class);
     private final Map<ErrorCode, Counter> failed = new EnumMap<>(ErrorCode.class);
     private final Map<RejectCause, Counter> rejected = new EnumMap<>(RejectCause.class);
+    private final Map<ChoiceReason, Counter> choices = new EnumMap<>(ChoiceReason.class);
+    private final Counter[] reportAges = new Counter[REPORT_AGES_MS.length + 1];
     private final Counter redirectsPassedOn;
     private final Counter callerErrorsPassedOn;
     private final Counter callersDisconnected;
@@ -55,6 +62,15 @@
         for (RejectCause cause : RejectCause.values()) {
             rejected.put(cause, counter("mimosahinge_requests_rejected_total", "cause", cause.label()));
         }
+        for (ChoiceReason reason : ChoiceReason.values()) {
+            choices.put(
+                    reason,
+                    counter("mimosahinge_choices_total", "reason", reason.name().toLowerCase(Locale.ROOT)));
+        }
+        for (int i = 0; i < reportAges.length; i++) {
+            String bound = i < REPORT_AGES_MS.length ? Long.toString(REPORT_AGES_MS[i]) : "+Inf";
+            reportAges[i] = counter("mimosahinge_choice_report_age_ms_bucket", "le", bound);
+        }
         redirectsPassedOn = counter("mimosahinge_answers_passed_on_total", "status", "3xx");
         callerErrorsPassedOn = counter("mimosahinge_answers_passed_on_total", "status", "4xx");
         callersDisconnected = registry.counter("mimosahinge_callers_left_total");
@@ -104,6 +120,19 @@
         latencies.get(callClass).observe(ms);
     }
 
+    /** Counts the choice of an endpoint by its reason and the age of the endpoint's last report. */
+    void chosen(EndpointChoice choice) {
+        choices.get(choice.reason()).inc();
+        if (choice.reportAgeMs() == EndpointChoice.REPORTS_UNUSED) {
+            return;
+        }
+        for (int i = REPORT_AGES_MS.length;
+                i >= 0 && (i == REPORT_AGES_MS.length || choice.reportAgeMs() <= REPORT_AGES_MS[i]);
+                i--) {
+            reportAges[i].inc();
+        }
+    }
+
     void refused(ErrorCode code) {
         refused.get(code).inc();
     }
--- a/daemon/src/main/java/org/mimosahinge/daemon/traffic/CallPlan.java
+++ b/daemon/src/main/java/org/mimosahinge/daemon/traffic/CallPlan.java
@@ -68,7 +68,8 @@
                     filter,
                     loop.context().config().self().zone(),
                     excluded,
-                    loop.sizes().expectedKb(route.name()));
+                    loop.sizes().expectedKb(route.name()),
+                    () -> loop.workingSets().order(service.name(), snapshot));
             Optional<EndpointChoice> choice =
                     policies.chooser().choose(choiceRequest, snapshot, loop::load, policies.random());
             if (choice.isPresent()) {
@@ -147,7 +148,7 @@
     }
 
     Attempt newAttempt(EntryCall call, EndpointChoice choice) {
-        loop.logChoice(route, choice);
+        loop.recordChoice(route, choice);
         triedEndpoints.add(choice.endpoint().id());
         return new Attempt(call, loop, choice.endpoint(), route);
     }
--- a/daemon/src/main/java/org/mimosahinge/daemon/traffic/EndpointTracker.java
+++ b/daemon/src/main/java/org/mimosahinge/daemon/traffic/EndpointTracker.java
@@ -1,6 +1,7 @@
 package org.mimosahinge.daemon.traffic;
 
 import org.mimosahinge.core.admission.RecentRefusals;
+import org.mimosahinge.core.placement.WorkTime;
 import org.mimosahinge.core.routing.EndpointLoad;
 import org.mimosahinge.core.routing.EndpointStats;
 import org.mimosahinge.net.frame.Frame;
@@ -26,6 +27,7 @@
     private double failureFraction;
     private long outcomeAtMs;
     private int sentSinceReport;
+    private WorkTime workTime = WorkTime.NOT_STATED;
     private final RecentRefusals recentRefusals = new RecentRefusals();
 
     EndpointTracker(long nowMs) {
@@ -56,6 +58,9 @@
         if (load.serviceMs() > 0) {
             serviceMs = load.serviceMs();
         }
+        if (load.workPercent() != 0) {
+            workTime = WorkTime.stated(load.workPercent(), nowMs);
+        }
         reportedAtMs = nowMs;
         sentSinceReport = 0;
         suspectUntilMs = Long.MIN_VALUE;
@@ -77,7 +82,8 @@
 
     EndpointLoad load(long nowMs, boolean reachable, double roundTripMs) {
         long age = reportedAtMs == Long.MIN_VALUE ? Long.MAX_VALUE : nowMs - reportedAtMs;
-        EndpointStats stats = new EndpointStats(serviceMs, failureFraction(nowMs), roundTripMs, sentSinceReport);
+        EndpointStats stats = new EndpointStats(
+                serviceMs, failureFraction(nowMs), roundTripMs, sentSinceReport, workTime.percentAt(nowMs));
         return new EndpointLoad(
                 outstanding, reportedPermille, age, nowMs - readySinceMs, !reachable || nowMs < suspectUntilMs, stats);
     }
--- a/daemon/src/main/java/org/mimosahinge/daemon/traffic/TrafficLoop.java
+++ b/daemon/src/main/java/org/mimosahinge/daemon/traffic/TrafficLoop.java
@@ -4,6 +4,7 @@
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Locale;
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
@@ -62,6 +63,7 @@
     private final Map<HostPort, Integer> failedDials = new HashMap<>();
     private final RetryBudgets retryBudgets = new RetryBudgets();
     private final WeightedRoundRobin roundRobin = new WeightedRoundRobin();
+    private final WorkingSets workingSets;
     private final ResponseSizes sizes = new ResponseSizes();
     private final HeartbeatTimer heartbeatTimer;
     private final CallerDeadlines callerDeadlines = new CallerDeadlines();
@@ -77,6 +79,7 @@
     TrafficLoop(TrafficPlane plane, EventLoop eventLoop) {
         this.plane = plane;
         this.eventLoop = eventLoop;
+        workingSets = new WorkingSets(plane.context().config().self());
         heartbeatTimer = new HeartbeatTimer(eventLoop);
         callLog = new CallLog(
                 this, plane.context().metrics(), plane.context().config().logEvery());
@@ -96,6 +99,10 @@
         return roundRobin;
     }
 
+    WorkingSets workingSets() {
+        return workingSets;
+    }
+
     ResponseSizes sizes() {
         return sizes;
     }
@@ -355,8 +362,9 @@
         firstByteLatencies.put(route, firstByteLatency(route).withSample(firstByteMs));
     }
 
-    /** Logs one in {@link TrafficConfig#logEvery()} routing decisions. */
-    void logChoice(Route route, EndpointChoice choice) {
+    /** Counts a routing decision and logs one in {@link TrafficConfig#logEvery()}. */
+    void recordChoice(Route route, EndpointChoice choice) {
+        context().metrics().chosen(choice);
         int every = context().config().logEvery();
         if (every > 0 && choiceCount++ % every == 0) {
             LOG.info(
@@ -372,7 +380,11 @@
                     "proximity",
                     choice.proximity(),
                     "candidates",
-                    choice.candidates());
+                    choice.candidates(),
+                    "reason",
+                    choice.reason().name().toLowerCase(Locale.ROOT),
+                    "report_age_ms",
+                    choice.reportAgeMs() == Long.MAX_VALUE ? -1 : choice.reportAgeMs());
         }
     }
 
--- /dev/null
+++ b/daemon/src/test/java/org/mimosahinge/daemon/traffic/StatedLoadTest.java
@@ -0,0 +1,62 @@
+package org.mimosahinge.daemon.traffic;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.Map;
+import java.util.Optional;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.mimosahinge.api.world.ServerLoad;
+import org.mimosahinge.core.routing.CostModel;
+import org.mimosahinge.core.routing.ExpectedTimeChooser;
+import org.mimosahinge.net.frame.Frame;
+
+/** Guards against figures of backend servers that are lost on their way to the entry node or outlive their truth. */
+class StatedLoadTest {
+
+    private static final String STATED = "x-stated-percent";
+
+    private static Optional<ServerLoad> read(Map<String, String> headers) {
+        return Optional.ofNullable(headers.get(STATED))
+                .map(percent -> new ServerLoad(1, 0, 4, Integer.parseInt(percent)));
+    }
+
+    private static TestMesh mesh() {
+        CallProtocol protocol =
+                CallProtocol.builder().serverLoad(StatedLoadTest::read).build();
+        TrafficPolicies standard = TrafficPolicies.standard();
+        return new TestMesh(
+                2,
+                null,
+                1,
+                protocol,
+                new TrafficPolicies(
+                        ExpectedTimeChooser.create(CostModel.TIME_ONLY), standard.retry(), standard.random()));
+    }
+
+    /** The first choice of each service is made before any response; the others know whether it states its load. */
+    @ParameterizedTest(name = "endpoint on node {0}, header \"{1}\"")
+    @CsvSource({"0, x-stated-percent: 250, 9", "1, x-stated-percent: 250, 9", "1, x-other: 1, 0"})
+    void workingSetsAreUsedOnceABackendServerStatesItsLoad(int node, String header, int choicesInSet) throws Exception {
+        try (ScriptedBackend backend =
+                        ScriptedBackend.start((request, out) -> ScriptedBackend.respond(out, "200 OK", "a", header));
+                TestMesh mesh =
+                        mesh().route(TestMesh.route("/x", true, false)).endpoint(node, "svc", backend.address(), 4)) {
+            for (int i = 0; i < 10; i++) {
+                assertEquals(200, mesh.get("/x").statusCode());
+            }
+            assertEquals(choicesInSet, mesh.count(0, "mimosahinge_choices_total{reason=\"member\"}"));
+            assertTrue(mesh.count(0, "mimosahinge_choice_report_age_ms_bucket{le=\"+Inf\"}") >= choicesInSet);
+        }
+    }
+
+    @ParameterizedTest(name = "stated {0} %, {1} ms ago: {2} %")
+    @CsvSource({"0, 0, 0", "100, 0, 100", "250, 0, 250", "250, 250, 175", "250, 500, 100", "250, 60000, 100"})
+    void aStatedFigureLosesItsWeightWithinHalfASecond(int percent, long ageMs, int expected) {
+        EndpointTracker tracker = new EndpointTracker(0);
+        tracker.recordLoad(new Frame.Load(500, 90, percent, 0), 1_000);
+        tracker.recordLoad(new Frame.Load(700, 90), 1_000 + ageMs);
+        assertEquals(expected, tracker.load(1_000 + ageMs, true, 1).stats().workPercent());
+    }
+}
--- a/net/src/main/java/org/mimosahinge/net/frame/Frame.java
+++ b/net/src/main/java/org/mimosahinge/net/frame/Frame.java
@@ -317,6 +317,16 @@
             this(permille, serviceMs, 0, 0);
         }
 
+        /**
+         * Returns a copy with another occupancy.
+         *
+         * @param other running and queued calls, in thousandths of the endpoint's slots
+         * @return the copy
+         */
+        public Load withPermille(int other) {
+            return new Load(other, serviceMs, workPercent, room);
+        }
+
         /** Returns whether the endpoint states anything beyond the occupancy of its slots. */
         boolean tellsMachine() {
             return workPercent != 0 || room != 0;
