--- a/daemon/src/main/java/org/mimosahinge/daemon/traffic/CallPlan.java
+++ b/daemon/src/main/java/org/mimosahinge/daemon/traffic/CallPlan.java
@@ -79,7 +79,8 @@
                     places.everywhere() ? filter : filter.and(places),
                     loop.context().config().self().zone(),
                     excluded,
-                    loop.sizes().expectedKb(route.name()));
+                    loop.sizes().expectedKb(route.name()),
+                    () -> loop.workingSets().order(service.name(), snapshot));
             Optional<EndpointChoice> choice =
                     policies.chooser().choose(choiceRequest, snapshot, loop::load, policies.random());
             if (choice.isPresent()) {
@@ -91,9 +92,7 @@
 
     private PermittedPlaces places(Snapshot snapshot) {
         return new PermittedPlaces(
-                route.access().regions(),
-                organisationRegions,
-                snapshot.rules().evacuatedZones());
+                route.access().regions(), organisationRegions, snapshot.rules().evacuatedZones());
     }
 
     /** Returns why the last choice found no endpoint. */
@@ -178,7 +177,7 @@
     }
 
     Attempt newAttempt(EntryCall call, EndpointChoice choice) {
-        loop.logChoice(route, choice);
+        loop.recordChoice(route, choice);
         triedEndpoints.add(choice.endpoint().id());
         return new Attempt(call, loop, choice.endpoint(), route);
     }
