End withdrawn keys in time on nodes without contact

Cause: a node that was cut off from the store and its neighbours, or paused, went on serving calls by keys that were withdrawn meanwhile. A configuration that could not be decoded still let the node count as up to date.

Change: where revokeStrict is set, RevocationGuard holds the proof of the configuration for the traffic threads, which compute its age at each call that needs a key; without a recent proof the call is refused as not run (503) and the node is not ready. Responses of the store are dated by the time at which their request was sent; a node that is no reader asks the store once when it has no bound on its clock. While a newer configuration is rejected, the node passes on no freshness.

--- a/daemon/src/main/java/org/mimosahinge/daemon/control/SnapshotReference.java
+++ b/daemon/src/main/java/org/mimosahinge/daemon/control/SnapshotReference.java
@@ -2,6 +2,7 @@
 
 import java.util.concurrent.TimeUnit;
 import java.util.function.LongSupplier;
+import java.util.function.Predicate;
 import org.mimosahinge.api.config.Snapshot;
 import org.mimosahinge.daemon.traffic.SnapshotSource;
 
@@ -10,6 +11,7 @@
 
     private final LongSupplier nanoTime;
     private volatile InForce current;
+    private volatile Predicate<Snapshot> keyProof = snapshot -> true;
 
     /** Starts with the empty snapshot and the machine's monotonic clock. */
     public SnapshotReference() {
@@ -47,6 +49,20 @@
                 : UNKNOWN_AGE_MS;
     }
 
+    @Override
+    public boolean provesKeys(Snapshot snapshot) {
+        return keyProof.test(snapshot);
+    }
+
+    /**
+     * Sets how snapshots prove their API keys; without it they always do.
+     *
+     * @param proof returns whether the keys of a snapshot may be used; called on traffic threads
+     */
+    public void setKeyProof(Predicate<Snapshot> proof) {
+        keyProof = proof;
+    }
+
     /**
      * Puts a snapshot in force; called on the control thread only.
      *
--- a/daemon/src/main/java/org/mimosahinge/daemon/fleet/DecodedRow.java
+++ b/daemon/src/main/java/org/mimosahinge/daemon/fleet/DecodedRow.java
@@ -12,6 +12,9 @@
      */
     record ConfigRow(FleetConfig config) implements DecodedRow {}
 
+    /** A configuration of the operators that cannot be decoded, so that an earlier one stays in force. */
+    record InvalidConfigRow() implements DecodedRow {}
+
     /**
      * An order to move traffic.
      *
--- a/daemon/src/main/java/org/mimosahinge/daemon/fleet/FleetControlPlane.java
+++ b/daemon/src/main/java/org/mimosahinge/daemon/fleet/FleetControlPlane.java
@@ -62,6 +62,7 @@
     private final ReportWriter reportWriter;
     private final MoveRegistry moveRegistry;
     private final FleetReadiness readiness = new FleetReadiness();
+    private final RevocationGuard revocationGuard;
     private TrafficPlane traffic;
     private PlatformRowFollower rowFollower;
     private final FleetSnapshots fleetSnapshots = new FleetSnapshots();
@@ -103,6 +104,8 @@
         this.decoder = decoder;
         this.nanoTime = nanoTime;
         peers = new Peers(self.id());
+        revocationGuard = new RevocationGuard(settings.organisationBounds(), nanoTime);
+        snapshots.setKeyProof(revocationGuard::covers);
         rowReplicator = new RowReplicator(self, sources, new PeerRowTransport(), nanoTime.getAsLong());
         localServer = new LocalBackendServer(self);
         reportWriter = new ReportWriter(self, store, nanoTime, this::reportRestored);
@@ -176,10 +179,28 @@
      * @param rows the rows, in any order
      * @param readRevision revision of the platform at its response
      * @param platformMs the platform's clock at its response, in milliseconds
+     * @param sentNanos monotonic clock before the request was sent
      */
-    public void operatorRowsRead(Collection<StoredRow> rows, long readRevision, long platformMs) {
+    public void operatorRowsRead(Collection<StoredRow> rows, long readRevision, long platformMs, long sentNanos) {
         applyRows(rows, Optional.empty());
-        rowReplicator.platformRead(readRevision, platformMs, nowNanos());
+        revocationGuard.responseReceived(platformMs, sentNanos);
+        updateFreshness(() -> rowReplicator.platformRead(readRevision, platformMs, nowNanos()));
+    }
+
+    private void updateFreshness(Runnable update) {
+        if (revocationGuard.newestConfigurationHeld()) {
+            update.run();
+            revocationGuard.proven(snapshots.get().version(), rowReplicator.platformMs());
+        }
+    }
+
+    /**
+     * Returns the age of the proof that the API keys in force are the newest ones; may be called on any thread.
+     *
+     * @return milliseconds, -1 without a proof
+     */
+    public long keyProofAgeMs() {
+        return revocationGuard.ageMs();
     }
 
     /**
@@ -200,6 +221,8 @@
             if (decoded.isPresent() && decoded.get() instanceof DecodedRow.NodeRow nodeRow) {
                 addressesChanged |= peers.addOrUpdate(nodeRow.node(), nowNanos());
                 peers.recordRow(nodeRow.node(), row.revision());
+            } else if (decoded.isPresent() && decoded.get() instanceof DecodedRow.InvalidConfigRow) {
+                revocationGuard.configurationRejected(row.revision());
             } else if (decoded.isPresent()
                     && rowReplicator.accept(
                             row, !(decoded.get() instanceof DecodedRow.MoveOutcomeRow), from, nowNanos())) {
@@ -233,6 +256,7 @@
 
     private boolean applyRow(DecodedRow row, long revision, String source) {
         if (row instanceof DecodedRow.ConfigRow configRow) {
+            revocationGuard.configurationRead(revision);
             return applyConfig(configRow.config(), revision, source);
         }
         if (row instanceof DecodedRow.MoveOrderRow orderRow) {
@@ -345,24 +369,7 @@
     }
 
     private void logEndpoint(String cause) {
-        localServer
-                .endpoint()
-                .ifPresent(endpoint -> LOG.info(
-                        "endpoint_state",
-                        "endpoint",
-                        endpoint.id(),
-                        "state",
-                        endpoint.state(),
-                        "service",
-                        endpoint.server().service(),
-                        "version",
-                        endpoint.server().version(),
-                        "born",
-                        endpoint.timestamp().incarnation(),
-                        "sequence",
-                        endpoint.timestamp().sequence(),
-                        "cause",
-                        cause));
+        localServer.endpoint().ifPresent(endpoint -> EndpointLog.state(endpoint, cause));
     }
 
     private void publishLocalEndpoint() {
@@ -451,29 +458,13 @@
                     .toList());
             List<Endpoint> outdated = peers.departedBefore(received.node().id(), sentEndpoints);
             if (!outdated.isEmpty()) {
-                outdated.forEach(endpoint -> LOG.info(
-                        "endpoint_outdated",
-                        "endpoint",
-                        endpoint.id(),
-                        "departure",
-                        endpoint.state(),
-                        "born",
-                        endpoint.timestamp().incarnation(),
-                        "node",
-                        received.node().id()));
+                outdated.forEach(endpoint ->
+                        EndpointLog.outdated(endpoint, received.node().id()));
                 sendDepartures(received.node(), outdated);
             }
             if (peers.endpointsReceived(received.node(), sentEndpoints, received.connectionId())) {
-                sentEndpoints.forEach(endpoint -> LOG.info(
-                        "endpoint_told",
-                        "endpoint",
-                        endpoint.id(),
-                        "state",
-                        endpoint.state(),
-                        "version",
-                        endpoint.server().version(),
-                        "node",
-                        received.node().id()));
+                sentEndpoints.forEach(
+                        endpoint -> EndpointLog.told(endpoint, received.node().id()));
                 boolean onlyReady =
                         sentEndpoints.stream().allMatch(endpoint -> endpoint.state() == EndpointState.READY);
                 if (onlyReady && !sentEndpoints.isEmpty()) {
@@ -485,7 +476,7 @@
         } else if (received.frame() instanceof Frame.RowSubscription request) {
             rowReplicator.subscriptionReceived(received.node().id(), request, nowNanos());
         } else if (received.frame() instanceof Frame.RowFreshness freshness) {
-            rowReplicator.freshnessReceived(received.node(), freshness, nowNanos());
+            updateFreshness(() -> rowReplicator.freshnessReceived(received.node(), freshness, nowNanos()));
         } else if (received.frame() instanceof Frame.RowDelta rowDelta) {
             rowReplicator
                     .restoreRow(rowDelta, received.node())
@@ -513,6 +504,7 @@
      */
     public void reload(FleetSettings changed) {
         settings = changed;
+        revocationGuard.reload(changed.organisationBounds());
         publishSnapshot();
     }
 
@@ -540,6 +532,10 @@
         reportWriter.tick();
         rowReplicator.tick(peers.connected(), peers.connectionsVersion(), nowNanos);
         removeUnreachable(nowNanos);
+        if (revocationGuard.requestsClock(snapshots.get())) {
+            rowReplicator.readPlatformOnce();
+        }
+        readiness.setKeysProven(revocationGuard.update(snapshots.get()));
         readiness.update(peers, nowNanos);
     }
 
--- a/daemon/src/main/java/org/mimosahinge/daemon/fleet/FleetReadiness.java
+++ b/daemon/src/main/java/org/mimosahinge/daemon/fleet/FleetReadiness.java
@@ -19,6 +19,7 @@
     private boolean configured;
     private boolean nodesRead;
     private boolean withdrawn;
+    private boolean keysProven = true;
     private long configuredNanos;
     private volatile boolean ready;
 
@@ -39,6 +40,11 @@
         nodesRead = true;
     }
 
+    /** Sets whether callers with API keys are served; others can serve them while this node cannot. */
+    void setKeysProven(boolean proven) {
+        keysProven = proven;
+    }
+
     /** Ends readiness before a planned stop. */
     void withdraw() {
         withdrawn = true;
@@ -51,7 +57,8 @@
 
     void update(Peers peers, long nowNanos) {
         boolean complete = nodesRead && peers.allConnected();
-        boolean next = configured && !withdrawn && (complete || nowNanos - configuredNanos >= TIMEOUT_NANOS);
+        boolean next =
+                configured && !withdrawn && keysProven && (complete || nowNanos - configuredNanos >= TIMEOUT_NANOS);
         if (next != ready) {
             LOG.info(
                     "ready",
@@ -59,6 +66,8 @@
                     next,
                     "nodes_read",
                     nodesRead,
+                    "keys_proven",
+                    keysProven,
                     "peers_up",
                     peers.connectedCount(),
                     "peers_known",
--- a/daemon/src/main/java/org/mimosahinge/daemon/fleet/RowReplicator.java
+++ b/daemon/src/main/java/org/mimosahinge/daemon/fleet/RowReplicator.java
@@ -201,6 +201,17 @@
         updateFreshness(revision, readPlatformMs, nowNanos);
     }
 
+    /** Returns the newest known time of the platform's clock up to which all rows have arrived here, 0 before any. */
+    long platformMs() {
+        return platformMs;
+    }
+
+    /** Asks the platform for one response, also on a node that does not read it otherwise. */
+    void readPlatformOnce() {
+        transport.followPlatform(true, readRevision);
+        transport.followPlatform(readingPlatform, readRevision);
+    }
+
     private void updateFreshness(long revision, long newPlatformMs, long nowNanos) {
         readRevision = Math.max(readRevision, revision);
         if (newPlatformMs > platformMs) {
--- a/daemon/src/main/java/org/mimosahinge/daemon/traffic/CallRouting.java
+++ b/daemon/src/main/java/org/mimosahinge/daemon/traffic/CallRouting.java
@@ -10,6 +10,7 @@
 import org.mimosahinge.core.deadline.RequestDelay;
 import org.mimosahinge.core.organisation.AccessDecision;
 import org.mimosahinge.core.organisation.AccessPolicy;
+import org.mimosahinge.core.organisation.RevocationPolicy;
 
 /**
  * The route and organisation of a caller's request, or the reason for which it is refused before its first attempt.
@@ -43,6 +44,11 @@
                     "No route of version " + snapshot.version() + " matches host and path");
         }
         AccessDecision access = identify(loop, request, snapshot, matched.get());
+        if (!(access instanceof AccessDecision.Anonymous)
+                && !loop.context().snapshots().provesKeys(snapshot)) {
+            // Not 401: the configuration that the node does not know may have added the key.
+            return refused(null, 0, ErrorCode.NOT_READY, RevocationPolicy.UNPROVEN);
+        }
         if (access instanceof AccessDecision.Unknown unknown) {
             return refused(null, 0, ErrorCode.UNAUTHENTICATED, unknown.reason());
         }
--- a/daemon/src/main/java/org/mimosahinge/daemon/traffic/SnapshotSource.java
+++ b/daemon/src/main/java/org/mimosahinge/daemon/traffic/SnapshotSource.java
@@ -19,4 +19,14 @@
     default long ageMs(Snapshot snapshot) {
         return UNKNOWN_AGE_MS;
     }
+
+    /**
+     * Returns whether the API keys of a snapshot are known to be recent enough to decide a call now.
+     *
+     * @param snapshot the snapshot that decides the call
+     * @return false if keys may have been withdrawn meanwhile
+     */
+    default boolean provesKeys(Snapshot snapshot) {
+        return true;
+    }
 }
--- a/daemon/src/test/java/org/mimosahinge/daemon/fleet/FleetReadinessTest.java
+++ b/daemon/src/test/java/org/mimosahinge/daemon/fleet/FleetReadinessTest.java
@@ -51,4 +51,19 @@
         readiness.update(peers, TimeUnit.MILLISECONDS.toNanos(afterMs));
         assertEquals(false, readiness.ready());
     }
+
+    /** A node without a proof of its keys must send callers to others, and take them again later. */
+    @ParameterizedTest(name = "proven {0}, then {1}: ready {1}")
+    @CsvSource({"true, false", "false, true", "false, false", "true, true"})
+    void notReadyWithoutAProofOfTheKeys(boolean before, boolean after) {
+        FleetReadiness readiness = new FleetReadiness();
+        Peers peers = new Peers(new NodeId("a"));
+        readiness.configurationApplied(0);
+        readiness.nodesRead();
+        for (boolean proven : new boolean[] {before, after}) {
+            readiness.setKeysProven(proven);
+            readiness.update(peers, 0);
+            assertEquals(proven, readiness.ready());
+        }
+    }
 }
