--- a/core/src/main/java/org/mimosahinge/core/pace/ColdBounds.java
+++ b/core/src/main/java/org/mimosahinge/core/pace/ColdBounds.java
@@ -28,8 +28,7 @@
         Map<String, ColdStart> limits = new HashMap<>();
         coldStarts.forEach((service, cold) -> limits.put(
                 service,
-                new ColdStart(
-                        cold.duration(), Math.min(cold.callsPerS(), cold.callsPerS() * overage + slack))));
+                new ColdStart(cold.duration(), Math.min(cold.callsPerS(), cold.callsPerS() * overage + slack))));
         return limits;
     }
 }
--- a/core/src/test/java/org/mimosahinge/core/pace/ColdSendLimitTest.java
+++ b/core/src/test/java/org/mimosahinge/core/pace/ColdSendLimitTest.java
@@ -98,7 +98,8 @@
      * the free slots of each server take more calls than it bears.
      */
     @ParameterizedTest(name = "{0} per second borne, {1} servers, {2} calls per second, target {3} ms")
-    @CsvSource({"5.27, 27, 700, 847", "5.27, 1, 60, 847", "12, 11, 300, 6000", "2.5, 53, 1000, 1047", "0.5, 4, 50, 6000"})
+    @CsvSource({"5.27, 27, 700, 847", "5.27, 1, 60, 847", "12, 11, 300, 6000", "2.5, 53, 1000, 1047", "0.5, 4, 50, 6000"
+    })
     void aFleetThatReturnsColdIsNotFlooded(double callsPerS, int servers, int demand, int targetMs) {
         for (boolean limited : new boolean[] {true, false}) {
             Random random = new Random(17);
@@ -161,7 +162,14 @@
     }
 
     @ParameterizedTest(name = "{0} sent, {1} ahead after {2} ms: waits {3} ms, {4} free")
-    @CsvSource({"0, 0, 0, 0, 3", "3, 0, 0, 1001, 0", "3, 0, 1000, 1, 0", "3, 0, 1001, 0, 3", "2, 0, 5, 0, 1", "2, 1, 5, 996, 0", "3, 4, 0, 2002, 0"
+    @CsvSource({
+        "0, 0, 0, 0, 3",
+        "3, 0, 0, 1001, 0",
+        "3, 0, 1000, 1, 0",
+        "3, 0, 1001, 0, 3",
+        "2, 0, 5, 0, 1",
+        "2, 1, 5, 996, 0",
+        "3, 4, 0, 2002, 0"
     })
     void tellsWhenThereIsRoom(int calls, int ahead, int afterMs, long waitMs, int free) {
         ColdSendLimit limit = new ColdSendLimit(cold(3.9));
--- a/core/src/test/java/org/mimosahinge/core/routing/PermittedPlacesTest.java
+++ b/core/src/test/java/org/mimosahinge/core/routing/PermittedPlacesTest.java
@@ -141,7 +141,8 @@
             assertEquals(List.of(), outside);
             assertEquals(400, refused);
         } else {
-            assertTrue(outside.size() >= 400, "The baseline should leave the homes, but did " + outside.size() + " times");
+            assertTrue(
+                    outside.size() >= 400, "The baseline should leave the homes, but did " + outside.size() + " times");
         }
     }
 }
--- a/daemon/src/main/java/org/mimosahinge/daemon/fleet/RowReplicator.java
+++ b/daemon/src/main/java/org/mimosahinge/daemon/fleet/RowReplicator.java
@@ -173,7 +173,9 @@
             return;
         }
         child.heldRevisions.put(row.key(), row.revision());
-        Optional<Frame> deltaFrame = (row.removed() ? Optional.<ContentDelta>empty() : cache.deltaFrom(row, baseRevision))
+        Optional<Frame> deltaFrame = (row.removed()
+                        ? Optional.<ContentDelta>empty()
+                        : cache.deltaFrom(row, baseRevision))
                 .map(contentDelta -> new Frame.RowDelta(row.key(), baseRevision, row.revision(), contentDelta));
         LOG.info(
                 "row_passed_on",
--- a/daemon/src/main/java/org/mimosahinge/daemon/traffic/BackendAdmission.java
+++ b/daemon/src/main/java/org/mimosahinge/daemon/traffic/BackendAdmission.java
@@ -323,9 +323,6 @@
     Frame.Load load() {
         int permille = PERMILLE * (running + waiting.size()) / limits.slots();
         return new Frame.Load(
-                permille,
-                (int) Math.round(slotTimeAverages.overallMs()),
-                0,
-                coldSending.room(running, limits.slots()));
+                permille, (int) Math.round(slotTimeAverages.overallMs()), 0, coldSending.room(running, limits.slots()));
     }
 }
--- a/daemon/src/main/java/org/mimosahinge/daemon/traffic/CallPlan.java
+++ b/daemon/src/main/java/org/mimosahinge/daemon/traffic/CallPlan.java
@@ -91,9 +91,7 @@
 
     private PermittedPlaces places(Snapshot snapshot) {
         return new PermittedPlaces(
-                route.access().regions(),
-                organisationRegions,
-                snapshot.rules().evacuatedZones());
+                route.access().regions(), organisationRegions, snapshot.rules().evacuatedZones());
     }
 
     /** Returns why the last choice found no endpoint. */
--- a/daemon/src/main/java/org/mimosahinge/daemon/traffic/ColdSending.java
+++ b/daemon/src/main/java/org/mimosahinge/daemon/traffic/ColdSending.java
@@ -60,7 +60,8 @@
                         view,
                         call,
                         limit.waitMs(
-                                view.nowMs(), unsent + view.waiting().headSet(call).size()))
+                                view.nowMs(),
+                                unsent + view.waiting().headSet(call).size()))
                 : unlimited;
     }
 
--- a/daemon/src/test/java/org/mimosahinge/daemon/traffic/EvacuatedZoneTest.java
+++ b/daemon/src/test/java/org/mimosahinge/daemon/traffic/EvacuatedZoneTest.java
@@ -77,10 +77,7 @@
             for (CompletableFuture<HttpResponse<String>> call : calls) {
                 outcomes.add(TestMesh.outcome(call.get()));
             }
-            assertEquals(
-                    4,
-                    outcomes.stream().filter("503 not-run"::equals).count(),
-                    outcomes.toString());
+            assertEquals(4, outcomes.stream().filter("503 not-run"::equals).count(), outcomes.toString());
             assertEquals(1, backend.received.size());
         }
     }
