--- a/daemon/src/test/java/org/mimosahinge/daemon/traffic/PipelinedRequestsTest.java
+++ b/daemon/src/test/java/org/mimosahinge/daemon/traffic/PipelinedRequestsTest.java
@@ -70,11 +70,8 @@
     /** Answers the first request only when the others have arrived; no other one is held back. */
     private static ScriptedBackend firstWaitsFor(CountDownLatch others) throws IOException {
         return ScriptedBackend.start((request, out) -> {
-            String status = "200 OK";
-            if (request.uri().equals("/x/1")) {
-                status = others.await(LIMIT_S, TimeUnit.SECONDS) ? status : "500 Others did not arrive";
-            }
-            ScriptedBackend.respond(out, status, request.uri() + request.body());
+            boolean arrived = !request.uri().equals("/x/1") || others.await(LIMIT_S, TimeUnit.SECONDS);
+            ScriptedBackend.respond(out, "200 OK", arrived ? request.uri() + request.body() : "others did not arrive");
             others.countDown();
         });
     }
