Judge an endpoint by the room that it states

Cause: an endpoint that may use two of its 13 slots reported 154 permille with both taken, so entry nodes took it for idle and sent it more calls.

Change: EndpointTracker keeps the occupancy of the room where a frame states one. Frames without room count as before.

--- a/daemon/src/main/java/org/mimosahinge/daemon/traffic/Attempt.java
+++ b/daemon/src/main/java/org/mimosahinge/daemon/traffic/Attempt.java
@@ -135,7 +135,7 @@
         if (ended) {
             return;
         }
-        tracker.recordLoad(start.load(), TrafficLoop.nowMs());
+        tracker.recordLoad(start.load(), endpoint.server().slots(), TrafficLoop.nowMs());
         if (loop.protocol().refused().test(start.status(), start.headers())) {
             call.attemptReached();
             end(Optional.of(FailureKind.SHED));
@@ -215,7 +215,7 @@
             tracker.connectionFailed(TrafficLoop.nowMs());
         }
         if (failure.load() != Frame.Load.UNKNOWN) {
-            tracker.recordLoad(failure.load(), TrafficLoop.nowMs());
+            tracker.recordLoad(failure.load(), endpoint.server().slots(), TrafficLoop.nowMs());
         }
         if (failure.notRun()) {
             if (code == ErrorCode.OVERLOADED && failure.estimatedWaitMs() > 0) {
--- a/daemon/src/main/java/org/mimosahinge/daemon/traffic/EndpointTracker.java
+++ b/daemon/src/main/java/org/mimosahinge/daemon/traffic/EndpointTracker.java
@@ -53,8 +53,8 @@
         return outstanding == 0;
     }
 
-    void recordLoad(Frame.Load load, long nowMs) {
-        reportedPermille = load.permille();
+    void recordLoad(Frame.Load load, int slots, long nowMs) {
+        reportedPermille = load.occupancyPermille(slots);
         if (load.serviceMs() > 0) {
             serviceMs = load.serviceMs();
         }
--- a/daemon/src/test/java/org/mimosahinge/daemon/traffic/StatedLoadTest.java
+++ b/daemon/src/test/java/org/mimosahinge/daemon/traffic/StatedLoadTest.java
@@ -55,8 +55,17 @@
     @CsvSource({"0, 0, 0", "100, 0, 100", "250, 0, 250", "250, 250, 175", "250, 500, 100", "250, 60000, 100"})
     void aStatedFigureLosesItsWeightWithinHalfASecond(int percent, long ageMs, int expected) {
         EndpointTracker tracker = new EndpointTracker(0);
-        tracker.recordLoad(new Frame.Load(500, 90, percent, 0), 1_000);
-        tracker.recordLoad(new Frame.Load(700, 90), 1_000 + ageMs);
+        tracker.recordLoad(new Frame.Load(500, 90, percent, 0), 4, 1_000);
+        tracker.recordLoad(new Frame.Load(700, 90), 4, 1_000 + ageMs);
         assertEquals(expected, tracker.load(1_000 + ageMs, true, 1).stats().workPercent());
     }
+
+    /** An endpoint that may use few of its slots looks idle by its slots, and all calls would be sent there. */
+    @ParameterizedTest(name = "{0} permille of 13 slots, room {1}: {2}")
+    @CsvSource({"500, 0, 500", "0, 2, 0", "154, 2, 1001", "77, 4, 250", "1000, 13, 1000"})
+    void occupancyIsThatOfTheRoom(int permille, int room, int expected) {
+        EndpointTracker tracker = new EndpointTracker(0);
+        tracker.recordLoad(new Frame.Load(permille, 90, 100, room), 13, 1_000);
+        assertEquals(expected, tracker.load(1_000, true, 1).reportedLoadPermille());
+    }
 }
--- a/net/src/main/java/org/mimosahinge/net/frame/Frame.java
+++ b/net/src/main/java/org/mimosahinge/net/frame/Frame.java
@@ -327,6 +327,16 @@
             return new Load(other, serviceMs, workPercent, room);
         }
 
+        /**
+         * Returns the occupancy of what the endpoint may use at present.
+         *
+         * @param slots slots of the endpoint
+         * @return running and queued calls, in thousandths of its room, or of its slots if it may use all of them
+         */
+        public int occupancyPermille(int slots) {
+            return room == 0 ? permille : permille * slots / room;
+        }
+
         /** Returns whether the endpoint states anything beyond the occupancy of its slots. */
         boolean tellsMachine() {
             return workPercent != 0 || room != 0;
