Bound the queue of a backend server before its first call has ended

Cause: after all machines have lost power, 20 to 35 calls queue at each endpoint before its first call has ended, because the estimated wait is 0 until then; many of them end late.

Change: where the service may be cold, at most two calls a slot wait until a call has ended (AdmissionLimits.beforeFirstCall). Services without a ColdStart are as before.

--- a/core/src/main/java/org/mimosahinge/core/admission/AdmissionLimits.java
+++ b/core/src/main/java/org/mimosahinge/core/admission/AdmissionLimits.java
@@ -19,6 +19,9 @@
      */
     private static final int RESERVED_DIVISOR = 10;
 
+    /** Two rounds of calls behind the running ones usually end within the target latency, longer queues do not. */
+    private static final int WAITING_PER_SLOT = 2;
+
     /**
      * Returns the limits of an endpoint.
      *
@@ -32,6 +35,16 @@
         return new AdmissionLimits(slots, reserved, limits.queueCapacity());
     }
 
+    /**
+     * Returns the limits while no call has ended. Nothing tells then how long a call would wait, and the callers of a
+     * fleet that has just started come all at once.
+     *
+     * @return limits with a short queue
+     */
+    public AdmissionLimits beforeFirstCall() {
+        return new AdmissionLimits(slots, reservedSlots, Math.min(queueCapacity, WAITING_PER_SLOT * slots));
+    }
+
     /**
      * Returns the number of slots that a class may use.
      *
--- a/daemon/src/main/java/org/mimosahinge/daemon/traffic/BackendAdmission.java
+++ b/daemon/src/main/java/org/mimosahinge/daemon/traffic/BackendAdmission.java
@@ -175,8 +175,9 @@
     }
 
     private AdmissionView view(long nowMs, CallClass callClass) {
+        boolean unknownSpeed = slotTimeAverages.overallMs() == 0 && coldSending.hasRule();
         return new AdmissionView(
-                limits,
+                unknownSpeed ? limits.beforeFirstCall() : limits,
                 running,
                 waiting.navigableKeySet(),
                 slotTimeAverages.overallMs(),
--- a/daemon/src/main/java/org/mimosahinge/daemon/traffic/ColdSending.java
+++ b/daemon/src/main/java/org/mimosahinge/daemon/traffic/ColdSending.java
@@ -47,6 +47,14 @@
         return loop.plane().coldness().isCold(endpoint.id(), nowMs);
     }
 
+    /** Returns whether the backend servers of the service may be cold. */
+    boolean hasRule() {
+        return loop.snapshot()
+                .rules()
+                .coldStarts()
+                .containsKey(endpoint.server().service());
+    }
+
     /** Returns the time until one more call may be sent after those that are already on their way. */
     long waitMs() {
         long now = TrafficLoop.nowMs();
