--- a/core/src/test/java/org/mimosahinge/core/pipelining/PipeliningPolicyTest.java
+++ b/core/src/test/java/org/mimosahinge/core/pipelining/PipeliningPolicyTest.java
@@ -7,8 +7,8 @@
 
 /**
  * Guards against a call that is cancelled after it has run although it may run only once, and against lookups of one
- * caller that wait for each other. Baselines: one request after the other fails the first two cases, all at once the
- * others.
+ * caller that wait for each other. Baselines: one request after the other fails the cases that may start, all at once
+ * those that may not.
  */
 class PipeliningPolicyTest {
 
