Change the placement only where backend servers state the time of work

Cause: a load of three figures counted as one that states the usual time of work, so working sets would be used on every deployment whose backend servers tell their load, and not only where they state the fourth figure.

Change: a figure that is missing is 0, not stated. StatedLoadTest and StatedLoadHeaderTest hold it.

--- a/daemon/src/main/java/org/mimosahinge/daemon/traffic/BackendAdmission.java
+++ b/daemon/src/main/java/org/mimosahinge/daemon/traffic/BackendAdmission.java
@@ -325,7 +325,9 @@
 
     /** Records the load that the backend server has stated; its occupancy is known better from this node's calls. */
     void stated(ServerLoad load) {
-        workTime = WorkTime.stated(load.workPercent(), TrafficLoop.nowMs());
+        if (load.workPercent() != 0) {
+            workTime = WorkTime.stated(load.workPercent(), TrafficLoop.nowMs());
+        }
     }
 
     /** Returns the occupancy of the slots, which responses carry to other nodes as a hint. */
