--- a/api/src/test/java/org/mimosahinge/api/world/RecordEqualityTest.java
+++ b/api/src/test/java/org/mimosahinge/api/world/RecordEqualityTest.java
@@ -16,6 +16,7 @@
 import org.junit.jupiter.params.provider.MethodSource;
 import org.mimosahinge.api.contract.CallClass;
 import org.mimosahinge.api.contract.Route;
+import org.mimosahinge.api.contract.RouteAccess;
 import org.mimosahinge.api.contract.ServiceShare;
 
 /** Guards against a written out {@code equals} that leaves a component out, for example after one was added. */
@@ -43,7 +44,8 @@
             new AvailabilityZone("other", new Region("west")),
             new LogicalTimestamp(77, 2),
             new Node(new NodeId("other"), 1, ZONE, ADDRESS),
-            new BackendServer("other", "v1", ADDRESS, 8, 100, Set.of("r")));
+            new BackendServer("other", "v1", ADDRESS, 8, 100, Set.of("r")),
+            new RouteAccess(true, Set.of("other")));
 
     private static Stream<Record> records() {
         return Stream.of(
@@ -56,6 +58,7 @@
                 SERVER,
                 new Endpoint("e", SERVER, NODE, EndpointState.READY, TIMESTAMP),
                 new ServiceShare("s", 3),
+                RouteAccess.STANDARD,
                 Route.builder("r").shares(List.of(new ServiceShare("s", 3))).build());
     }
 
--- a/daemon/src/test/java/org/mimosahinge/daemon/traffic/StatedLoadTest.java
+++ b/daemon/src/test/java/org/mimosahinge/daemon/traffic/StatedLoadTest.java
@@ -37,7 +37,12 @@
 
     /** The first choice of each service is made before any response; the others know whether it states its load. */
     @ParameterizedTest(name = "endpoint on node {0}, header \"{1}\"")
-    @CsvSource({"0, x-stated-percent: 250, 9", "1, x-stated-percent: 250, 9", "1, x-stated-percent: 0, 0", "1, x-other: 1, 0"})
+    @CsvSource({
+        "0, x-stated-percent: 250, 9",
+        "1, x-stated-percent: 250, 9",
+        "1, x-stated-percent: 0, 0",
+        "1, x-other: 1, 0"
+    })
     void workingSetsAreUsedOnceABackendServerStatesItsLoad(int node, String header, int choicesInSet) throws Exception {
         try (ScriptedBackend backend =
                         ScriptedBackend.start((request, out) -> ScriptedBackend.respond(out, "200 OK", "a", header));
