--- a/core/src/main/java/org/mimosahinge/core/routing/WorkingSetChooser.java
+++ b/core/src/main/java/org/mimosahinge/core/routing/WorkingSetChooser.java
@@ -15,7 +15,7 @@
 
     /**
      * Part of the typical service time by which an endpoint outside the set must be better. Its load is mostly assumed,
-     * so that a smaller gain is often none; with 0.25, a quarter more calls leave their zone and wait as long.
+     * so a smaller gain is often none, and the call would leave its zone for nothing.
      */
     private static final double HYSTERESIS = 0.4;
 
