Release the slot of a discarded response once

Cause: a call got the state of an answered one only after its last part was passed on. The receiver of a discarded response cancels the call at that point, which closed the connection and released the slot, and the end of the call released it again.

Ruled out: memory (no process ended, peak 65 MB) and the caller's side of the requests that run side by side (the logs name connections of nodes).

Change: the call is answered before its last part is passed on, an ended call does not end again, and an occupancy below zero is sent as zero. A failure that closes a connection between nodes is logged as peer_failed.

--- a/daemon/src/main/java/org/mimosahinge/daemon/traffic/BackendCall.java
+++ b/daemon/src/main/java/org/mimosahinge/daemon/traffic/BackendCall.java
@@ -256,6 +256,8 @@
         }
         BackendConnection used = connection;
         used.detachCall();
+        // Before the last part is passed on: its receiver may cancel the call, which must not release the slot as well.
+        state = State.ANSWERED;
         observer.body(bytes, true);
         observer.flush();
         admission.recordOutcome(start.callClass(), failureOfStatus(), System.nanoTime() - admittedNanos);
@@ -264,7 +266,6 @@
             admission.release(used);
             end();
         });
-        state = State.ANSWERED;
     }
 
     private boolean refusedByBackend() {
@@ -322,6 +323,9 @@
 
     private void end() {
         State before = state;
+        if (before == State.ENDED) {
+            return;
+        }
         state = State.ENDED;
         connection = null;
         unsentBody.clear();
--- a/daemon/src/main/java/org/mimosahinge/daemon/traffic/CallLog.java
+++ b/daemon/src/main/java/org/mimosahinge/daemon/traffic/CallLog.java
@@ -245,6 +245,11 @@
                 Math.round(sentNanos / NANOS_PER_MS));
     }
 
+    /** Logs why a connection to or from another node is closed. */
+    void peerFailed(Throwable cause) {
+        LOG.info("peer_failed", "reason", cause);
+    }
+
     /** Logs a caller's connection that is not read, so that neither its next request nor its close is noticed. */
     void callerNotRead(int messages, long ms) {
         LOG.info("caller_not_read", "messages", messages, "ms", ms);
--- a/daemon/src/main/java/org/mimosahinge/daemon/traffic/InboundPeerConnection.java
+++ b/daemon/src/main/java/org/mimosahinge/daemon/traffic/InboundPeerConnection.java
@@ -185,6 +185,7 @@
 
     @Override
     public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+        loop.callLog().peerFailed(cause);
         context.close();
     }
 
--- a/daemon/src/main/java/org/mimosahinge/daemon/traffic/OutboundPeerConnection.java
+++ b/daemon/src/main/java/org/mimosahinge/daemon/traffic/OutboundPeerConnection.java
@@ -237,6 +237,7 @@
 
     @Override
     public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+        loop.callLog().peerFailed(cause);
         context.close();
     }
 
--- a/daemon/src/test/java/org/mimosahinge/daemon/fleet/QuotaCoordinatorTest.java
+++ b/daemon/src/test/java/org/mimosahinge/daemon/fleet/QuotaCoordinatorTest.java
@@ -76,7 +76,7 @@
         return new QuotaCoordinator(node(0), peers, gates, transport);
     }
 
-    // Earlier deployments must not pay for quotas that they do not have.
+    // A fleet without quotas must not send frames for them.
     @ParameterizedTest
     @CsvSource({"none, false", "unlimited, false", "limited, true"})
     void framesAreSentOnlyForQuotas(String quota, boolean sent) {
--- a/net/src/main/java/org/mimosahinge/net/frame/FrameCodec.java
+++ b/net/src/main/java/org/mimosahinge/net/frame/FrameCodec.java
@@ -118,14 +118,16 @@
     }
 
     private static void packLoad(Packer out, Frame.Load load) {
+        // A negative first number announces the figures that only some backend servers state, so no occupancy may be
+        // one.
+        int permille = Math.max(0, load.permille());
         if (load.tellsMachine()) {
-            // A negative first number announces the figures that only some backend servers state.
-            out.integer(-1 - load.permille())
+            out.integer(-1 - permille)
                     .integer(load.serviceMs())
                     .integer(load.workPercent())
                     .integer(load.room());
         } else {
-            out.integer(load.permille()).integer(load.serviceMs());
+            out.integer(permille).integer(load.serviceMs());
         }
     }
 
--- a/net/src/test/java/org/mimosahinge/net/frame/FrameCodecTest.java
+++ b/net/src/test/java/org/mimosahinge/net/frame/FrameCodecTest.java
@@ -159,6 +159,17 @@
     }
 
     /** Guards against an allowance above all calls or a negative wait, with which a node could not compute. */
+    /** An occupancy below zero must not be read as the announcement of further figures, which closes the connection. */
+    @ParameterizedTest(name = "{0} permille, {1} % of the usual time of work")
+    @CsvSource({"-1, 0", "-125, 0", "-1, 250", "-125, 250"})
+    void occupancyBelowZeroIsSentAsZero(int permille, int workPercent) {
+        Frame.Load load = new Frame.Load(permille, 40, workPercent, 0);
+        Frame.CallFailure failure = new Frame.CallFailure(5, "overloaded", true, "full", load, 30);
+        assertEquals(
+                new Frame.CallFailure(5, "overloaded", true, "full", load.withPermille(0), 30),
+                FrameCodec.decode(FrameCodec.encode(failure)));
+    }
+
     @ParameterizedTest(name = "part {0}, wait {1}, spread {2}: rejected {3}")
     @CsvSource({"1000, 0, 0, false", "1001, 0, 0, true", "-1, 0, 0, true", "0, -1, 0, true", "0, 0, -1, true"})
     void allowanceIsChecked(int permille, int waitMs, int spreadMs, boolean rejected) {
