Reserve a slot for internal checks only where a route brings them

Callers of a service whose endpoints have six slots were refused while one slot in six stayed empty: each endpoint reserved at least one slot for internal checks, also where no route leads such calls to its service. RouteIndex now knows the services that internal checks go to; the others use all their slots.

Tests: RouteIndexTest, and AdmissionAndDeadlineTest with a service that gets such calls (3 of 4 slots, as before) and one that gets none (4 of 4; the new cases). ColdBackendTest keeps its figures and states the route that its reserve is for.

--- a/core/src/main/java/org/mimosahinge/core/admission/AdmissionLimits.java
+++ b/core/src/main/java/org/mimosahinge/core/admission/AdmissionLimits.java
@@ -35,6 +35,15 @@
         return new AdmissionLimits(slots, reserved, limits.queueCapacity());
     }
 
+    /**
+     * Returns the limits of an endpoint whose service gets no internal checks.
+     *
+     * @return limits that reserve no slot
+     */
+    public AdmissionLimits withoutReserve() {
+        return reservedSlots == 0 ? this : new AdmissionLimits(slots, 0, queueCapacity);
+    }
+
     /**
      * Returns the limits while no call has ended. Nothing tells then how long a call would wait, and the callers of a
      * fleet that has just started come all at once.
--- a/core/src/main/java/org/mimosahinge/core/routing/RouteIndex.java
+++ b/core/src/main/java/org/mimosahinge/core/routing/RouteIndex.java
@@ -1,10 +1,13 @@
 package org.mimosahinge.core.routing;
 
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
+import org.mimosahinge.api.contract.CallClass;
 import org.mimosahinge.api.contract.Route;
 
 /**
@@ -17,12 +20,16 @@
 
     private final List<Route> routes;
     private final Map<String, Map<String, Route>> byHost = new HashMap<>();
+    private final Set<String> checkedServices = new HashSet<>();
 
     private RouteIndex(List<Route> routes) {
         this.routes = routes;
         for (Route route : routes) {
             byHost.computeIfAbsent(route.host().toLowerCase(Locale.ROOT), host -> new HashMap<>())
                     .putIfAbsent(route.pathPrefix(), route);
+            if (route.callClass() == CallClass.INTERNAL_CHECK) {
+                route.shares().forEach(share -> checkedServices.add(share.service()));
+            }
         }
     }
 
@@ -46,6 +53,16 @@
         return routes == list;
     }
 
+    /**
+     * Tells whether a route of internal checks leads to a service.
+     *
+     * @param service the service
+     * @return whether its endpoints have to expect internal checks
+     */
+    public boolean sendsInternalChecksTo(String service) {
+        return checkedServices.contains(service);
+    }
+
     /**
      * Returns the route with the longest matching path prefix; routes of the host take precedence over routes of any
      * host.
--- a/core/src/test/java/org/mimosahinge/core/routing/RouteIndexTest.java
+++ b/core/src/test/java/org/mimosahinge/core/routing/RouteIndexTest.java
@@ -8,6 +8,7 @@
 import java.util.Map;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
+import org.mimosahinge.api.contract.CallClass;
 import org.mimosahinge.api.contract.Route;
 import org.mimosahinge.api.contract.ServiceShare;
 
@@ -46,6 +47,17 @@
         assertEquals(expected, INDEX.match(host, uri).map(Route::name).orElse("none"));
     }
 
+    /** A slot that is reserved for calls which no route brings stays idle under overload. */
+    @ParameterizedTest(name = "internal checks go to {0}: {1}")
+    @CsvSource({"stock, true", "desk, true", "shop, false", "other, false"})
+    void knowsTheServicesThatGetInternalChecks(String service, boolean expected) {
+        RouteIndex index = RouteIndex.of(List.of(
+                route("check", "", "/check/", new ServiceShare("stock", 1), new ServiceShare("desk", 1))
+                        .withCallClass(CallClass.INTERNAL_CHECK),
+                route("page", "", "/page/", new ServiceShare("shop", 1))));
+        assertEquals(expected, index.sendsInternalChecksTo(service));
+    }
+
     @ParameterizedTest(name = "weights {0} and {1}: {2} of {3} calls go to the first service")
     @CsvSource({"90, 10, 9, 10", "90, 10, 900, 1000", "1, 1, 50, 100", "3, 1, 75, 100", "100, 0, 40, 40"})
     void shortSequencesOfCallsFollowTheWeights(int first, int second, int expected, int calls) {
--- a/daemon/src/main/java/org/mimosahinge/daemon/traffic/BackendAdmission.java
+++ b/daemon/src/main/java/org/mimosahinge/daemon/traffic/BackendAdmission.java
@@ -177,10 +177,17 @@
         return start.headers().getOrDefault(protocol().requestIdHeader(), "-");
     }
 
+    private AdmissionLimits limitsInForce() {
+        boolean checked = loop.routes(loop.snapshot())
+                .sendsInternalChecksTo(endpoint.server().service());
+        return checked ? limits : limits.withoutReserve();
+    }
+
     private AdmissionView view(long nowMs, CallClass callClass) {
         boolean unknownSpeed = slotTimeAverages.overallMs() == 0 && coldSending.hasRule();
+        AdmissionLimits inForce = limitsInForce();
         return new AdmissionView(
-                unknownSpeed ? limits.beforeFirstCall() : limits,
+                unknownSpeed ? inForce.beforeFirstCall() : inForce,
                 running,
                 waiting.navigableKeySet(),
                 slotTimeAverages.overallMs(),
--- a/daemon/src/test/java/org/mimosahinge/daemon/traffic/AdmissionAndDeadlineTest.java
+++ b/daemon/src/test/java/org/mimosahinge/daemon/traffic/AdmissionAndDeadlineTest.java
@@ -19,9 +19,10 @@
 /** Guards against calls above the slots of a backend server, and against calls whose callers no longer wait. */
 class AdmissionAndDeadlineTest {
 
-    @ParameterizedTest(name = "endpoint on node {0}, {1} event loops")
-    @CsvSource({"0, 1", "1, 1", "0, 3", "1, 3"})
-    void runsNoMoreCallsThanSlots(int node, int eventLoops) throws Exception {
+    /** One of the four slots is reserved for internal checks, but only if a route brings such calls to the service. */
+    @ParameterizedTest(name = "endpoint on node {0}, {1} event loops, internal checks go to {2}: {3} calls run")
+    @CsvSource({"0, 1, svc, 3", "1, 1, svc, 3", "0, 3, svc, 3", "1, 3, svc, 3", "0, 1, other, 4", "1, 3, other, 4"})
+    void runsNoMoreCallsThanSlots(int node, int eventLoops, String checked, int expected) throws Exception {
         AtomicInteger running = new AtomicInteger();
         AtomicInteger maxRunning = new AtomicInteger();
         try (ScriptedBackend backend = ScriptedBackend.start((request, out) -> {
@@ -32,6 +33,7 @@
                 });
                 TestMesh mesh = new TestMesh(2, null, eventLoops)
                         .route(TestMesh.route("/x", false, false))
+                        .route(TestMesh.route("/check", false, false, checked))
                         .endpoint(node, "svc", backend.address(), 4)) {
             List<CompletableFuture<HttpResponse<String>>> calls = new ArrayList<>();
             for (int i = 0; i < 30; i++) {
@@ -40,8 +42,7 @@
             for (CompletableFuture<HttpResponse<String>> call : calls) {
                 assertEquals(200, call.get().statusCode());
             }
-            // One of the four slots is reserved for internal checks.
-            assertEquals(3, maxRunning.get());
+            assertEquals(expected, maxRunning.get());
         }
     }
 
--- a/daemon/src/test/java/org/mimosahinge/daemon/traffic/ColdBackendTest.java
+++ b/daemon/src/test/java/org/mimosahinge/daemon/traffic/ColdBackendTest.java
@@ -101,6 +101,7 @@
                 });
                 TestMesh mesh = new TestMesh(2, null)
                         .route(TestMesh.route("/x", false, false))
+                        .route(TestMesh.route("/check", false, false))
                         .endpoint(1, "svc", backend.address(), 4)) {
             if (mayBeCold) {
                 mesh.publish(ColdBackendTest::withColdStart);
