Count the bytes of requests in the choice of an endpoint

Uploads left their availability zone as if they had no bytes: the expected size of a call is documented as that of request and response together, but only responses were observed. ExchangeSizes observes both.

Test: StatedLoadTest.theChoiceKnowsTheBytesOfRequestAndResponse, whose cases with a request body expect 5.6 and 4.6 KB where only the 1.6 and 0.6 KB of the response were counted.

--- a/daemon/src/main/java/org/mimosahinge/daemon/traffic/EntryCall.java
+++ b/daemon/src/main/java/org/mimosahinge/daemon/traffic/EntryCall.java
@@ -262,7 +262,7 @@
         }
         if (last) {
             poisonRequests.succeeded();
-            loop.sizes().observe(plan.route().name(), progress.bytes());
+            loop.sizes().observe(plan.route().name(), body.receivedBytes() + progress.bytes());
             loop.callLog().answered(request, plan, from);
             end();
         }
--- a/daemon/src/main/java/org/mimosahinge/daemon/traffic/ResponseSizes.java
+++ b/daemon/src/main/java/org/mimosahinge/daemon/traffic/ExchangeSizes.java
@@ -3,10 +3,10 @@
 import java.util.HashMap;
 import java.util.Map;
 
-/** Moving averages of the response size of each route, on one event loop. */
-final class ResponseSizes {
+/** Moving averages of the size of each route's requests and responses together, on one event loop. */
+final class ExchangeSizes {
 
-    /** Weight of a new response in the moving average. */
+    /** Weight of a new call in the moving average. */
     private static final double SMOOTHING_FACTOR = 0.05;
 
     /** Size of the heads of request and response and of their frames, in kilobytes. */
--- a/daemon/src/main/java/org/mimosahinge/daemon/traffic/RequestBody.java
+++ b/daemon/src/main/java/org/mimosahinge/daemon/traffic/RequestBody.java
@@ -50,6 +50,10 @@
         return receivedBytes < FlowWindow.BYTES;
     }
 
+    long receivedBytes() {
+        return receivedBytes;
+    }
+
     /** Sends the received parts. */
     void replay(Attempt attempt) {
         for (int i = 0; i < parts.size(); i++) {
--- a/daemon/src/main/java/org/mimosahinge/daemon/traffic/TrafficLoop.java
+++ b/daemon/src/main/java/org/mimosahinge/daemon/traffic/TrafficLoop.java
@@ -64,7 +64,7 @@
     private final RetryBudgets retryBudgets = new RetryBudgets();
     private final WeightedRoundRobin roundRobin = new WeightedRoundRobin();
     private final WorkingSets workingSets;
-    private final ResponseSizes sizes = new ResponseSizes();
+    private final ExchangeSizes sizes = new ExchangeSizes();
     private final HeartbeatTimer heartbeatTimer;
     private final CallerDeadlines callerDeadlines = new CallerDeadlines();
     private final CallLog callLog;
@@ -103,7 +103,7 @@
         return workingSets;
     }
 
-    ResponseSizes sizes() {
+    ExchangeSizes sizes() {
         return sizes;
     }
 
--- a/daemon/src/test/java/org/mimosahinge/daemon/traffic/StatedLoadTest.java
+++ b/daemon/src/test/java/org/mimosahinge/daemon/traffic/StatedLoadTest.java
@@ -3,8 +3,11 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.net.http.HttpRequest;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.concurrent.CopyOnWriteArrayList;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 import org.mimosahinge.api.world.ServerLoad;
@@ -56,6 +59,36 @@
         }
     }
 
+    /** Uploads left their zone as if they had no bytes, because only responses were counted. */
+    @ParameterizedTest(name = "request of {0} bytes, response of {1}: {2} KB")
+    @CsvSource({"4000, 1000, 5.6", "0, 1000, 1.6", "4000, 1, 4.6"})
+    void theChoiceKnowsTheBytesOfRequestAndResponse(int requestBytes, int responseBytes, double expectedKb)
+            throws Exception {
+        List<Double> stated = new CopyOnWriteArrayList<>();
+        TrafficPolicies standard = TrafficPolicies.standard();
+        TrafficPolicies recording = new TrafficPolicies(
+                (request, snapshot, loads, random) -> {
+                    stated.add(request.expectedKb());
+                    return standard.chooser().choose(request, snapshot, loads, random);
+                },
+                standard.retry(),
+                standard.random());
+        try (ScriptedBackend backend = ScriptedBackend.start(
+                        (request, out) -> ScriptedBackend.respond(out, "200 OK", "a".repeat(responseBytes)));
+                TestMesh mesh = new TestMesh(2, null, 1, CallProtocol.builder().build(), recording)
+                        .route(TestMesh.route("/x", false, false))
+                        .endpoint(1, "svc", backend.address(), 4)) {
+            for (int i = 0; i < 2; i++) {
+                HttpRequest.Builder request = mesh.request(0, "/x");
+                if (requestBytes > 0) {
+                    request.POST(HttpRequest.BodyPublishers.ofByteArray(new byte[requestBytes]));
+                }
+                assertEquals(200, mesh.send(request).get().statusCode());
+            }
+        }
+        assertEquals(expectedKb, stated.get(1), 0.01);
+    }
+
     @ParameterizedTest(name = "stated {0} %, {1} ms ago: {2} %")
     @CsvSource({"0, 0, 0", "100, 0, 100", "250, 0, 250", "250, 250, 175", "250, 500, 100", "250, 60000, 100"})
     void aStatedFigureLosesItsWeightWithinHalfASecond(int percent, long ageMs, int expected) {
