Find the pace of a backend server from its running calls

After a start, a freeze or a slow phase, a backend server ends no call for a while, and the means of ended calls know nothing of it: the queue grew without an estimate, and its callers were late or were refused when their target had passed. AnswerPace takes the ages of the running calls into account, admission uses its estimate, queued calls that lost their chance are refused at the next arrival, and load reports carry the estimate to the entry nodes. All slots are used from the start on.

--- a/core/src/main/java/org/mimosahinge/core/admission/AdmissionPolicy.java
+++ b/core/src/main/java/org/mimosahinge/core/admission/AdmissionPolicy.java
@@ -1,6 +1,9 @@
 package org.mimosahinge.core.admission;
 
+import java.util.ArrayList;
+import java.util.List;
 import java.util.Optional;
+import java.util.function.ToDoubleFunction;
 import org.mimosahinge.api.contract.CallClass;
 import org.mimosahinge.core.admission.AdmissionDecision.Refuse;
 import org.mimosahinge.core.admission.AdmissionDecision.Run;
@@ -87,6 +90,29 @@
         return call.deadlineMs() - (internalCheck ? 0 : Math.round(classServiceMs));
     }
 
+    /**
+     * Returns the waiting calls that will not start in time at the present pace of the endpoint. Their callers are
+     * better off elsewhere, or with a later attempt, than with a wait that ends in a refusal.
+     *
+     * @param view state of the endpoint
+     * @param classServiceMs expected time for which calls of a class occupy a slot
+     * @return the calls, in the order of the queue
+     */
+    public static List<SlotRequest> withoutChance(AdmissionView view, ToDoubleFunction<CallClass> classServiceMs) {
+        List<SlotRequest> found = new ArrayList<>();
+        int ahead = 0;
+        for (SlotRequest call : view.waiting()) {
+            int slots = Math.max(1, view.limits().slotsFor(call.callClass()));
+            double startMs = view.nowMs() + (ahead + 1) * view.serviceMs() / slots;
+            if (startMs > latestStartMs(call, classServiceMs.applyAsDouble(call.callClass()))) {
+                found.add(call);
+            } else {
+                ahead++;
+            }
+        }
+        return found;
+    }
+
     /**
      * Returns the waiting call that gets the next free slot.
      *
--- a/core/src/main/java/org/mimosahinge/core/admission/SlotTimeAverages.java
+++ b/core/src/main/java/org/mimosahinge/core/admission/SlotTimeAverages.java
@@ -49,6 +49,15 @@
         }
     }
 
+    /**
+     * Tells whether a call was answered.
+     *
+     * @return whether the means are known
+     */
+    public boolean anyAnswered() {
+        return overallMeanMs > 0;
+    }
+
     /**
      * Returns the mean over all classes.
      *
--- a/core/src/test/java/org/mimosahinge/core/pace/FirstCallsTest.java
+++ b/core/src/test/java/org/mimosahinge/core/pace/FirstCallsTest.java
@@ -38,7 +38,7 @@
 
     private static RecoverySimulation.Result sum(
             RecoverySimulation.Server server, double load, IntFunction<RecoverySimulation.Limiter> limiter) {
-        RecoverySimulation.Result sum = new RecoverySimulation.Result(0, 0, 0, 0);
+        RecoverySimulation.Result sum = new RecoverySimulation.Result(0, 0, 0, 0, 0);
         for (int seed = 0; seed < RUNS; seed++) {
             RecoverySimulation.Result run = new RecoverySimulation(server, limiter.apply(server.slots()), seed)
                     .run(BURST_PER_SLOT, load, DURATION_MS);
@@ -46,7 +46,8 @@
                     sum.calls() + run.calls(),
                     sum.late() + run.late(),
                     sum.refused() + run.refused(),
-                    sum.idleMs() + run.idleMs());
+                    sum.idleMs() + run.idleMs(),
+                    sum.lostWaitMs() + run.lostWaitMs());
         }
         return sum;
     }
--- a/core/src/test/java/org/mimosahinge/core/pace/RecoverySimulation.java
+++ b/core/src/test/java/org/mimosahinge/core/pace/RecoverySimulation.java
@@ -33,18 +33,41 @@
         void ended(double ms, int running);
     }
 
+    /** What the node assumes of the time for which calls occupy a slot. */
+    interface ServiceTime {
+
+        /** Knows the calls that have ended, as before the pace was found from those that run. */
+        ServiceTime OF_ENDED_CALLS = (averages, pace, nowMs) -> averages.overallMs();
+
+        ServiceTime OF_PACE = (averages, pace, nowMs) -> pace.overallMs(nowMs);
+
+        double ms(SlotTimeAverages averages, AnswerPace pace, long nowMs);
+    }
+
     /**
      * A backend server.
      *
      * @param slots its slots
      * @param workMs time of a call alone, once it is warm
      * @param warmUpMs time after which it runs calls in all its slots at full speed; one before
+     * @param slowFromMs start of a phase in which it is slow
+     * @param slowMs length of that phase
+     * @param slowFactor how much longer calls take in it
      */
-    record Server(int slots, int workMs, int warmUpMs) {
+    record Server(int slots, int workMs, int warmUpMs, int slowFromMs, int slowMs, double slowFactor) {
+
+        Server(int slots, int workMs, int warmUpMs) {
+            this(slots, workMs, warmUpMs, 0, 0, 1);
+        }
 
         double parallel(long nowMs) {
             return nowMs >= warmUpMs ? slots : 1 + (slots - 1.0) * nowMs / warmUpMs;
         }
+
+        double speed(long nowMs, int running) {
+            boolean slow = nowMs >= slowFromMs && nowMs < slowFromMs + slowMs;
+            return Math.min(1, parallel(nowMs) / Math.max(1, running)) / (slow ? slowFactor : 1);
+        }
     }
 
     /**
@@ -54,8 +77,9 @@
      * @param late calls that ended after their target
      * @param refused calls that were refused, also when repeated, or not run in time
      * @param idleMs slot time that the backend server would have had for waiting or refused calls
+     * @param lostWaitMs time that calls waited before they were refused
      */
-    record Result(int calls, int late, int refused, double idleMs) {
+    record Result(int calls, int late, int refused, double idleMs, double lostWaitMs) {
 
         int bad() {
             return late + refused;
@@ -67,6 +91,7 @@
         private int attempts;
         private double workLeft;
         private long startedMs;
+        private long queuedMs;
 
         private Call(long firstMs, double work) {
             this.firstMs = firstMs;
@@ -83,14 +108,22 @@
     private final TreeMap<SlotRequest, Call> waiting = new TreeMap<>();
     private final PriorityQueue<Repeat> repeats = new PriorityQueue<>((a, b) -> Long.compare(a.atMs, b.atMs));
     private final SlotTimeAverages averages = new SlotTimeAverages();
+    private final AnswerPace pace = new AnswerPace(averages);
+    private final ServiceTime serviceTime;
     private final long targetMs;
     private long arrivals;
     private int late;
     private int refused;
+    private double lostWaitMs;
     private boolean unserved;
 
     RecoverySimulation(Server server, Limiter limiter, long seed) {
+        this(server, limiter, ServiceTime.OF_ENDED_CALLS, seed);
+    }
+
+    RecoverySimulation(Server server, Limiter limiter, ServiceTime serviceTime, long seed) {
         this.server = server;
+        this.serviceTime = serviceTime;
         this.limiter = limiter;
         random = new Random(seed);
         targetMs = 4L * server.workMs();
@@ -119,7 +152,7 @@
                 idleMs += Math.max(0, server.parallel(now) - running.size());
             }
         }
-        return new Result(calls, late, refused, idleMs);
+        return new Result(calls, late, refused, idleMs, lostWaitMs);
     }
 
     private Call newCall(long now) {
@@ -127,7 +160,7 @@
     }
 
     private void advance(long now) {
-        double speed = running.isEmpty() ? 1 : Math.min(1, server.parallel(now) / running.size());
+        double speed = server.speed(now, running.size());
         Iterator<Call> calls = running.iterator();
         List<Call> ended = new ArrayList<>();
         while (calls.hasNext()) {
@@ -140,11 +173,12 @@
         for (Call call : ended) {
             limiter.ended(now - call.startedMs, running.size());
             averages.observe(CallClass.INTERACTIVE, now - call.startedMs);
+            pace.stopped(CallClass.INTERACTIVE, call.startedMs);
             running.remove(call);
             late += now - call.firstMs > targetMs ? 1 : 0;
         }
         while (!waiting.isEmpty() && waiting.firstKey().deadlineMs() <= now) {
-            waiting.pollFirstEntry();
+            lostWaitMs += now - waiting.pollFirstEntry().getValue().queuedMs;
             refused++;
         }
         while (!waiting.isEmpty() && running.size() < limiter.limit(now)) {
@@ -154,6 +188,7 @@
 
     private void start(Call call, long now) {
         call.startedMs = now;
+        pace.started(CallClass.INTERACTIVE, now);
         running.add(call);
     }
 
@@ -161,14 +196,22 @@
         call.attempts++;
         SlotRequest request = new SlotRequest(CallClass.INTERACTIVE, call.firstMs + targetMs, ++arrivals);
         AdmissionLimits limits = new AdmissionLimits(limiter.limit(now), 0, limiter.queueCapacity(QUEUE_CAPACITY));
-        AdmissionDecision decision = AdmissionPolicy.decide(
-                new AdmissionView(limits, running.size(), waiting.navigableKeySet(), averages.overallMs(), now),
-                request);
+        double serviceMs = serviceTime.ms(averages, pace, now);
+        AdmissionView view = new AdmissionView(limits, running.size(), waiting.navigableKeySet(), serviceMs, now);
+        if (serviceTime == ServiceTime.OF_PACE) {
+            for (SlotRequest waiter : AdmissionPolicy.withoutChance(view, callClass -> serviceMs)) {
+                Call left = waiting.remove(waiter);
+                lostWaitMs += now - left.queuedMs;
+                refuse(left, now);
+            }
+        }
+        AdmissionDecision decision = AdmissionPolicy.decide(view, request);
         if (decision instanceof AdmissionDecision.Run) {
             start(call, now);
         } else if (decision instanceof AdmissionDecision.Wait wait) {
             wait.evicted().map(waiting::remove).ifPresent(evicted -> refuse(evicted, now));
             waiting.put(request, call);
+            call.queuedMs = now;
         } else {
             refuse(call, now);
         }
--- a/daemon/src/main/java/org/mimosahinge/daemon/traffic/BackendAdmission.java
+++ b/daemon/src/main/java/org/mimosahinge/daemon/traffic/BackendAdmission.java
@@ -18,6 +18,7 @@
 import org.mimosahinge.core.admission.TimelyDemand;
 import org.mimosahinge.core.move.CallOutcomesKey;
 import org.mimosahinge.core.move.FailureKind;
+import org.mimosahinge.core.pace.AnswerPace;
 import org.mimosahinge.core.placement.WorkTime;
 import org.mimosahinge.core.retry.RunningRepeats;
 import org.mimosahinge.net.frame.Frame;
@@ -42,6 +43,7 @@
     private final TreeMap<SlotRequest, BackendCall> waiting = new TreeMap<>();
     private final List<BackendCall> callsWithLostConnection = new ArrayList<>();
     private final SlotTimeAverages slotTimeAverages = new SlotTimeAverages();
+    private final AnswerPace pace = new AnswerPace(slotTimeAverages);
     private final TimelyDemand timelyDemand = new TimelyDemand();
     private final ColdSending coldSending;
     private Endpoint endpoint;
@@ -92,7 +94,7 @@
                         .latencyBudget()
                         .remainingMs(start.callClass(), start.targetMs(), start.deadlineMs());
         SlotRequest waiter = new SlotRequest(start.callClass(), finishMs, ++arrivals);
-        double classServiceMs = slotTimeAverages.classMs(start.callClass());
+        double classServiceMs = pace.classMs(start.callClass(), now);
         boolean late = AdmissionPolicy.isLate(waiter, now, classServiceMs);
         if (!late) {
             timelyDemand.arrived(classServiceMs, now);
@@ -108,6 +110,7 @@
             call.refuseEvacuated();
             return call;
         }
+        refuseWithoutChance(now);
         AdmissionView view = view(now, start.callClass());
         AdmissionDecision decision = coldSending.decide(AdmissionPolicy.decide(view, waiter), view, waiter);
         if (decision instanceof AdmissionDecision.Run) {
@@ -147,6 +150,8 @@
                 "slots",
                 limits.slots(),
                 "service_ms",
+                Math.round(pace.classMs(start.callClass(), TrafficLoop.nowMs())),
+                "mean_ms",
                 Math.round(slotTimeAverages.classMs(start.callClass())),
                 "room_in_ms",
                 estimatedWaitMs,
@@ -190,14 +195,25 @@
                 unknownSpeed ? inForce.beforeFirstCall() : inForce,
                 running,
                 waiting.navigableKeySet(),
-                slotTimeAverages.overallMs(),
+                pace.overallMs(nowMs),
                 nowMs,
-                slotTimeAverages.classMs(callClass),
+                pace.classMs(callClass, nowMs),
                 slotTimeAverages.higherClassFraction(callClass),
                 lateRunning,
                 timelyDemand.slots(nowMs));
     }
 
+    /** Refuses queued calls if the backend server has become too slow for them since they were queued. */
+    private void refuseWithoutChance(long nowMs) {
+        if (waiting.isEmpty() || slotTimeAverages.anyAnswered() && pace.slowdown(nowMs) == 1) {
+            return;
+        }
+        AdmissionView view = view(nowMs, waiting.firstKey().callClass());
+        for (SlotRequest call : AdmissionPolicy.withoutChance(view, callClass -> pace.classMs(callClass, nowMs))) {
+            waiting.remove(call).refuseNoSlot();
+        }
+    }
+
     int waitingCalls() {
         return waiting.size();
     }
@@ -215,6 +231,7 @@
         loop.context().runningRepeats().started(call.repeatPermille());
         coldSending.admitted();
         call.admitted();
+        pace.started(call.callClass(), call.admittedAtMs());
         pool.acquire(false, call::connected);
     }
 
@@ -248,6 +265,7 @@
 
     private void freeSlot(BackendCall ended) {
         running--;
+        pace.stopped(ended.callClass(), ended.admittedAtMs());
         lateRunning -= ended.late() ? 1 : 0;
         loop.context().runningRepeats().ended(ended.repeatPermille());
         runWaiting();
@@ -256,8 +274,8 @@
     /** Runs waiting calls in free slots. */
     private void runWaiting() {
         while (!waiting.isEmpty()) {
-            Optional<SlotRequest> next =
-                    AdmissionPolicy.nextToRun(view(0, waiting.firstKey().callClass()));
+            Optional<SlotRequest> next = AdmissionPolicy.nextToRun(
+                    view(TrafficLoop.nowMs(), waiting.firstKey().callClass()));
             if (next.isEmpty()) {
                 return;
             }
@@ -339,11 +357,12 @@
 
     /** Returns the occupancy of the slots, which responses carry to other nodes as a hint. */
     Frame.Load load() {
+        long now = TrafficLoop.nowMs();
         int permille = PERMILLE * (running + waiting.size()) / limits.slots();
         return new Frame.Load(
                 permille,
-                (int) Math.round(slotTimeAverages.overallMs()),
-                workTime.percentAt(TrafficLoop.nowMs()),
+                (int) Math.round(pace.overallMs(now)),
+                workTime.percentAt(now),
                 coldSending.room(running, limits.slots()));
     }
 }
--- a/daemon/src/main/java/org/mimosahinge/daemon/traffic/BackendCall.java
+++ b/daemon/src/main/java/org/mimosahinge/daemon/traffic/BackendCall.java
@@ -49,6 +49,7 @@
     private State state = State.WAITING;
     private ScheduledFuture<?> queueTimeout;
     private BackendConnection connection;
+    private long admittedAtMs;
     private long admittedNanos;
     private long sentNanos;
     private boolean responseStarted;
@@ -76,13 +77,18 @@
         queueTimeout = loop.schedule(
                 () -> {
                     admission.removeFromQueue(waiter);
-                    admission.logRefusal(start, NO_SLOT, 0);
-                    refuse(ErrorCode.OVERLOADED, NO_SLOT, 0);
+                    refuseNoSlot();
                 },
                 waitMs,
                 TimeUnit.MILLISECONDS);
     }
 
+    /** Refuses a call that is no longer queued, because no slot becomes free in time. */
+    void refuseNoSlot() {
+        admission.logRefusal(start, NO_SLOT, 0);
+        refuse(ErrorCode.OVERLOADED, NO_SLOT, 0);
+    }
+
     void refuse(String reason, long estimatedWaitMs) {
         refuse(ErrorCode.OVERLOADED, reason, estimatedWaitMs);
     }
@@ -96,6 +102,11 @@
         return start.callClass();
     }
 
+    /** Returns when the call got its slot. */
+    long admittedAtMs() {
+        return admittedAtMs;
+    }
+
     /** Returns whether the call was likely to be late when it arrived. */
     boolean late() {
         return late;
@@ -124,6 +135,7 @@
 
     void admitted() {
         state = State.CONNECTING;
+        admittedAtMs = TrafficLoop.nowMs();
         admittedNanos = System.nanoTime();
         if (queueTimeout != null) {
             queueTimeout.cancel(false);
