Merge the fair shares of organisations

Queued calls without a chance at the present pace are looked at in the order of the shares where the configuration has organisations; by class and deadline, a small organisation's call would be refused behind those of a hot one.

--- a/core/src/test/java/org/mimosahinge/core/pace/RecoverySimulation.java
+++ b/core/src/test/java/org/mimosahinge/core/pace/RecoverySimulation.java
@@ -199,7 +199,7 @@
         double serviceMs = serviceTime.ms(averages, pace, now);
         AdmissionView view = new AdmissionView(limits, running.size(), waiting.navigableKeySet(), serviceMs, now);
         if (serviceTime == ServiceTime.OF_PACE) {
-            for (SlotRequest waiter : AdmissionPolicy.withoutChance(view, callClass -> serviceMs)) {
+            for (SlotRequest waiter : AdmissionPolicy.withoutChance(view, view.waiting(), callClass -> serviceMs)) {
                 Call left = waiting.remove(waiter);
                 lostWaitMs += now - left.queuedMs;
                 refuse(left, now);
--- a/daemon/src/main/java/org/mimosahinge/daemon/traffic/BackendAdmission.java
+++ b/daemon/src/main/java/org/mimosahinge/daemon/traffic/BackendAdmission.java
@@ -46,6 +46,7 @@
     private final AnswerPace pace = new AnswerPace(slotTimeAverages);
     private final TimelyDemand timelyDemand = new TimelyDemand();
     private final ColdSending coldSending;
+    private final OrganisationSharing sharing;
     private Endpoint endpoint;
     private AdmissionLimits limits;
     private int running;
@@ -57,6 +58,7 @@
         this.loop = loop;
         pool = new BackendPool(loop, endpoint.server().address());
         coldSending = new ColdSending(loop);
+        sharing = new OrganisationSharing(loop);
     }
 
     /** Updates the endpoint's announcement and the limits of its service. */
@@ -93,12 +95,13 @@
                         .policies()
                         .latencyBudget()
                         .remainingMs(start.callClass(), start.targetMs(), start.deadlineMs());
-        SlotRequest waiter = new SlotRequest(start.callClass(), finishMs, ++arrivals);
+        SlotRequest waiter = new SlotRequest(start.callClass(), finishMs, ++arrivals, sharing.organisation(start));
         double classServiceMs = pace.classMs(start.callClass(), now);
         boolean late = AdmissionPolicy.isLate(waiter, now, classServiceMs);
         if (!late) {
             timelyDemand.arrived(classServiceMs, now);
         }
+        sharing.arrived(waiter, late ? 0 : classServiceMs, now);
         BackendCall call = new BackendCall(this, start, waiter, late, now + start.deadlineMs(), observer);
         if (start.repeatPermille() == RunningRepeats.CERTAIN_PERMILLE
                 && loop.retryBudgets().isOverdrawn(now)) {
@@ -112,13 +115,13 @@
         }
         refuseWithoutChance(now);
         AdmissionView view = view(now, start.callClass());
-        AdmissionDecision decision = coldSending.decide(AdmissionPolicy.decide(view, waiter), view, waiter);
+        AdmissionDecision decision = coldSending.decide(sharing.decide(view, waiter), view, waiter);
         if (decision instanceof AdmissionDecision.Run) {
             run(call);
         } else if (decision instanceof AdmissionDecision.Wait wait) {
             wait.evicted()
                     .map(waiting::remove)
-                    .ifPresent(evicted -> evicted.refuse("Displaced by a call of a higher class", 0));
+                    .ifPresent(evicted -> evicted.refuseDisplaced(sharing.reasonOfDisplacement()));
             waiting.put(waiter, call);
             call.scheduleQueueTimeout(loop.eventLoop(), AdmissionPolicy.latestStartMs(waiter, classServiceMs));
             if (coldSending.waitMs() > 0) {
@@ -141,6 +144,8 @@
                 endpoint.id(),
                 "class",
                 start.callClass(),
+                "organisation",
+                sharing.organisation(start),
                 "target_ms",
                 start.targetMs(),
                 "running",
@@ -209,7 +214,8 @@
             return;
         }
         AdmissionView view = view(nowMs, waiting.firstKey().callClass());
-        for (SlotRequest call : AdmissionPolicy.withoutChance(view, callClass -> pace.classMs(callClass, nowMs))) {
+        for (SlotRequest call :
+                AdmissionPolicy.withoutChance(view, sharing.order(view), callClass -> pace.classMs(callClass, nowMs))) {
             waiting.remove(call).refuseNoSlot();
         }
     }
@@ -230,6 +236,7 @@
         lateRunning += call.late() ? 1 : 0;
         loop.context().runningRepeats().started(call.repeatPermille());
         coldSending.admitted();
+        sharing.started(call.waiter());
         call.admitted();
         pace.started(call.callClass(), call.admittedAtMs());
         pool.acquire(false, call::connected);
@@ -258,6 +265,11 @@
         freeSlot(ended);
     }
 
+    /** Handles a call that ended without a slot. */
+    void endedWithoutSlot(BackendCall ended) {
+        sharing.refused(ended.waiter());
+    }
+
     /** Counts a call that is about to be sent, or returns the time until the backend server bears it. */
     long waitBeforeSendingMs() {
         return coldSending.sending() ? 0 : Math.max(1, coldSending.waitMs());
@@ -267,6 +279,7 @@
         running--;
         pace.stopped(ended.callClass(), ended.admittedAtMs());
         lateRunning -= ended.late() ? 1 : 0;
+        sharing.ended(ended.waiter());
         loop.context().runningRepeats().ended(ended.repeatPermille());
         runWaiting();
     }
@@ -274,7 +287,7 @@
     /** Runs waiting calls in free slots. */
     private void runWaiting() {
         while (!waiting.isEmpty()) {
-            Optional<SlotRequest> next = AdmissionPolicy.nextToRun(
+            Optional<SlotRequest> next = sharing.nextToRun(
                     view(TrafficLoop.nowMs(), waiting.firstKey().callClass()));
             if (next.isEmpty()) {
                 return;
