Measure how often an organisation is served over 4 s

Cause: with an average over 10 s, the burst of an organisation was compared with how often all were served in the calm before it. It counted as starved and got more than its share.

Change: the average is taken over 4 s.

--- a/core/src/main/java/org/mimosahinge/core/admission/OrganisationUse.java
+++ b/core/src/main/java/org/mimosahinge/core/admission/OrganisationUse.java
@@ -18,8 +18,11 @@
     /** Covers some tens of calls of an endpoint, and follows the burst of an organisation within seconds. */
     static final double TIME_CONSTANT_MS = 2_000;
 
-    /** Longer than the average of the slots, because most organisations send one endpoint a call in seconds. */
-    static final double OUTCOME_TIME_CONSTANT_MS = 10_000;
+    /**
+     * Longer than the average of the slots, because many organisations send one endpoint a call in seconds. With 10 s,
+     * a burst was measured by the calm before it, and its organisation counted as starved.
+     */
+    static final double OUTCOME_TIME_CONSTANT_MS = 4_000;
 
     /** Time without calls after which no figure matters any more. */
     static final long FORGOTTEN_AFTER_MS = 50_000;
--- a/core/src/test/java/org/mimosahinge/core/admission/FairAdmissionTest.java
+++ b/core/src/test/java/org/mimosahinge/core/admission/FairAdmissionTest.java
@@ -130,23 +130,36 @@
     @ParameterizedTest(name = "target {0} ms")
     @ValueSource(longs = {503, 1_200})
     void slotsAreDividedByWeight(long targetMs) {
-        SharedEndpointModel fair = playTwo(80, 80, Map.of("a", 1.5, "b", 0.5), targetMs);
+        SharedEndpointModel fair = playTwo(80, 80, Map.of("a", 1.5, "b", 0.5), targetMs, 1);
         assertEquals(3, fair.served(0, 1) / fair.served(1, 2), 0.5);
     }
 
     @ParameterizedTest(name = "target {0} ms")
-    @ValueSource(longs = {400, 503, 1_200})
+    @ValueSource(longs = {503, 1_200})
     void anOrganisationIsServedUpToTheShareOfItsWeight(long targetMs) {
-        double byWeight = playTwo(40, 160, Map.of("a", 1.5, "b", 0.5), targetMs).served(0, 1);
-        double alike = playTwo(40, 160, Map.of(), targetMs).served(0, 1);
+        assertServedByItsWeight(targetMs, 1);
+    }
+
+    /** The usual margin leaves no time to wait for a slot. */
+    @ParameterizedTest(name = "seed {0}")
+    @ValueSource(longs = {1, 2, 3, 4, 5})
+    void anOrganisationIsServedUpToItsShareWithNoTimeToWait(long seed) {
+        assertServedByItsWeight(400, seed);
+    }
+
+    private static void assertServedByItsWeight(long targetMs, long seed) {
+        double byWeight =
+                playTwo(40, 160, Map.of("a", 1.5, "b", 0.5), targetMs, seed).served(0, 1);
+        double alike = playTwo(40, 160, Map.of(), targetMs, seed).served(0, 1);
         assertTrue(byWeight >= 0.85, "by weight " + byWeight);
         assertTrue(alike < 0.85, "alike " + alike);
     }
 
-    private static SharedEndpointModel playTwo(double a, double b, Map<String, Double> weights, long targetMs) {
+    private static SharedEndpointModel playTwo(
+            double a, double b, Map<String, Double> weights, long targetMs, long seed) {
         List<Load> loads =
                 List.of(new Load("a", a, CallClass.INTERACTIVE, false), new Load("b", b, CallClass.INTERACTIVE, false));
-        return new SharedEndpointModel(loads, SharedEndpointModel.fair(weights), targetMs, 1).play();
+        return new SharedEndpointModel(loads, SharedEndpointModel.fair(weights), targetMs, seed).play();
     }
 
     /** Guards against a queue filled by one organisation that has no place for others. */
