Specify the strict withdrawal of keys

Cause: that a withdrawn key ends within its bound rested on simulations and tests of running processes; no proof looked at all orders of steps.

Change: the module Withdrawing models the store with its versions and its clock, a node that serves and one that passes on what it knows, late and lost messages, pauses, restarts and a node whose clock is behind that of the platform. TLC must find that no call is allowed by a key later than the bound after the acknowledgement of the version that withdrew it, and must reject the specification without any one of seven rules. Drift and rounding of clocks, rows that cannot be decoded and a steady clock that stops are left out.

--- a/core/src/test/java/org/mimosahinge/core/tla/ProtocolSpecificationTest.java
+++ b/core/src/test/java/org/mimosahinge/core/tla/ProtocolSpecificationTest.java
@@ -7,6 +7,7 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.List;
+import java.util.Map;
 import java.util.concurrent.Callable;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
@@ -24,6 +25,10 @@
     private static final String LIVENESS_VIOLATED_OUTPUT = "Temporal properties were violated.";
     private static final Path SPECIFICATIONS = Path.of("src/test/tla");
     private static final Path WORK_DIRECTORY = Path.of("target/tla");
+    /** Modules of the models that are not named like their module. */
+    private static final Map<String, String> MODULES =
+            Map.of("Submissions", "Accepting", "Controllers", "Accepting", "InForce", "Distributing");
+
     private static final ExecutorService CHECKERS = Executors.newFixedThreadPool(3);
 
     /** A model with some rules disabled, and the output that TLC must print for it. */
@@ -40,6 +45,7 @@
             satisfied("Controllers"),
             satisfied("Distributing"),
             satisfied("InForce"),
+            satisfied("Withdrawing"),
             violated(
                     "two operators race: a write is conditional on the revisions read",
                     "Submissions",
@@ -77,6 +83,23 @@
                     "restart: a relay without a valid lease requires no version", "NeverBack", "LeaseAtFirstContact"),
             violatedInDistributing(
                     "restart: a relay behind the head of its term requires no version", "NeverBack", "HeadAtTermStart"),
+            violatedInWithdrawing(
+                    "late message: the proof is dated by the platform's clock", "EndsInTime", "DatedByPlatformClock"),
+            violatedInWithdrawing(
+                    "late response: the clocks are compared at the sending of the request",
+                    "EndsInTime",
+                    "LeadFromSending"),
+            violatedInWithdrawing(
+                    "clocks differ: no reading is dated before the clocks are compared", "EndsInTime", "KnownLead"),
+            violatedInWithdrawing(
+                    "paused process: the age of the proof is computed at each call", "EndsInTime", "AgeAtEachCall"),
+            violatedInWithdrawing(
+                    "paused process: a proof covers no earlier version", "EndsInTime", "ProofNamesVersion"),
+            violatedInWithdrawing(
+                    "lost row: a neighbour's statement needs the rows that it is about",
+                    "RowsArrived",
+                    "RowsBeforeStatement"),
+            violatedInWithdrawing("restart: no keys without proof", "EndsInTime", "ProofBeforeKeys"),
             submit(
                     "apply: a gap is closed by full state",
                     "InForce",
@@ -107,6 +130,10 @@
         return violated(rule, "Distributing", invariant, disabledRule);
     }
 
+    private static Case violatedInWithdrawing(String rule, String invariant, String disabledRule) {
+        return violated(rule, "Withdrawing", invariant, disabledRule);
+    }
+
     private static Case violated(String rule, String model, String invariant, String... disabledRules) {
         return submit(rule, model, "Invariant " + invariant + " is violated.", List.of(disabledRules));
     }
@@ -118,7 +145,7 @@
 
     /** Runs TLC in its own JVM, because it keeps its state in static fields, and returns its output. */
     private static String runTlc(String model, List<String> disabledRules) throws Exception {
-        String module = List.of("Submissions", "Controllers").contains(model) ? "Accepting" : "Distributing";
+        String module = MODULES.getOrDefault(model, model);
         Path workDirectory = Files.createDirectories(WORK_DIRECTORY.resolve(model + String.join("", disabledRules)));
         String rules = disabledRules.stream().map(rule -> '"' + rule + '"').collect(Collectors.joining(", "));
         copy(module + ".tla", workDirectory.resolve(module + ".tla"), "");
