Read organisations from the sections of the document

Cause: organisations, their API keys and their quotas could be configured only through the platform's adapter; the product's own document had no field for them.

Problems name the place and show no key. Names and keys are unique in the whole document, which is checked before a submission is accepted and before an update is applied; what is in force stays otherwise. The canonical form has hashes only, and `submit` sends it for sections with organisations. A node holds all such sections, whatever its interest. Headers of the product: `authorization` and `x-mimosahinge-organisation`. The nodes of this document have no coordinator of quotas, so each admits the quota divided by the number of known nodes.

Not done: routes without a key beside organisations, and strict withdrawal, in the product's own document.

--- a/api/src/main/java/org/mimosahinge/api/document/Cursor.java
+++ b/api/src/main/java/org/mimosahinge/api/document/Cursor.java
@@ -38,6 +38,13 @@
         }
     }
 
+    /** Reports a value that may be a secret, such as an API key, without showing it. */
+    void reportHidden(ErrorCode code, String expected) {
+        if (!(value instanceof JsonValue.Skipped)) {
+            problems.add(code, value.location(), path, "a value that is not shown", expected);
+        }
+    }
+
     Optional<String> scalar(Kind kind) {
         return value instanceof Scalar scalar && scalar.kind() == kind ? Optional.of(scalar.text()) : Optional.empty();
     }
--- a/api/src/main/java/org/mimosahinge/api/document/DocumentValidator.java
+++ b/api/src/main/java/org/mimosahinge/api/document/DocumentValidator.java
@@ -7,14 +7,16 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.TreeMap;
+import java.util.TreeSet;
 import java.util.function.Function;
+import org.mimosahinge.api.contract.Organisation;
 import org.mimosahinge.api.contract.Route;
 import org.mimosahinge.api.contract.Section;
 import org.mimosahinge.api.contract.Service;
 import org.mimosahinge.api.error.ErrorCode;
 import org.mimosahinge.api.error.Problem;
 
-/** Validates a candidate document across its sections: team names, unique names and references. */
+/** Validates a candidate document across its sections: team names, unique names and keys, and references. */
 public final class DocumentValidator {
     private final Map<String, Section> sections;
     private final List<Problem> problems = new ArrayList<>();
@@ -36,6 +38,8 @@
         validator.checkTeamNames();
         validator.checkUnique("services", "name", Section::services, Service::name);
         validator.checkUnique("routes", "pathPrefix", Section::routes, Route::pathPrefix);
+        validator.checkUnique("organisations", "name", Section::organisations, Organisation::name);
+        validator.checkUniqueKeys();
         validator.checkReferences();
         return List.copyOf(validator.problems);
     }
@@ -64,6 +68,31 @@
         });
     }
 
+    private void checkUniqueKeys() {
+        Map<String, String> owners = new HashMap<>();
+        sections.forEach((team, section) -> {
+            for (int i = 0; i < section.organisations().size(); i++) {
+                Organisation organisation = section.organisations().get(i);
+                Set<String> others = new TreeSet<>();
+                organisation.keyHashes().forEach(hash -> {
+                    String owner = owners.putIfAbsent(hash, organisation.name() + " of " + team);
+                    if (owner != null) {
+                        others.add(owner);
+                    }
+                });
+                // The path has no index of the key, as the order of the keys is lost in the canonical form.
+                if (!others.isEmpty()) {
+                    report(
+                            ErrorCode.DUPLICATE_NAME,
+                            team,
+                            "organisations[" + i + "]",
+                            organisation.name(),
+                            "no API key of " + String.join(", ", others));
+                }
+            }
+        });
+    }
+
     private void checkReferences() {
         Set<String> services = new HashSet<>();
         Set<String> resources = new HashSet<>();
--- a/api/src/main/java/org/mimosahinge/api/document/SectionReader.java
+++ b/api/src/main/java/org/mimosahinge/api/document/SectionReader.java
@@ -10,6 +10,7 @@
 import java.util.stream.Stream;
 import org.mimosahinge.api.contract.CallClass;
 import org.mimosahinge.api.contract.Move;
+import org.mimosahinge.api.contract.Organisation;
 import org.mimosahinge.api.contract.Route;
 import org.mimosahinge.api.contract.RouteAccess;
 import org.mimosahinge.api.contract.Section;
@@ -39,11 +40,16 @@
                 "services", List.of(), ValueReaders.list(ObjectFields.object(SectionReader::readService)));
         Optional<List<Route>> routes =
                 fields.optional("routes", List.of(), ValueReaders.list(ObjectFields.object(SectionReader::readRoute)));
+        Optional<List<Organisation>> organisations =
+                fields.optional("organisations", List.of(), ValueReaders.list(OrganisationReader.ORGANISATION));
         ValueReaders.reportDuplicates(fields.first("services"), "name");
         ValueReaders.reportDuplicates(fields.first("routes"), "name");
         ValueReaders.reportDuplicates(fields.first("routes"), "pathPrefix");
-        return allPresent(team, resources, services, routes)
-                ? Optional.of(new Section(team.get(), resources.get(), services.get(), routes.get()))
+        ValueReaders.reportDuplicates(fields.first("organisations"), "name");
+        OrganisationReader.reportDuplicateKeys(fields.first("organisations"));
+        return allPresent(team, resources, services, routes, organisations)
+                ? Optional.of(
+                        new Section(team.get(), resources.get(), services.get(), routes.get(), organisations.get()))
                 : Optional.empty();
     }
 
@@ -136,7 +142,7 @@
                         ErrorCode.DANGLING_REFERENCE, "one of the service's versions " + String.join(", ", all)));
     }
 
-    private static boolean allPresent(Optional<?>... values) {
+    static boolean allPresent(Optional<?>... values) {
         return Stream.of(values).allMatch(Optional::isPresent);
     }
 
--- a/api/src/main/java/org/mimosahinge/api/document/SectionWriter.java
+++ b/api/src/main/java/org/mimosahinge/api/document/SectionWriter.java
@@ -10,6 +10,7 @@
 import java.util.TreeSet;
 import org.mimosahinge.api.contract.CallClass;
 import org.mimosahinge.api.contract.Move;
+import org.mimosahinge.api.contract.Organisation;
 import org.mimosahinge.api.contract.Route;
 import org.mimosahinge.api.contract.Section;
 import org.mimosahinge.api.contract.Service;
@@ -36,6 +37,14 @@
                 writeRoute(out, route);
             }
             out.writeEndArray();
+            // Without organisations the field is omitted, since earlier releases do not know it.
+            if (!section.organisations().isEmpty()) {
+                out.writeArrayFieldStart("organisations");
+                for (Organisation organisation : section.organisations()) {
+                    writeOrganisation(out, organisation);
+                }
+                out.writeEndArray();
+            }
             out.writeEndObject();
         } catch (IOException e) {
             throw new UncheckedIOException(e);
@@ -76,6 +85,20 @@
         out.writeEndObject();
     }
 
+    private static void writeOrganisation(JsonGenerator out, Organisation organisation) throws IOException {
+        out.writeStartObject();
+        out.writeStringField("name", organisation.name());
+        writeNames(out, "keyHashes", new TreeSet<>(organisation.keyHashes()));
+        if (organisation.callClass().isPresent()) {
+            out.writeStringField(
+                    "priority", callClassName(organisation.callClass().get()));
+        }
+        out.writeNumberField("rate", organisation.quota().callsPerS());
+        out.writeNumberField("burst", organisation.quota().burst());
+        writeNames(out, "regions", new TreeSet<>(organisation.regions()));
+        out.writeEndObject();
+    }
+
     private static void writeNames(JsonGenerator out, String field, Collection<String> names) throws IOException {
         out.writeArrayFieldStart(field);
         for (String name : names) {
--- a/api/src/main/java/org/mimosahinge/api/document/ValueReaders.java
+++ b/api/src/main/java/org/mimosahinge/api/document/ValueReaders.java
@@ -8,6 +8,7 @@
 import java.util.Collection;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Locale;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
@@ -76,6 +77,19 @@
         };
     }
 
+    static ValueReader<Double> number(double min, double max) {
+        String expected = String.format(Locale.ROOT, "a number from %.0f to %.0f", min, max);
+        return cursor -> {
+            // JSON has no other numbers than those that this parses; too long ones become infinite.
+            Optional<Double> number = scalar(cursor, Kind.NUMBER, expected).map(Double::valueOf);
+            if (number.isPresent() && (number.get() < min || number.get() > max)) {
+                cursor.report(ErrorCode.OUT_OF_RANGE, expected);
+                return Optional.empty();
+            }
+            return number;
+        };
+    }
+
     static ValueReader<Duration> duration(Duration min, Duration max) {
         String range = "a duration from " + Durations.format(min) + " to " + Durations.format(max);
         return cursor -> {
--- a/cli/src/main/java/org/mimosahinge/cli/SubmitCommand.java
+++ b/cli/src/main/java/org/mimosahinge/cli/SubmitCommand.java
@@ -5,6 +5,7 @@
 import java.util.Optional;
 import java.util.stream.Stream;
 import org.mimosahinge.api.document.ProblemLocator;
+import org.mimosahinge.api.document.SectionParser;
 import org.mimosahinge.api.error.ErrorCode;
 import org.mimosahinge.api.error.MimosahingeException;
 import org.mimosahinge.api.error.Problem;
@@ -24,10 +25,11 @@
         long base = invocation.options().base();
         FileChecks.SectionFile file =
                 FileChecks.readSection(invocation.arguments().get(0));
+        // The canonical form has hashes in place of API keys, which must not leave this machine.
+        byte[] json = file.section().organisations().isEmpty() ? file.json() : SectionParser.toJson(file.section());
         Submission accepted;
         try {
-            accepted =
-                    invocation.client().get().submit(file.section().team(), base, file.json(), invocation.deadline());
+            accepted = invocation.client().get().submit(file.section().team(), base, json, invocation.deadline());
         } catch (MimosahingeException e) {
             if (mayHaveTakenEffect(e)) {
                 throw new UnknownOutcomeException(base, e);
--- a/cli/src/test/java/org/mimosahinge/cli/SubmitCommandTest.java
+++ b/cli/src/test/java/org/mimosahinge/cli/SubmitCommandTest.java
@@ -2,6 +2,7 @@
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
@@ -45,6 +46,19 @@
         }
     }
 
+    /** Guards against API keys that are sent in clear. */
+    @Test
+    void submitsHashesInsteadOfKeys() throws IOException {
+        try (StandInDaemon daemon = new StandInDaemon()
+                .respond("PUT /v1/sections/a?base=3", 200, "{\"version\":7,\"revision\":4,\"team\":\"a\"}")) {
+            String section = "{\"team\": \"a\", \"organisations\": [{\"name\": \"o\", \"keys\": [\"secret\"]}]}";
+            Path file = Files.writeString(folder.resolve("a.json"), section);
+            CommandResult.run("submit", file.toString(), "--base", "3", "--node", daemon.address());
+            String sent = new String(daemon.requests().get(0).body(), StandardCharsets.UTF_8);
+            assertTrue(sent.contains("\"o\"") && !sent.contains("secret"), sent);
+        }
+    }
+
     /** Guards against a wait that reports success although a node does not apply the version. */
     @Test
     void reportsTheAcceptedVersionWhenTheWaitTimesOut() {
--- a/core/src/main/java/org/mimosahinge/core/config/Interest.java
+++ b/core/src/main/java/org/mimosahinge/core/config/Interest.java
@@ -14,10 +14,10 @@
 /**
  * The services whose callers a node or its subtree serves, and the sections that the node needs for them.
  *
- * <p>The selection consists of the sections that own such a service or have a route to it, and transitively of all
- * sections that a route of a selected section refers to. It is therefore closed: the service and the resources of each
- * of its routes are included. It is monotonic in the interest, so a parent that holds the union of its subtree can
- * select for each child.
+ * <p>The selection consists of the sections that own such a service or have a route to it, of all sections with
+ * organisations, as a caller of any of them may call the node, and transitively of all sections that a route of a
+ * selected section refers to. It is therefore closed: the service and the resources of each of its routes are included.
+ * It is monotonic in the interest, so a parent that holds the union of its subtree can select for each child.
  *
  * @param services names of services; empty means all
  */
@@ -57,7 +57,8 @@
         SortedMap<String, RevisedSection> selected = new TreeMap<>();
         Deque<RevisedSection> pending = new ArrayDeque<>();
         all.values().stream()
-                .filter(revised -> ownsAny(revised.section(), services)
+                .filter(revised -> !revised.section().organisations().isEmpty()
+                        || ownsAny(revised.section(), services)
                         || revised.section().routes().stream()
                                 .anyMatch(route -> services.contains(route.firstService())))
                 .forEach(pending::add);
--- a/core/src/main/java/org/mimosahinge/core/config/ReferenceChecker.java
+++ b/core/src/main/java/org/mimosahinge/core/config/ReferenceChecker.java
@@ -9,11 +9,14 @@
 import java.util.Set;
 import org.mimosahinge.api.config.MovePhase;
 import org.mimosahinge.api.config.MoveState;
+import org.mimosahinge.api.contract.Organisation;
+import org.mimosahinge.api.contract.Organisations;
 import org.mimosahinge.api.contract.Route;
 import org.mimosahinge.api.contract.Section;
 import org.mimosahinge.api.contract.Service;
+import org.mimosahinge.api.error.DuplicateNameException;
 
-/** Finds references between sections that do not resolve. */
+/** Finds references between sections that do not resolve, and organisations that two of them define. */
 final class ReferenceChecker {
     private ReferenceChecker() {}
 
@@ -40,6 +43,7 @@
         sections.forEach(section ->
                 section.routes().forEach(route -> checkRoute(section.team(), route, services, resources, problems)));
         moves.forEach(move -> checkMove(move, services, problems));
+        checkOrganisations(sections, problems);
         return problems;
     }
 
@@ -71,6 +75,21 @@
         }
     }
 
+    private static void checkOrganisations(Collection<Section> sections, List<String> problems) {
+        try {
+            Organisations.of(organisations(sections));
+        } catch (DuplicateNameException e) {
+            problems.add(e.getMessage());
+        }
+    }
+
+    /** Returns the organisations of all sections. */
+    static List<Organisation> organisations(Collection<Section> sections) {
+        return sections.stream()
+                .flatMap(section -> section.organisations().stream())
+                .toList();
+    }
+
     private static void checkVersion(Service service, String version, List<String> problems) {
         if (!service.versions().contains(version)) {
             problems.add("service \"" + service.name() + "\" has no version \"" + version + "\"");
--- a/core/src/main/java/org/mimosahinge/core/config/SnapshotBuilder.java
+++ b/core/src/main/java/org/mimosahinge/core/config/SnapshotBuilder.java
@@ -16,6 +16,7 @@
 import org.mimosahinge.api.config.RevisedSection;
 import org.mimosahinge.api.config.Snapshot;
 import org.mimosahinge.api.contract.CallerLimits;
+import org.mimosahinge.api.contract.Organisations;
 import org.mimosahinge.api.contract.Route;
 import org.mimosahinge.api.contract.Section;
 import org.mimosahinge.api.contract.Service;
@@ -212,7 +213,14 @@
                 haltMarks,
                 current.provenCurrent(),
                 CallerLimits.DEFAULT,
-                TrafficRules.NONE);
+                rules(current, contents));
+    }
+
+    private static TrafficRules rules(Snapshot current, List<Section> contents) {
+        Organisations organisations = Organisations.of(ReferenceChecker.organisations(contents));
+        return organisations.equals(current.rules().organisations())
+                ? current.rules()
+                : new TrafficRules(organisations, Map.of(), Set.of());
     }
 
     // Marks of unknown services are retained: they may arrive over the tree before the section does.
@@ -239,7 +247,7 @@
                 haltMarks,
                 provenCurrent,
                 CallerLimits.DEFAULT,
-                TrafficRules.NONE);
+                current.rules());
     }
 
     private static UpdateRejectedException rejected(Snapshot current, ConfigUpdate update, String reason) {
--- a/core/src/test/java/org/mimosahinge/core/config/SnapshotBuilderTest.java
+++ b/core/src/test/java/org/mimosahinge/core/config/SnapshotBuilderTest.java
@@ -15,16 +15,20 @@
 import org.junit.jupiter.params.provider.Arguments;
 import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.MethodSource;
+import org.junit.jupiter.params.provider.ValueSource;
 import org.mimosahinge.api.config.ConfigUpdate;
 import org.mimosahinge.api.config.HaltMark;
 import org.mimosahinge.api.config.MovePhase;
 import org.mimosahinge.api.config.MoveState;
 import org.mimosahinge.api.config.Snapshot;
+import org.mimosahinge.api.contract.Organisation;
+import org.mimosahinge.api.contract.Quota;
 import org.mimosahinge.api.contract.Route;
 import org.mimosahinge.api.contract.Section;
 import org.mimosahinge.api.contract.Service;
 import org.mimosahinge.api.contract.ServiceLimits;
 import org.mimosahinge.api.error.UpdateRejectedException;
+import org.mimosahinge.api.platform.ObjectHash;
 import org.mimosahinge.core.Samples;
 
 /** Guards against updates that are applied out of order or partially. */
@@ -51,7 +55,33 @@
                         new Section("ledger", Set.of(), List.of(Samples.serviceWithMove("ledger", "v9")), List.of())),
                 Arguments.of(
                         "defined by two",
-                        new Section("ledger", Set.of(), List.of(Samples.service("listings")), List.of())));
+                        new Section("ledger", Set.of(), List.of(Samples.service("listings")), List.of())),
+                Arguments.of("have the same API key", withOrganisations(organisation("a", 1), organisation("b", 1))),
+                Arguments.of("is defined twice", withOrganisations(organisation("a", 1), organisation("a", 2))));
+    }
+
+    private static Section withOrganisations(Organisation... organisations) {
+        return new Section("ledger", Set.of(), List.of(), List.of(), List.of(organisations));
+    }
+
+    private static Organisation organisation(String name, int key) {
+        return new Organisation(
+                name, Set.of(ObjectHash.of("key-" + key).hex()), Optional.empty(), Quota.UNLIMITED, Set.of());
+    }
+
+    /**
+     * Guards against nodes that lose the organisations when an endpoint changes, or that let callers in without a key
+     * because their interest leaves out the section with the organisations.
+     */
+    @ParameterizedTest(name = "interest in {0}")
+    @ValueSource(strings = {"", "listings"})
+    void organisationsAreKnownOnEveryNode(String service) {
+        Section section = withOrganisations(organisation("a", 1));
+        Interest interest = new Interest(service.isEmpty() ? Set.of() : Set.of(service));
+        Snapshot parent = SnapshotBuilder.apply(VERSION_5, Samples.update(5, 6, Samples.revisedSections(1, section)));
+        Snapshot child = SnapshotBuilder.apply(Snapshot.EMPTY, UpdateBuilder.fullState(parent, interest));
+        Snapshot later = SnapshotBuilder.withProvenCurrent(child, !child.provenCurrent());
+        assertTrue(later.rules().organisations().withKey("key-1").isPresent());
     }
 
     private static Section withRoute(Route route) {
--- a/daemon/src/main/java/org/mimosahinge/daemon/Daemon.java
+++ b/daemon/src/main/java/org/mimosahinge/daemon/Daemon.java
@@ -50,6 +50,7 @@
     private final TrafficPlane traffic;
     private final PeerChannels peerChannels;
     private final ControlPlane control;
+    private final QuotaParts quotaParts;
     private final HttpMessageServer operatorServer;
     private final HostPort peerAddress;
 
@@ -68,6 +69,7 @@
                 snapshots,
                 platform,
                 event -> controlLoop.offer(() -> trafficEvent(event)));
+        quotaParts = new QuotaParts(traffic.quotas());
         peerChannels = new PeerChannels(controlIo, byteCounter);
         peerChannels.setHandlers(control.connectionListener(), hello -> traffic.newInboundHandler());
         peerAddress = peerChannels.listen(settings.peerAddress(), traffic.eventLoops());
@@ -76,7 +78,7 @@
         operatorServer = HttpMessageServer.start(
                 settings.operatorAddress(), controlIo, new OperatorHandler(self, control, snapshots, metrics::text));
         controlIo.scheduleAtFixedRate(
-                () -> controlLoop.offer(control::tick), 0, ControlPlane.TICK.toMillis(), TimeUnit.MILLISECONDS);
+                () -> controlLoop.offer(this::tick), 0, ControlPlane.TICK.toMillis(), TimeUnit.MILLISECONDS);
         LOG.info(
                 "started",
                 "node",
@@ -101,6 +103,14 @@
         return new Daemon(settings);
     }
 
+    private void tick() {
+        control.tick();
+        quotaParts.update(
+                snapshots.get().rules().organisations(),
+                control.nodeCount(),
+                TimeUnit.NANOSECONDS.toMillis(System.nanoTime()));
+    }
+
     private void trafficEvent(TrafficEvent event) {
         if (event instanceof TrafficEvent.ConnectionRefused refused) {
             control.connectionRefused(refused.endpointId());
--- a/daemon/src/main/java/org/mimosahinge/daemon/fleet/QuotaCoordinator.java
+++ b/daemon/src/main/java/org/mimosahinge/daemon/fleet/QuotaCoordinator.java
@@ -6,7 +6,6 @@
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.stream.Collectors;
-import org.mimosahinge.api.contract.Organisation;
 import org.mimosahinge.api.contract.Organisations;
 import org.mimosahinge.api.world.Node;
 import org.mimosahinge.api.world.NodeId;
@@ -14,7 +13,6 @@
 import org.mimosahinge.core.organisation.QuotaAccounts;
 import org.mimosahinge.core.organisation.QuotaCoordinators;
 import org.mimosahinge.core.organisation.QuotaCount;
-import org.mimosahinge.core.organisation.QuotaLimit;
 import org.mimosahinge.core.organisation.QuotaLimits;
 import org.mimosahinge.core.organisation.QuotaReport;
 import org.mimosahinge.core.organisation.QuotaReporter;
@@ -96,13 +94,7 @@
             return;
         }
         organisations = inForce;
-        Map<String, QuotaLimit> whole = new HashMap<>();
-        for (Organisation organisation : inForce.all()) {
-            if (organisation.quota().limited()) {
-                whole.put(organisation.name(), QuotaLimit.of(organisation.quota(), bounds));
-            }
-        }
-        limits = new QuotaLimits(whole, known, bounds);
+        limits = QuotaLimits.of(inForce, known, bounds);
         gates.apply(limits, nowMs);
     }
 
--- a/daemon/src/main/java/org/mimosahinge/daemon/traffic/CallProtocol.java
+++ b/daemon/src/main/java/org/mimosahinge/daemon/traffic/CallProtocol.java
@@ -67,8 +67,8 @@
         private ToIntFunction<CallException> status = failure -> failure.code().httpStatus();
         private LongFunction<String> retryAfter = ms -> Long.toString((ms + MS_PER_SECOND - 1) / MS_PER_SECOND);
 
-        private String credentialHeader = "";
-        private String organisationHeader = "";
+        private String credentialHeader = HeaderMaps.CREDENTIAL_HEADER;
+        private String organisationHeader = HeaderMaps.ORGANISATION_HEADER;
         private Function<Map<String, String>, Optional<ServerLoad>> serverLoad = headers -> Optional.empty();
 
         private Builder() {}
--- a/daemon/src/main/java/org/mimosahinge/daemon/traffic/HeaderMaps.java
+++ b/daemon/src/main/java/org/mimosahinge/daemon/traffic/HeaderMaps.java
@@ -12,6 +12,8 @@
     static final String OUTCOME_HEADER = "x-mimosahinge-outcome";
     static final String NOT_RUN = "not-run";
     static final String DEADLINE_HEADER = "x-deadline-ms";
+    static final String CREDENTIAL_HEADER = "authorization";
+    static final String ORGANISATION_HEADER = "x-mimosahinge-organisation";
 
     private static final Set<String> HOP_BY_HOP = Set.of(
             "connection", "keep-alive", "proxy-connection", "te", "trailer", "transfer-encoding", "upgrade", "expect");
--- a/daemon/src/test/java/org/mimosahinge/daemon/LocalFleet.java
+++ b/daemon/src/test/java/org/mimosahinge/daemon/LocalFleet.java
@@ -1,6 +1,7 @@
 package org.mimosahinge.daemon;
 
 import io.netty.channel.nio.NioEventLoopGroup;
+import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.ArrayDeque;
 import java.util.Deque;
@@ -75,8 +76,10 @@
         AtomicInteger served = new AtomicInteger();
         HttpMessageServer server = HttpMessageServer.start(ANY_PORT, group, request -> {
             served.incrementAndGet();
-            return CompletableFuture.completedFuture(
-                    HttpMessageResponse.json(200, "\"" + service + ' ' + version + ' ' + request.uri() + "\""));
+            return CompletableFuture.completedFuture(new HttpMessageResponse(
+                    200,
+                    Map.of("organisation", request.headers().getOrDefault("x-mimosahinge-organisation", "")),
+                    ("\"" + service + ' ' + version + ' ' + request.uri() + "\"").getBytes(StandardCharsets.UTF_8)));
         });
         calls.put(server.address(), served);
         announce(local, server, service, version, "ready");
