Review sections of the document before they are submitted

Cause: only a configuration of the users' platform could be reviewed for entries without effect, contradictions and differences from what is in force; `check` tells of the product's own document only whether it is valid.

The exit status is that of the platform's check: 0 without findings, 1 with warnings, 2 with errors. `check` without these options is unchanged, as its exit codes are stable. A review now compares what services hold and names resources, so the platform's check also lists a service whose number of connections has changed.

--- a/api/src/main/java/org/mimosahinge/api/contract/Route.java
+++ b/api/src/main/java/org/mimosahinge/api/contract/Route.java
@@ -100,6 +100,28 @@
                 access);
     }
 
+    /**
+     * Returns a copy of this route with another name.
+     *
+     * @param newName name of the copy
+     * @return the copy
+     */
+    public Route withName(String newName) {
+        return new Route(
+                newName,
+                host,
+                pathPrefix,
+                shares,
+                callClass,
+                timeout,
+                targetLatency,
+                maxAttempts,
+                idempotent,
+                atMostOnce,
+                resources,
+                access);
+    }
+
     /**
      * Returns a builder with default values.
      *
--- a/cli/src/main/java/org/mimosahinge/cli/ExitCode.java
+++ b/cli/src/main/java/org/mimosahinge/cli/ExitCode.java
@@ -10,6 +10,10 @@
     INTERNAL(1, "internal failure"),
     /** The command line is invalid. */
     USAGE(2, "wrong command line"),
+    /** {@code check --review} has warnings; the status is that of the check of the users' platform. */
+    REVIEW_WARNINGS(1, "warnings of check --review"),
+    /** {@code check --review} has errors. */
+    REVIEW_ERRORS(2, "errors of check --review"),
     /** A section or settings file is invalid. */
     INVALID_DOCUMENT(3, "invalid section or settings"),
     /** The section was changed since the revision given by --base. */
--- a/cli/src/main/java/org/mimosahinge/cli/FileChecks.java
+++ b/cli/src/main/java/org/mimosahinge/cli/FileChecks.java
@@ -7,6 +7,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.stream.Stream;
 import org.mimosahinge.api.contract.Section;
 import org.mimosahinge.api.document.DocumentValidator;
 import org.mimosahinge.api.document.ProblemLocator;
@@ -45,21 +46,21 @@
         if (invocation.options().has("together") && invocation.options().has("settings")) {
             throw new UsageException("--together and --settings exclude each other");
         }
+        if (invocation.options().has("review") || invocation.options().has("against")) {
+            if (invocation.options().has("settings")) {
+                throw new UsageException("--settings excludes --review and --against");
+            }
+            ReviewCommand.review(invocation);
+            return;
+        }
         List<Problem> problems = new ArrayList<>();
         Map<String, SectionFile> sections = new LinkedHashMap<>();
         FileParser parser = invocation.options().has("settings")
                 ? SettingsParser::parse
                 : (file, json) -> addSection(new SectionFile(file, json, SectionParser.parse(file, json)), sections);
-        for (String file : invocation.arguments()) {
-            byte[] json = read(file);
-            try {
-                parser.parse(file, json);
-            } catch (InvalidDocumentException e) {
-                problems.addAll(e.problems());
-            }
-        }
+        parse(invocation.arguments(), parser, problems);
         if (invocation.options().has("together")) {
-            problems.addAll(validateTogether(sections));
+            problems.addAll(validateTogether(sections(sections), sections));
         }
         if (!problems.isEmpty()) {
             throw new InvalidDocumentException(problems);
@@ -73,6 +74,27 @@
                                 .toList()));
     }
 
+    private static void parse(List<String> files, FileParser parser, List<Problem> problems) {
+        for (String file : files) {
+            byte[] json = read(file);
+            try {
+                parser.parse(file, json);
+            } catch (InvalidDocumentException e) {
+                problems.addAll(e.problems());
+            }
+        }
+    }
+
+    /** Reads sections by team and collects the problems of those that are invalid. */
+    static Map<String, SectionFile> readSections(List<String> files, List<Problem> problems) {
+        Map<String, SectionFile> sections = new LinkedHashMap<>();
+        parse(
+                files,
+                (file, json) -> addSection(new SectionFile(file, json, SectionParser.parse(file, json)), sections),
+                problems);
+        return sections;
+    }
+
     static SectionFile readSection(String file) {
         byte[] json = read(file);
         return new SectionFile(file, json, SectionParser.parse(file, json));
@@ -93,22 +115,31 @@
         }
     }
 
-    private static List<Problem> validateTogether(Map<String, SectionFile> sections) {
-        Map<String, Section> sectionsByTeam = new LinkedHashMap<>();
-        sections.forEach((team, file) -> sectionsByTeam.put(team, file.section()));
-        List<Problem> problems = DocumentValidator.validate(sectionsByTeam);
-        return sections.entrySet().stream()
-                .flatMap(entry -> ProblemLocator.locate(
-                        entry.getValue().path(),
-                        entry.getValue().json(),
-                        problems.stream()
-                                .filter(problem -> problem.file().equals(entry.getKey()))
-                                .toList())
-                        .stream())
+    private static Map<String, Section> sections(Map<String, SectionFile> files) {
+        Map<String, Section> sections = new LinkedHashMap<>();
+        files.forEach((team, file) -> sections.put(team, file.section()));
+        return sections;
+    }
+
+    /**
+     * Validates a document.
+     *
+     * @param sections all sections by team
+     * @param files the sections that come from files, in which problems are located
+     */
+    static List<Problem> validateTogether(Map<String, Section> sections, Map<String, SectionFile> files) {
+        return DocumentValidator.validate(sections).stream()
+                .flatMap(problem -> files.containsKey(problem.file())
+                        ? locate(files.get(problem.file()), problem).stream()
+                        : Stream.of(problem))
                 .toList();
     }
 
-    private static byte[] read(String file) {
+    private static List<Problem> locate(SectionFile file, Problem problem) {
+        return ProblemLocator.locate(file.path(), file.json(), List.of(problem));
+    }
+
+    static byte[] read(String file) {
         try {
             return Files.readAllBytes(Path.of(file));
         } catch (IOException e) {
--- a/cli/src/main/java/org/mimosahinge/cli/Help.java
+++ b/cli/src/main/java/org/mimosahinge/cli/Help.java
@@ -29,7 +29,8 @@
 
                 Example of a change:
                   mimosahinge document listings > listings.json   # the first line names the revision
-                  mimosahinge check listings.json
+                  mimosahinge document --output json > in-force.json
+                  mimosahinge check listings.json --against in-force.json
                   mimosahinge submit listings.json --base 3 --wait
 
                 Exit codes:"""
--- a/cli/src/main/java/org/mimosahinge/cli/Mimosahinge.java
+++ b/cli/src/main/java/org/mimosahinge/cli/Mimosahinge.java
@@ -7,6 +7,7 @@
 import java.io.PrintStream;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
+import java.util.concurrent.atomic.AtomicReference;
 import java.util.function.Consumer;
 import org.mimosahinge.api.error.InvalidDocumentException;
 import org.mimosahinge.api.error.MimosahingeException;
@@ -76,13 +77,23 @@
                         + ", expected one of " + String.join(", ", Verbs.names()) + "; see --help"));
         List<String> verbArguments = positionalArguments.subList(1, positionalArguments.size());
         verb.checkUsage(options, verbArguments);
-        Consumer<Report> output = json
-                ? report -> out.println(new String(OperatorJson.encode(report.body()), StandardCharsets.UTF_8))
-                : report -> report.lines().forEach(out::println);
+        AtomicReference<ExitCode> exit = new AtomicReference<>(ExitCode.OK);
+        Consumer<Report> output = report -> {
+            print(report, json);
+            exit.set(report.exit());
+        };
         try (LazyClient client = new LazyClient(options.node())) {
             verb.action().run(new Invocation(options, verbArguments, client, options.deadline(), output));
         }
-        return ExitCode.OK;
+        return exit.get();
+    }
+
+    private void print(Report report, boolean json) {
+        if (json) {
+            out.println(new String(OperatorJson.encode(report.body()), StandardCharsets.UTF_8));
+        } else {
+            report.lines().forEach(out::println);
+        }
     }
 
     private void printFailure(MimosahingeException failure, boolean json) {
--- a/cli/src/main/java/org/mimosahinge/cli/Options.java
+++ b/cli/src/main/java/org/mimosahinge/cli/Options.java
@@ -39,6 +39,8 @@
         parser.accepts("wait");
         parser.accepts("together");
         parser.accepts("settings");
+        parser.accepts("review");
+        parser.accepts("against").withRequiredArg();
         parser.accepts("request").withRequiredArg();
         parser.accepts("endpoint").withRequiredArg();
         parser.accepts("version").withRequiredArg();
--- a/cli/src/main/java/org/mimosahinge/cli/Verbs.java
+++ b/cli/src/main/java/org/mimosahinge/cli/Verbs.java
@@ -12,11 +12,12 @@
     static final List<Verb> ALL = List.of(
             new Verb(
                     "check",
-                    "FILE... [--together | --settings]",
-                    "check sections offline; --together as one document, --settings as daemon settings",
+                    "FILE... [--together | --settings] [--review] [--against FILE]",
+                    "check sections offline; --together as one document, --settings as daemon settings, --review also"
+                            + " for entries that have no effect, --against for what differs from a document in force",
                     1,
                     UNBOUNDED,
-                    Set.of("together", "settings"),
+                    Set.of("together", "settings", "review", "against"),
                     FileChecks::check),
             new Verb(
                     "submit",
--- a/core/src/main/java/org/mimosahinge/core/review/ConfigReview.java
+++ b/core/src/main/java/org/mimosahinge/core/review/ConfigReview.java
@@ -41,7 +41,7 @@
                 .flatMap(route -> route.shares().stream())
                 .map(ServiceShare::service)
                 .collect(Collectors.toUnmodifiableSet());
-        new TreeSet<>(config.services())
+        new TreeSet<>(config.services().keySet())
                 .stream()
                         .filter(service -> !routed.contains(service))
                         .forEach(
@@ -64,7 +64,7 @@
 
     private void reviewRoute(Route route, ReviewedConfig config) {
         for (ServiceShare share : route.shares()) {
-            if (!config.services().contains(share.service())) {
+            if (!config.services().containsKey(share.service())) {
                 add(Concern.NO_EFFECT, entry(route), "its service " + share.service() + " is not configured");
             }
         }
@@ -135,7 +135,8 @@
     private static Map<String, Object> entries(ReviewedConfig config) {
         Map<String, Object> entries = new TreeMap<>();
         config.routes().forEach(route -> entries.putIfAbsent(entry(route), route));
-        config.services().forEach(service -> entries.put("service " + service, service));
+        config.services().forEach((name, service) -> entries.put("service " + name, service));
+        config.resources().forEach(resource -> entries.put("resource " + resource, resource));
         Organisations organisations = config.organisations();
         organisations.all().forEach(organisation -> entries.put(entry(organisation), organisation));
         return entries;
--- a/core/src/test/java/org/mimosahinge/core/review/ConfigReviewTest.java
+++ b/core/src/test/java/org/mimosahinge/core/review/ConfigReviewTest.java
@@ -4,6 +4,7 @@
 
 import java.time.Duration;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 import java.util.stream.Stream;
@@ -38,7 +39,7 @@
     }
 
     private static ReviewedConfig config(List<Route> routes, Organisation... organisations) {
-        return new ReviewedConfig(routes, Set.of("shop"), Organisations.of(List.of(organisations)));
+        return new ReviewedConfig(routes, Map.of("shop", 1), Set.of(), Organisations.of(List.of(organisations)));
     }
 
     private static Arguments finding(String name, ReviewedConfig config, Concern concern, String entry) {
@@ -79,7 +80,7 @@
                         "route lost"),
                 finding(
                         "service without a route",
-                        new ReviewedConfig(List.of(SHOP), Set.of("shop", "idle"), Organisations.NONE),
+                        new ReviewedConfig(List.of(SHOP), Map.of("shop", 1, "idle", 1), Set.of(), Organisations.NONE),
                         Concern.NO_EFFECT,
                         "service idle"),
                 finding(
