Leave a full zone only for an endpoint with known room

Under overload a call that its zone's endpoints refused was sent to up to three endpoints of other zones, which were as full: bytes between zones, and refusals after longer ways. Where working sets are used, an endpoint of another zone is now tried after a refusal for lack of room only if it reported room in the last 2 s; one choice in eight searches for room. Whether servers state their load is now told from the excluded endpoints as well, since those that are left may not have been called yet.

WorkingSetChooserTest: with all members refusing, 50 to 150 of 800 choices go to another zone without known room; after other failures, or with known room, all. Before, every such choice did (read in the code).

--- a/core/src/main/java/org/mimosahinge/core/routing/Candidates.java
+++ b/core/src/main/java/org/mimosahinge/core/routing/Candidates.java
@@ -46,16 +46,6 @@
         return endpoints.get(index);
     }
 
-    /** Returns whether a backend server of the endpoints has stated its load. */
-    boolean anyStated() {
-        for (int i = 0; i < loads.size(); i++) {
-            if (loads.get(i).stats().workPercent() > 0) {
-                return true;
-            }
-        }
-        return false;
-    }
-
     /** Returns the endpoint with the lowest expected time. */
     Best best(double typicalMs, ExpectedCost cost, RandomSource random) {
         int best = 0;
--- a/core/src/main/java/org/mimosahinge/core/routing/ExpectedTimeChooser.java
+++ b/core/src/main/java/org/mimosahinge/core/routing/ExpectedTimeChooser.java
@@ -28,9 +28,8 @@
         ExpectedCost costInSet = ExpectedCost.comparingSet(costModel);
         ExpectedCost cost = ExpectedCost.comparingAll(costModel);
         return (request, snapshot, loads, random) -> {
-            Optional<EndpointChoice> preferred = WorkingSetChooser.choose(request, loads, random, costInSet);
-            if (preferred.isPresent()) {
-                return preferred;
+            if (WorkingSetChooser.applies(request, loads)) {
+                return WorkingSetChooser.choose(request, loads, random, costInSet);
             }
             List<Endpoint> eligible = EndpointChoosers.eligible(request, snapshot);
             if (eligible.isEmpty()) {
--- a/core/src/main/java/org/mimosahinge/core/routing/WorkingSetChooser.java
+++ b/core/src/main/java/org/mimosahinge/core/routing/WorkingSetChooser.java
@@ -4,7 +4,10 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.OptionalInt;
+import java.util.function.IntPredicate;
+import java.util.stream.IntStream;
 import org.mimosahinge.api.world.Endpoint;
+import org.mimosahinge.api.world.Proximity;
 import org.mimosahinge.core.placement.PreferenceOrder;
 
 /**
@@ -19,27 +22,52 @@
      */
     private static final double HYSTERESIS = 0.4;
 
+    /** Occupancy in a refusing endpoint's report from which the refusal is taken for a lack of room. */
+    private static final int FULL_PERMILLE = 800;
+
+    /** Age up to which a report tells whether an endpoint has room. */
+    private static final long ROOM_REPORT_MS = 2_000;
+
+    /** One choice in this many looks for room at endpoints of other zones that have not reported any. */
+    private static final int CHOICES_PER_SEARCH = 8;
+
     private WorkingSetChooser() {}
 
-    /** Returns the choice, or nothing if the service's backend servers state no load or the node has no working set. */
+    /** Returns whether the node has a working set of the service and its backend servers state their load. */
+    static boolean applies(EndpointChoiceRequest request, LoadView loads) {
+        PreferenceOrder order = request.preference().get();
+        int slots = 0;
+        // Excluded endpoints count as well, since those that are left may not have been called yet.
+        for (int i = 0; i < order.endpoints().size() && order.needs(i, i, slots); i++) {
+            Endpoint endpoint = order.endpoints().get(i);
+            if (loads.load(endpoint).stats().workPercent() > 0) {
+                return true;
+            }
+            slots += endpoint.server().slots();
+        }
+        return false;
+    }
+
+    /** Returns the choice, or nothing if no endpoint is likely to take the call. */
     static Optional<EndpointChoice> choose(
             EndpointChoiceRequest request, LoadView loads, RandomSource random, ExpectedCost cost) {
         PreferenceOrder order = request.preference().get();
+        boolean onlyKnownRoom = lacksRoom(request, order, loads) && random.nextInt(CHOICES_PER_SEARCH) != 0;
+        IntPredicate usable = index -> isUsable(request, order, index, loads, onlyKnownRoom);
         List<Endpoint> ordered = order.endpoints();
         List<Endpoint> members = new ArrayList<>(ordered.size());
         int next = 0;
         int slots = 0;
         for (; next < ordered.size() && order.needs(next, members.size(), slots); next++) {
-            Endpoint endpoint = ordered.get(next);
-            if (EndpointChoosers.isEligible(request, endpoint)) {
-                members.add(endpoint);
-                slots += endpoint.server().slots();
+            if (usable.test(next)) {
+                members.add(ordered.get(next));
+                slots += ordered.get(next).server().slots();
             }
         }
-        Candidates set = new Candidates(request, members, loads);
-        if (!set.anyStated()) {
+        if (members.isEmpty()) {
             return Optional.empty();
         }
+        Candidates set = new Candidates(request, members, loads);
         OptionalInt explored = set.toExplore(random);
         if (explored.isPresent()) {
             return Optional.of(set.choice(explored.getAsInt(), set.size(), ChoiceReason.EXPLORED));
@@ -50,7 +78,11 @@
         Endpoint preferred = set.endpoint(member.index());
         if (member.costMs() > typicalMs + hysteresisMs
                 && !cost.endsInTime(request, preferred, set.loads().get(member.index()), typicalMs)) {
-            Candidates others = new Candidates(request, eligible(request, ordered, next), loads);
+            List<Endpoint> outside = IntStream.range(next, ordered.size())
+                    .filter(usable)
+                    .mapToObj(ordered::get)
+                    .toList();
+            Candidates others = new Candidates(request, outside, loads);
             if (others.size() > 0) {
                 Candidates.Best other = others.best(typicalMs, cost, random);
                 if (other.costMs() + hysteresisMs < member.costMs()) {
@@ -62,13 +94,35 @@
         return Optional.of(set.choice(member.index(), members.size(), ChoiceReason.MEMBER));
     }
 
-    private static List<Endpoint> eligible(EndpointChoiceRequest request, List<Endpoint> ordered, int from) {
-        List<Endpoint> found = new ArrayList<>(ordered.size() - from);
-        for (int i = from; i < ordered.size(); i++) {
-            if (EndpointChoosers.isEligible(request, ordered.get(i))) {
-                found.add(ordered.get(i));
+    /**
+     * Returns whether an endpoint with a part of the node's calls has refused such calls because it is full. Under
+     * overload most other zones are full as well, and each attempt there sends the request over a link for nothing.
+     */
+    private static boolean lacksRoom(EndpointChoiceRequest request, PreferenceOrder order, LoadView loads) {
+        if (request.excluded().isEmpty()) {
+            return false;
+        }
+        for (int i = 0; i < order.withPart(); i++) {
+            Endpoint endpoint = order.endpoints().get(i);
+            if (request.excluded().contains(endpoint.id())) {
+                EndpointLoad load = loads.load(endpoint);
+                if (load.reportAgeMs() < ROOM_REPORT_MS && load.reportedLoadPermille() >= FULL_PERMILLE) {
+                    return true;
+                }
             }
         }
-        return found;
+        return false;
+    }
+
+    private static boolean isUsable(
+            EndpointChoiceRequest request, PreferenceOrder order, int index, LoadView loads, boolean onlyKnownRoom) {
+        Endpoint endpoint = order.endpoints().get(index);
+        boolean near = index < order.withPart() || EndpointChoosers.proximity(request, endpoint) == Proximity.SAME_ZONE;
+        return EndpointChoosers.isEligible(request, endpoint)
+                && (near || !onlyKnownRoom || hasKnownRoom(loads.load(endpoint)));
+    }
+
+    private static boolean hasKnownRoom(EndpointLoad load) {
+        return load.reportAgeMs() < ROOM_REPORT_MS && load.reportedLoadPermille() < FULL_PERMILLE;
     }
 }
--- a/core/src/test/java/org/mimosahinge/core/routing/WorkingSetChooserTest.java
+++ b/core/src/test/java/org/mimosahinge/core/routing/WorkingSetChooserTest.java
@@ -1,11 +1,13 @@
 package org.mimosahinge.core.routing;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Random;
 import java.util.Set;
 import java.util.TreeMap;
@@ -34,6 +36,8 @@
     private static final int SLOTS = 13;
     private static final int STATED = 100;
 
+    private static final AvailabilityZone FAR_ZONE = new AvailabilityZone("far", new Region("west"));
+
     private final Map<String, EndpointLoad> loads = new HashMap<>();
     private final List<Endpoint> endpoints = new ArrayList<>();
 
@@ -43,8 +47,13 @@
 
     /** The first six endpoints are the set; those outside have last reported three seconds ago. */
     private void fleet(int memberPermille, int workPercent, boolean suspect) {
+        fleet(memberPermille, workPercent, suspect, ZONE);
+    }
+
+    private void fleet(int memberPermille, int workPercent, boolean suspect, AvailabilityZone outside) {
         for (int i = 0; i < ENDPOINTS; i++) {
-            Node node = new Node(new NodeId("n" + i), 1, ZONE, new HostPort("127.0.0.1", 1));
+            AvailabilityZone zone = i < MEMBERS ? ZONE : outside;
+            Node node = new Node(new NodeId("n" + i), 1, zone, new HostPort("127.0.0.1", 1));
             BackendServer server = new BackendServer("desk", "v1", new HostPort("127.0.0.1", 2), SLOTS, 130, Set.of());
             endpoints.add(new Endpoint("e" + i, server, node, EndpointState.READY, new LogicalTimestamp(1, 1)));
             loads.put(
@@ -60,6 +69,10 @@
     }
 
     private EndpointChoice choose(Set<String> excluded, long seed, long patienceMs) {
+        return choice(excluded, seed, patienceMs, ENDPOINTS).orElseThrow();
+    }
+
+    private Optional<EndpointChoice> choice(Set<String> excluded, long seed, long patienceMs, int withPart) {
         Snapshot snapshot = new Snapshot(
                 1,
                 new TreeMap<>(),
@@ -81,12 +94,11 @@
                                 ZONE,
                                 excluded,
                                 2,
-                                () -> new PreferenceOrder(endpoints, ENDPOINTS, 10),
+                                () -> new PreferenceOrder(endpoints, withPart, 10),
                                 patienceMs),
                         snapshot,
                         endpoint -> loads.get(endpoint.id()),
-                        random::nextInt)
-                .orElseThrow();
+                        random::nextInt);
     }
 
     @ParameterizedTest(name = "members at {0} permille, work at {1} %, suspect {2}: {3}")
@@ -142,6 +154,31 @@
         }
     }
 
+    /**
+     * Under overload most zones are full, and each refused attempt in another one sends the request over a link. Seen on
+     * the users' bench: calls that were refused in their zone were sent to up to three others, all of them full.
+     */
+    @ParameterizedTest(
+            name = "all members excluded at {0} permille, e6 reported {1} permille {2} ms ago: {3} to {4} of 800")
+    @CsvSource({
+        "1000, 100, 3000, 50, 150",
+        "1000, 1000, 50, 50, 150",
+        "1000, 100, 50, 800, 800",
+        "300, 100, 3000, 800, 800"
+    })
+    void anotherZoneIsTriedAfterRefusalsIfItHasKnownRoom(
+            int memberPermille, int outsidePermille, long ageMs, int least, int most) {
+        fleet(memberPermille, STATED, false, FAR_ZONE);
+        loads.put("e6", load(outsidePermille, ageMs, STATED, false));
+        Set<String> excluded = Set.of("e0", "e1", "e2", "e3", "e4", "e5");
+        int chosen = 0;
+        // The first values of generators with consecutive seeds are alike.
+        for (long seed : new Random(1).longs(800).toArray()) {
+            chosen += choice(excluded, seed, 0, MEMBERS).isPresent() ? 1 : 0;
+        }
+        assertTrue(least <= chosen && chosen <= most, "chosen " + chosen);
+    }
+
     /** Without exploration, a member whose report is lost would never be known again. */
     @ParameterizedTest(name = "e{0} has not reported for a minute")
     @CsvSource({"0", "5"})
