Name the order of quota coordinators apart from the coordinator

QuotaCoordinators and QuotaCoordinator differed by one letter. The class of the order that all nodes share is now QuotaCoordinatorOrder.

--- a/core/src/main/java/org/mimosahinge/core/organisation/QuotaCoordinators.java
+++ b/core/src/main/java/org/mimosahinge/core/organisation/QuotaCoordinatorOrder.java
@@ -8,7 +8,7 @@
  * Chooses the coordinator that a node reports to: the first connected node in an order that all nodes share, passing
  * over those that were silent; one thread uses it.
  */
-public final class QuotaCoordinators {
+public final class QuotaCoordinatorOrder {
 
     /** Silence after which a node reports to the next one; half of the time after which it uses its fixed part. */
     private static final long SILENCE_MS = QuotaGate.SILENCE_MS / 2;
--- a/core/src/test/java/org/mimosahinge/core/organisation/QuotaFleet.java
+++ b/core/src/test/java/org/mimosahinge/core/organisation/QuotaFleet.java
@@ -64,7 +64,7 @@
         private final int phaseMs = random.nextInt(TICK_MS);
         private Map<String, QuotaGate> gates = new HashMap<>();
         private QuotaReporter reporter = new QuotaReporter();
-        private QuotaCoordinators coordinators = new QuotaCoordinators();
+        private QuotaCoordinatorOrder coordinators = new QuotaCoordinatorOrder();
         private QuotaAccounts accounts = new QuotaAccounts();
         private int incarnation;
         private int ticks;
@@ -82,7 +82,7 @@
             quotas.keySet()
                     .forEach(name -> gates.put(name, QuotaGate.initial(limits.of(name), nowMs, random::nextInt)));
             reporter = new QuotaReporter();
-            coordinators = new QuotaCoordinators();
+            coordinators = new QuotaCoordinatorOrder();
             accounts = new QuotaAccounts();
         }
 
@@ -122,7 +122,7 @@
                     .filter(other -> connected(number, other.number))
                     .count();
             Set<String> reporters = accounts.reporters(nowMs);
-            if (reporters.isEmpty() || !QuotaCoordinators.mayCoordinate(reached, nodes.size())) {
+            if (reporters.isEmpty() || !QuotaCoordinatorOrder.mayCoordinate(reached, nodes.size())) {
                 return;
             }
             Map<String, QuotaShare> shares = accounts.tell(limits(), nowMs);
--- a/daemon/src/main/java/org/mimosahinge/daemon/fleet/QuotaCoordinator.java
+++ b/daemon/src/main/java/org/mimosahinge/daemon/fleet/QuotaCoordinator.java
@@ -11,7 +11,7 @@
 import org.mimosahinge.api.world.NodeId;
 import org.mimosahinge.core.organisation.OrganisationBounds;
 import org.mimosahinge.core.organisation.QuotaAccounts;
-import org.mimosahinge.core.organisation.QuotaCoordinators;
+import org.mimosahinge.core.organisation.QuotaCoordinatorOrder;
 import org.mimosahinge.core.organisation.QuotaCount;
 import org.mimosahinge.core.organisation.QuotaLimits;
 import org.mimosahinge.core.organisation.QuotaReport;
@@ -36,7 +36,7 @@
     private final Peers peers;
     private final QuotaGates gates;
     private final QuotaTransport transport;
-    private final QuotaCoordinators coordinators = new QuotaCoordinators();
+    private final QuotaCoordinatorOrder coordinators = new QuotaCoordinatorOrder();
     private final QuotaReporter reporter = new QuotaReporter();
     private final QuotaAccounts accounts = new QuotaAccounts();
     private Organisations organisations = Organisations.NONE;
@@ -118,7 +118,7 @@
     private void answer(long nowMs) {
         Set<String> reporters = accounts.reporters(nowMs);
         boolean coordinating = !reporters.isEmpty()
-                && QuotaCoordinators.mayCoordinate(1 + peers.connectedCount(), limits.knownNodes());
+                && QuotaCoordinatorOrder.mayCoordinate(1 + peers.connectedCount(), limits.knownNodes());
         gates.coordinating(coordinating);
         if (!coordinating) {
             return;
