--- a/core/src/test/java/org/mimosahinge/core/pace/AnswerPaceTest.java
+++ b/core/src/test/java/org/mimosahinge/core/pace/AnswerPaceTest.java
@@ -38,15 +38,9 @@
     }
 
     private static RecoverySimulation.Result sum(IntFunction<RecoverySimulation> simulation, double load) {
-        RecoverySimulation.Result sum = new RecoverySimulation.Result(0, 0, 0, 0, 0);
+        RecoverySimulation.Result sum = RecoverySimulation.Result.NONE;
         for (int seed = 0; seed < RUNS; seed++) {
-            RecoverySimulation.Result run = simulation.apply(seed).run(BURST_PER_SLOT, load, DURATION_MS);
-            sum = new RecoverySimulation.Result(
-                    sum.calls() + run.calls(),
-                    sum.late() + run.late(),
-                    sum.refused() + run.refused(),
-                    sum.idleMs() + run.idleMs(),
-                    sum.lostWaitMs() + run.lostWaitMs());
+            sum = sum.plus(simulation.apply(seed).run(BURST_PER_SLOT, load, DURATION_MS));
         }
         return sum;
     }
--- a/core/src/test/java/org/mimosahinge/core/pace/FirstCallsTest.java
+++ b/core/src/test/java/org/mimosahinge/core/pace/FirstCallsTest.java
@@ -38,16 +38,10 @@
 
     private static RecoverySimulation.Result sum(
             RecoverySimulation.Server server, double load, IntFunction<RecoverySimulation.Limiter> limiter) {
-        RecoverySimulation.Result sum = new RecoverySimulation.Result(0, 0, 0, 0, 0);
+        RecoverySimulation.Result sum = RecoverySimulation.Result.NONE;
         for (int seed = 0; seed < RUNS; seed++) {
-            RecoverySimulation.Result run = new RecoverySimulation(server, limiter.apply(server.slots()), seed)
-                    .run(BURST_PER_SLOT, load, DURATION_MS);
-            sum = new RecoverySimulation.Result(
-                    sum.calls() + run.calls(),
-                    sum.late() + run.late(),
-                    sum.refused() + run.refused(),
-                    sum.idleMs() + run.idleMs(),
-                    sum.lostWaitMs() + run.lostWaitMs());
+            sum = sum.plus(new RecoverySimulation(server, limiter.apply(server.slots()), seed)
+                    .run(BURST_PER_SLOT, load, DURATION_MS));
         }
         return sum;
     }
--- a/core/src/test/java/org/mimosahinge/core/pace/RecoverySimulation.java
+++ b/core/src/test/java/org/mimosahinge/core/pace/RecoverySimulation.java
@@ -81,6 +81,17 @@
      */
     record Result(int calls, int late, int refused, double idleMs, double lostWaitMs) {
 
+        static final Result NONE = new Result(0, 0, 0, 0, 0);
+
+        Result plus(Result other) {
+            return new Result(
+                    calls + other.calls,
+                    late + other.late,
+                    refused + other.refused,
+                    idleMs + other.idleMs,
+                    lostWaitMs + other.lostWaitMs);
+        }
+
         int bad() {
             return late + refused;
         }
--- a/daemon/src/test/java/org/mimosahinge/daemon/traffic/ColdBackendTest.java
+++ b/daemon/src/test/java/org/mimosahinge/daemon/traffic/ColdBackendTest.java
@@ -16,7 +16,6 @@
 import java.util.concurrent.atomic.AtomicReference;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
-import org.mimosahinge.api.config.Snapshot;
 import org.mimosahinge.api.contract.ColdStart;
 import org.mimosahinge.api.contract.Organisations;
 import org.mimosahinge.api.contract.TrafficRules;
@@ -28,22 +27,9 @@
     private static final int CALLS_PER_S = 5;
     private static final int BURST = 40;
 
-    private static Snapshot withColdStart(Snapshot current) {
-        return new Snapshot(
-                current.version(),
-                current.sections(),
-                current.services(),
-                current.serviceRevisions(),
-                current.routes(),
-                current.moves(),
-                current.endpoints(),
-                current.haltMarks(),
-                current.provenCurrent(),
-                current.callerLimits(),
-                new TrafficRules(
-                        Organisations.NONE,
-                        Map.of("svc", new ColdStart(Duration.ofSeconds(10), CALLS_PER_S + 0.27)),
-                        Set.of()));
+    private static TrafficRules withColdStart() {
+        return new TrafficRules(
+                Organisations.NONE, Map.of("svc", new ColdStart(Duration.ofSeconds(10), CALLS_PER_S + 0.27)), Set.of());
     }
 
     @ParameterizedTest(name = "endpoint on node {0}, {1} event loops, warm before {2}")
@@ -60,7 +46,7 @@
                 TestMesh mesh = new TestMesh(2, null, eventLoops)
                         .route(TestMesh.route("/x", false, false))
                         .endpoint(node, "svc", backend.address(), 8)
-                        .publish(ColdBackendTest::withColdStart)) {
+                        .publish(withColdStart())) {
             mesh.planes.forEach(plane -> plane.setColdnessSource(coldness::get));
             String id = mesh.snapshot().endpoints().get("svc").get(0).id();
             Coldness warm = new Coldness(id, 0);
@@ -104,7 +90,7 @@
                         .route(TestMesh.route("/check", false, false))
                         .endpoint(1, "svc", backend.address(), 4)) {
             if (mayBeCold) {
-                mesh.publish(ColdBackendTest::withColdStart);
+                mesh.publish(withColdStart());
             }
             String id = mesh.snapshot().endpoints().get("svc").get(0).id();
             mesh.planes.forEach(plane -> plane.setColdnessSource(() -> new Coldness(id, 0)));
--- a/daemon/src/test/java/org/mimosahinge/daemon/traffic/EvacuatedZoneTest.java
+++ b/daemon/src/test/java/org/mimosahinge/daemon/traffic/EvacuatedZoneTest.java
@@ -12,26 +12,14 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.ValueSource;
-import org.mimosahinge.api.config.Snapshot;
 import org.mimosahinge.api.contract.Organisations;
 import org.mimosahinge.api.contract.TrafficRules;
 
 /** Guards against calls that reach an evacuated zone from a node that does not know the order, or from a queue. */
 class EvacuatedZoneTest {
 
-    private static Snapshot evacuated(Snapshot current) {
-        return new Snapshot(
-                current.version(),
-                current.sections(),
-                current.services(),
-                current.serviceRevisions(),
-                current.routes(),
-                current.moves(),
-                current.endpoints(),
-                current.haltMarks(),
-                current.provenCurrent(),
-                current.callerLimits(),
-                new TrafficRules(Organisations.NONE, Map.of(), Set.of(TestMesh.ZONE.name())));
+    private static TrafficRules evacuated() {
+        return new TrafficRules(Organisations.NONE, Map.of(), Set.of(TestMesh.ZONE.name()));
     }
 
     @ParameterizedTest(name = "sender knows the order: {0}")
@@ -45,7 +33,7 @@
             if (!senderKnows) {
                 mesh.overrides.put(mesh.node(0).id(), mesh.snapshot());
             }
-            mesh.publish(EvacuatedZoneTest::evacuated);
+            mesh.publish(evacuated());
             assertEquals("503 not-run", TestMesh.outcome(mesh.get("/x")));
             assertEquals(1, backend.received.size());
             mesh.publish(current -> current);
@@ -71,7 +59,7 @@
                 calls.add(mesh.send(mesh.request(0, "/x")));
             }
             running.await();
-            mesh.publish(EvacuatedZoneTest::evacuated);
+            mesh.publish(evacuated());
             release.countDown();
             List<String> outcomes = new ArrayList<>();
             for (CompletableFuture<HttpResponse<String>> call : calls) {
--- a/daemon/src/test/java/org/mimosahinge/daemon/traffic/OrganisationSharingTest.java
+++ b/daemon/src/test/java/org/mimosahinge/daemon/traffic/OrganisationSharingTest.java
@@ -14,7 +14,6 @@
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
-import org.mimosahinge.api.config.Snapshot;
 import org.mimosahinge.api.contract.Organisation;
 import org.mimosahinge.api.contract.Organisations;
 import org.mimosahinge.api.contract.Quota;
@@ -33,20 +32,9 @@
                 name, Set.of(ObjectHash.of("key-" + name).hex()), Optional.empty(), Quota.UNLIMITED, Set.of());
     }
 
-    private static Snapshot withOrganisations(Snapshot current) {
+    private static TrafficRules withOrganisations() {
         Organisations organisations = Organisations.of(List.of(organisation("large"), organisation("small")));
-        return new Snapshot(
-                current.version(),
-                current.sections(),
-                current.services(),
-                current.serviceRevisions(),
-                current.routes(),
-                current.moves(),
-                current.endpoints(),
-                current.haltMarks(),
-                current.provenCurrent(),
-                current.callerLimits(),
-                new TrafficRules(organisations, Map.of(), Set.of()));
+        return new TrafficRules(organisations, Map.of(), Set.of());
     }
 
     @ParameterizedTest(name = "endpoint on node {0}, organisations {1}")
@@ -63,7 +51,7 @@
                         .route(TestMesh.route("/check", true, false))
                         .endpoint(node, "svc", backend.address(), 2)) {
             if (organisations) {
-                mesh.publish(OrganisationSharingTest::withOrganisations);
+                mesh.publish(withOrganisations());
             }
             List<CompletableFuture<HttpResponse<String>>> calls = new ArrayList<>();
             calls.add(send(mesh, "large"));
--- a/daemon/src/test/java/org/mimosahinge/daemon/traffic/TestMesh.java
+++ b/daemon/src/test/java/org/mimosahinge/daemon/traffic/TestMesh.java
@@ -125,6 +125,22 @@
     }
 
     /** Puts a changed snapshot in force on all nodes. */
+    /** Publishes rules on the traffic of services. */
+    TestMesh publish(TrafficRules rules) {
+        return publish(current -> new Snapshot(
+                current.version(),
+                current.sections(),
+                current.services(),
+                current.serviceRevisions(),
+                current.routes(),
+                current.moves(),
+                current.endpoints(),
+                current.haltMarks(),
+                current.provenCurrent(),
+                current.callerLimits(),
+                rules));
+    }
+
     TestMesh publish(UnaryOperator<Snapshot> change) {
         Map<String, Long> revisions = new HashMap<>();
         services.keySet().forEach(service -> revisions.put(service, 1L));
