Judge internal checks by their own times after a start

Before the first answer of a backend server, the pace took the ages of all running calls for each class, so internal checks with a short deadline were refused for the ages of the calls that had made them. Only the ages of their own class count now.

--- a/core/src/main/java/org/mimosahinge/core/pace/AnswerPace.java
+++ b/core/src/main/java/org/mimosahinge/core/pace/AnswerPace.java
@@ -64,14 +64,20 @@
     }
 
     /**
-     * Returns the expected slot time of one class.
+     * Returns the expected slot time of one class. Before the first answer only the calls of that class count: internal
+     * checks are much shorter than the calls that make them, and refusing one wastes the work of such a call.
      *
      * @param callClass the class
      * @param nowMs the current time
      * @return milliseconds
      */
     public double classMs(CallClass callClass, long nowMs) {
-        return ended.anyAnswered() ? ended.classMs(callClass) * slowdown(nowMs) : overallMs(nowMs);
+        if (ended.anyAnswered()) {
+            return ended.classMs(callClass) * slowdown(nowMs);
+        }
+        int index = callClass.ordinal();
+        double meanAgeMs = running[index] == 0 ? 0 : agesMs(index, nowMs) / running[index];
+        return Math.max(ended.classMs(callClass), meanAgeMs);
     }
 
     /**
