Expect that a refusal ends further queued calls

A refused call can close its caller's connection, which cancels the requests behind it; one of these may be next in the list of calls without a chance and is then no longer queued. Found by reading; no test brings it about yet.

--- a/daemon/src/main/java/org/mimosahinge/daemon/traffic/BackendAdmission.java
+++ b/daemon/src/main/java/org/mimosahinge/daemon/traffic/BackendAdmission.java
@@ -216,7 +216,8 @@
         AdmissionView view = view(nowMs, waiting.firstKey().callClass());
         for (SlotRequest call :
                 AdmissionPolicy.withoutChance(view, sharing.order(view), callClass -> pace.classMs(callClass, nowMs))) {
-            waiting.remove(call).refuseNoSlot();
+            // A refusal may end further calls of the same connection.
+            Optional.ofNullable(waiting.remove(call)).ifPresent(BackendCall::refuseNoSlot);
         }
     }
 
