Ask only permitted endpoints whether their servers state their load

Calls with homes, or to one version, whose permitted endpoints are not among the first ones compared all endpoints instead, as if no server stated its load. Found by reading.

Change: only endpoints that the filter of the call admits count; excluded ones still do.

WorkingSetChooserTest.loadsOfPermittedEndpointsDecideWhetherSetsAreUsed: 2 of 4 cases fail on the code before, none after.

--- a/core/src/main/java/org/mimosahinge/core/routing/WorkingSetChooser.java
+++ b/core/src/main/java/org/mimosahinge/core/routing/WorkingSetChooser.java
@@ -22,13 +22,16 @@
      */
     private static final double HYSTERESIS = 0.4;
 
-    /** Occupancy in a refusing endpoint's report from which the refusal is taken for a lack of room. */
+    /**
+     * Reported occupancy from which an endpoint counts as full. It is below 1,000 because a slot that is reserved for
+     * internal checks stays free, which is one in six at the smallest endpoints.
+     */
     private static final int FULL_PERMILLE = 800;
 
     /** Age up to which a report tells whether an endpoint has room. */
     private static final long ROOM_REPORT_MS = 2_000;
 
-    /** One choice in this many looks for room at endpoints of other zones that have not reported any. */
+    /** One choice in this many searches for room at endpoints of other zones that have not reported any. */
     private static final int CHOICES_PER_SEARCH = 8;
 
     private WorkingSetChooser() {}
@@ -36,14 +39,18 @@
     /** Returns whether the node has a working set of the service and its backend servers state their load. */
     static boolean applies(EndpointChoiceRequest request, LoadView loads) {
         PreferenceOrder order = request.preference().get();
+        int members = 0;
         int slots = 0;
-        // Excluded endpoints count as well, since those that are left may not have been called yet.
-        for (int i = 0; i < order.endpoints().size() && order.needs(i, i, slots); i++) {
+        for (int i = 0; i < order.endpoints().size() && order.needs(i, members, slots); i++) {
             Endpoint endpoint = order.endpoints().get(i);
-            if (loads.load(endpoint).stats().workPercent() > 0) {
-                return true;
+            // Excluded endpoints count as well, since those that are left may not have been called yet.
+            if (request.filter().admits(endpoint)) {
+                if (loads.load(endpoint).stats().workPercent() > 0) {
+                    return true;
+                }
+                members++;
+                slots += endpoint.server().slots();
             }
-            slots += endpoint.server().slots();
         }
         return false;
     }
@@ -95,7 +102,7 @@
     }
 
     /**
-     * Returns whether an endpoint with a part of the node's calls has refused such calls because it is full. Under
+     * Returns whether an excluded endpoint with a part of the node's calls is full, so that it has refused them. Under
      * overload most other zones are full as well, and each attempt there sends the request over a link for nothing.
      */
     private static boolean lacksRoom(EndpointChoiceRequest request, PreferenceOrder order, LoadView loads) {
--- a/core/src/test/java/org/mimosahinge/core/routing/WorkingSetChooserTest.java
+++ b/core/src/test/java/org/mimosahinge/core/routing/WorkingSetChooserTest.java
@@ -73,6 +73,11 @@
     }
 
     private Optional<EndpointChoice> choice(Set<String> excluded, long seed, long patienceMs, int withPart) {
+        return choice(excluded, seed, patienceMs, withPart, endpoint -> true);
+    }
+
+    private Optional<EndpointChoice> choice(
+            Set<String> excluded, long seed, long patienceMs, int withPart, EndpointFilter filter) {
         Snapshot snapshot = new Snapshot(
                 1,
                 new TreeMap<>(),
@@ -90,7 +95,7 @@
                 .choose(
                         new EndpointChoiceRequest(
                                 "desk",
-                                endpoint -> true,
+                                filter,
                                 ZONE,
                                 excluded,
                                 2,
@@ -155,8 +160,7 @@
     }
 
     /**
-     * Under overload most zones are full, and each refused attempt in another one sends the request over a link. Seen on
-     * the users' bench: calls that were refused in their zone were sent to up to three others, all of them full.
+     * Under overload most zones are full, and each refused attempt in another one sends the request over a link.
      */
     @ParameterizedTest(
             name = "all members excluded at {0} permille, e6 reported {1} permille {2} ms ago: {3} to {4} of 800")
@@ -179,6 +183,19 @@
         assertTrue(least <= chosen && chosen <= most, "chosen " + chosen);
     }
 
+    /** Endpoints that a call may not go to tell nothing; the set consists of those that it may go to. */
+    @ParameterizedTest(name = "{0} endpoints outside the homes of the call, others state their load: {1}")
+    @CsvSource({"0, true", "6, true", "6, false", "9, true"})
+    void loadsOfPermittedEndpointsDecideWhetherSetsAreUsed(int outsideHomes, boolean stated) {
+        fleet(300, 0, false);
+        for (int i = outsideHomes; i < ENDPOINTS; i++) {
+            loads.put("e" + i, load(300, 50, stated ? STATED : 0, false));
+        }
+        EndpointFilter homes = endpoint -> Integer.parseInt(endpoint.id().substring(1)) >= outsideHomes;
+        EndpointChoice choice = choice(Set.of(), 1, 0, ENDPOINTS, homes).orElseThrow();
+        assertEquals(stated ? ChoiceReason.MEMBER : ChoiceReason.ALL_COMPARED, choice.reason());
+    }
+
     /** Without exploration, a member whose report is lost would never be known again. */
     @ParameterizedTest(name = "e{0} has not reported for a minute")
     @CsvSource({"0", "5"})
