Derive bounds of the new tests, and say what comments left out

FairAdmissionTest names its 0.85 and says what its shares follow from.

The refusal of a call that finds no endpoint no longer says that all refused, as endpoints without known room may not have been asked.

--- a/core/src/main/java/org/mimosahinge/core/admission/OrganisationUse.java
+++ b/core/src/main/java/org/mimosahinge/core/admission/OrganisationUse.java
@@ -19,8 +19,8 @@
     static final double TIME_CONSTANT_MS = 2_000;
 
     /**
-     * Longer than the average of the slots, because many organisations send one endpoint a call in seconds. With 10 s,
-     * a burst was measured by the calm before it, and its organisation counted as starved.
+     * Longer than the average of the slots, because many organisations send one endpoint a call in seconds. A
+     * longer average compares a burst with the calm before it, and takes its organisation for a starved one.
      */
     static final double OUTCOME_TIME_CONSTANT_MS = 4_000;
 
--- a/core/src/main/java/org/mimosahinge/core/config/SnapshotBuilder.java
+++ b/core/src/main/java/org/mimosahinge/core/config/SnapshotBuilder.java
@@ -220,7 +220,10 @@
         Organisations organisations = Organisations.of(ReferenceChecker.organisations(contents));
         return organisations.equals(current.rules().organisations())
                 ? current.rules()
-                : new TrafficRules(organisations, Map.of(), Set.of());
+                : new TrafficRules(
+                        organisations,
+                        current.rules().coldStarts(),
+                        current.rules().evacuatedZones());
     }
 
     // Marks of unknown services are retained: they may arrive over the tree before the section does.
--- a/core/src/main/java/org/mimosahinge/core/routing/EndpointChoiceRequest.java
+++ b/core/src/main/java/org/mimosahinge/core/routing/EndpointChoiceRequest.java
@@ -11,7 +11,7 @@
  * @param service the service
  * @param filter selects the endpoints that may take the call
  * @param zone zone of the choosing node
- * @param excluded identifiers of endpoints that were already tried
+ * @param excluded identifiers of endpoints that were already tried, or have recently refused similar calls
  * @param expectedKb expected size of request and response together, in kilobytes
  * @param preference order in which the choosing node prefers the endpoints; asked for only when a choice needs it
  * @param patienceMs time within which a response is fully useful to the caller, in milliseconds from now; not positive
--- a/core/src/test/java/org/mimosahinge/core/admission/FairAdmissionTest.java
+++ b/core/src/test/java/org/mimosahinge/core/admission/FairAdmissionTest.java
@@ -32,6 +32,9 @@
     /** No organisation may be served less than a quarter as often as all. */
     private static final double MIN_RELATIVE_SERVED = 0.25;
 
+    /** Calls of an organisation within its share that end in time; some take longer than their target by themselves. */
+    private static final double MIN_SERVED_WITHIN_SHARE = 0.85;
+
     /** Sizes by a power law of 1.2, as those of customers usually are. */
     private static List<Load> loads(double utilisation, int hot, double factor) {
         double total = IntStream.rangeClosed(1, ORGANISATIONS)
@@ -57,7 +60,10 @@
                         .othersServed(hot - 1);
     }
 
-    /** The loss is what max-min fair shares take from the others, of which the hot organisation gets 30% at most. */
+    /**
+     * The loss is what the others lose by max-min fair shares when the hot organisation is served 0.3 times as often as
+     * all, the least that no organisation may fall below.
+     */
     @ParameterizedTest(name = "usual load {0}, largest organisation but {1}, target {2} ms, seed {4}: {3} of the calls")
     @CsvSource({
         "0.6, 1, 503, 0, 1",
@@ -104,11 +110,12 @@
         IntStream.range(0, 3).forEach(i -> loads.add(new Load("l" + i, callsPerS, CallClass.INTERACTIVE, false)));
         SharedEndpointModel fair =
                 new SharedEndpointModel(loads, SharedEndpointModel.fair(Map.of()), targetMs, 1).play();
-        assertTrue(fair.served(0, tiny) >= 0.85, "tiny " + fair.served(0, tiny));
+        assertTrue(fair.served(0, tiny) >= MIN_SERVED_WITHIN_SHARE, "tiny " + fair.served(0, tiny));
         assertTrue(fair.leastServed() >= MIN_RELATIVE_SERVED * fair.served(), "least served " + fair.leastServed());
         for (Scheduler baseline : List.of(SharedEndpointModel.byClass(), SharedEndpointModel.firstComeFirstServed())) {
             assertTrue(
-                    new SharedEndpointModel(loads, baseline, targetMs, 1).play().served(0, tiny) < 0.85);
+                    new SharedEndpointModel(loads, baseline, targetMs, 1).play().served(0, tiny)
+                            < MIN_SERVED_WITHIN_SHARE);
         }
     }
 
@@ -151,8 +158,8 @@
         double byWeight =
                 playTwo(40, 160, Map.of("a", 1.5, "b", 0.5), targetMs, seed).served(0, 1);
         double alike = playTwo(40, 160, Map.of(), targetMs, seed).served(0, 1);
-        assertTrue(byWeight >= 0.85, "by weight " + byWeight);
-        assertTrue(alike < 0.85, "alike " + alike);
+        assertTrue(byWeight >= MIN_SERVED_WITHIN_SHARE, "by weight " + byWeight);
+        assertTrue(alike < MIN_SERVED_WITHIN_SHARE, "alike " + alike);
     }
 
     private static SharedEndpointModel playTwo(
--- a/core/src/test/java/org/mimosahinge/core/pace/AnswerPaceTest.java
+++ b/core/src/test/java/org/mimosahinge/core/pace/AnswerPaceTest.java
@@ -21,6 +21,9 @@
     private static final int RAMP_MS = 3_000;
     private static final int SLOW_FROM_MS = 4_000;
 
+    /** Callers do not notice a smaller difference in late calls. */
+    private static final double NOTICEABLE = 0.75;
+
     private record FixedLimit(int slots, int rampMs) implements RecoverySimulation.Limiter {
 
         @Override
@@ -45,7 +48,10 @@
         return sum;
     }
 
-    /** All callers come at once after a start, or the backend server turns slow under its usual load. */
+    /**
+     * All callers come at once after a start, or the backend server turns slow under its usual load. The pace must save
+     * at least half of the late calls that would be saved if the times were known.
+     */
     @ParameterizedTest(name = "{0}: {1} slots, {2} ms a call, for {3} ms {4} times slower, load {5}")
     @CsvSource({
         "fast, 13, 40, 0, 1, 0.5",
@@ -71,11 +77,15 @@
                 seed -> new RecoverySimulation(server, allSlots, RecoverySimulation.ServiceTime.OF_PACE, seed), load);
         RecoverySimulation.Result atOnce = sum(seed -> new RecoverySimulation(server, allSlots, seed), load);
         RecoverySimulation.Result ramped = sum(seed -> new RecoverySimulation(server, ramp, seed), load);
-        String observed = name + ": pace " + pace + ", at once " + atOnce + ", ramp " + ramped;
+        RecoverySimulation.ServiceTime trueTime = (averages, estimate, nowMs) -> workMs / server.speed(nowMs, slots);
+        RecoverySimulation.Result known = sum(seed -> new RecoverySimulation(server, allSlots, trueTime, seed), load);
+        String observed =
+                name + ": pace " + pace + ", at once " + atOnce + ", ramp " + ramped + ", times known " + known;
         assertEquals(0, pace.idleMs(), observed);
         assertTrue(ramped.idleMs() > 0, observed);
         assertTrue(pace.bad() <= atOnce.bad() && pace.bad() < ramped.bad(), observed);
-        assertTrue(pace.late() <= 0.75 * atOnce.late(), observed);
+        assertTrue(pace.late() <= NOTICEABLE * atOnce.late(), observed);
+        assertTrue(pace.late() <= (atOnce.late() + known.late()) / 2, observed);
         if (slowFactor > 100) {
             assertTrue(pace.lostWaitMs() <= 0.5 * atOnce.lostWaitMs(), observed);
         }
@@ -97,7 +107,7 @@
         assertEquals(100 * slowdown, pace.classMs(CallClass.BATCH, 1_000 + ageMs), 1e-9);
     }
 
-    /** Internal checks were refused after a start for the ages of the calls that had made them. */
+    /** Internal checks must not be refused after a start for the ages of the calls that have made them. */
     @ParameterizedTest(name = "no call has ended, {0} run for {1} ms: {2} ms")
     @CsvSource({"0, 0, 0", "3, 0, 0", "3, 80, 80", "1, 2000, 2000"})
     void beforeTheFirstAnswerTheAgesAreALowerBound(int running, long ageMs, double expectedMs) {
--- a/core/src/test/java/org/mimosahinge/core/pace/RecoverySimulation.java
+++ b/core/src/test/java/org/mimosahinge/core/pace/RecoverySimulation.java
@@ -209,7 +209,7 @@
         AdmissionLimits limits = new AdmissionLimits(limiter.limit(now), 0, limiter.queueCapacity(QUEUE_CAPACITY));
         double serviceMs = serviceTime.ms(averages, pace, now);
         AdmissionView view = new AdmissionView(limits, running.size(), waiting.navigableKeySet(), serviceMs, now);
-        if (serviceTime == ServiceTime.OF_PACE) {
+        if (serviceTime != ServiceTime.OF_ENDED_CALLS) {
             for (SlotRequest waiter : AdmissionPolicy.withoutChance(view, view.waiting(), callClass -> serviceMs)) {
                 Call left = waiting.remove(waiter);
                 lostWaitMs += now - left.queuedMs;
--- a/core/src/test/java/org/mimosahinge/core/placement/PlacementModel.java
+++ b/core/src/test/java/org/mimosahinge/core/placement/PlacementModel.java
@@ -83,12 +83,13 @@
      * @param endpoints endpoints of the service, each beside one of the nodes
      * @param slots slots of each endpoint
      * @param workMs mean work of a call
-     * @param patienceMs time within which a response is fully useful, 0 if each call takes the earliest response
+     * @param aimMs time within which a response is fully useful
+     * @param patient whether calls may stay in their set for as long as they end within that time
      */
-    record Site(int nodes, int endpoints, int slots, double workMs, long patienceMs) {
+    record Site(int nodes, int endpoints, int slots, double workMs, long aimMs, boolean patient) {
 
-        Site(int nodes, int endpoints, int slots, double workMs) {
-            this(nodes, endpoints, slots, workMs, 0);
+        Site(int nodes, int endpoints, int slots, double workMs, long aimMs) {
+            this(nodes, endpoints, slots, workMs, aimMs, false);
         }
     }
 
@@ -100,7 +101,7 @@
      * @param staleShare share of choices whose endpoint had reported nothing for 250 ms
      * @param utilisationSpread highest utilisation of an endpoint divided by the mean
      * @param crossings share of calls that left their zone
-     * @param lateShare share of calls that ended after the patience of their callers
+     * @param lateShare share of calls that ended after their aim
      */
     record Figures(
             double meanWaitMs,
@@ -184,7 +185,7 @@
                     slotTimes.overallMs(),
                     phase(nowMs) % 2 == 0 ? 100 : (int) (100 * SLOW_FACTOR));
             slotTimes.observe(CallClass.INTERACTIVE, nowMs - startMs);
-            late += call.arrivedMs() > WARM_UP_MS && nowMs - call.arrivedMs() > site.patienceMs() ? 1 : 0;
+            late += call.arrivedMs() > WARM_UP_MS && nowMs - call.arrivedMs() > site.aimMs() ? 1 : 0;
             if (nowMs > WARM_UP_MS && nowMs < END_MS) {
                 busyMs += nowMs - startMs;
             }
@@ -264,7 +265,7 @@
                     Set.of(),
                     KILOBYTES,
                     () -> workingSets ? order : PreferenceOrder.NONE,
-                    site.patienceMs());
+                    site.patient() ? site.aimMs() : 0);
             EndpointChoice choice = chooser.choose(
                             request,
                             snapshot,
--- a/daemon/src/main/java/org/mimosahinge/daemon/traffic/EntryCall.java
+++ b/daemon/src/main/java/org/mimosahinge/daemon/traffic/EntryCall.java
@@ -114,7 +114,7 @@
         Optional<EndpointChoice> choice = plan.choose();
         if (choice.isEmpty() && plan.estimatedWaitMs() > 0) {
             estimatedWaitMs = plan.estimatedWaitMs();
-            notRun(ErrorCode.OVERLOADED, "All endpoints recently refused similar calls");
+            notRun(ErrorCode.OVERLOADED, "No endpoint is likely to have room for such calls");
         } else if (choice.isEmpty()) {
             notRun(ErrorCode.NO_ENDPOINT, plan.noEndpointReason());
         } else {
