--- a/review/standins-2/Kit.java
+++ b/review/standins-2/Kit.java
@@ -279,6 +279,10 @@
         private final TreeMap<String, Row> rows = new TreeMap<>();
         private final Journal journal;
         final Listener listener;
+
+        /** Whether all calls are turned away with 503, which says that nothing was done. */
+        volatile boolean down;
+
         private long ver;
 
         Store(Journal journal) throws IOException {
@@ -295,9 +299,10 @@
             OutputStream out = socket.getOutputStream();
             for (Message call = readHead(in); call != null; call = readHead(in)) {
                 call.body = readBody(in, call);
-                String path = call.target().split("\\?")[0];
+                String path = down ? "down" : call.target().split("\\?")[0];
                 Map<String, String> query = query(call.target());
                 switch (path) {
+                    case "down" -> sendJson(out, 503, "{}");
                     case "/rows-get" -> sendJson(out, 200, get(query));
                     case "/rows-feed" -> sendJson(out, 200, feed(query));
                     case "/rows-tx" -> {
@@ -343,7 +348,7 @@
                             .filter(row -> row.table.equals(table) && row.ver > after)
                             .sorted(Comparator.comparingLong(Row::ver))
                             .toList();
-                    long leftMs = (end - System.nanoTime()) / 1_000_000;
+                    long leftMs = down ? 0 : (end - System.nanoTime()) / 1_000_000;
                     if (!changed.isEmpty() || leftMs <= 0) {
                         return answer(changed).toString();
                     }
@@ -411,6 +416,13 @@
             notifyAll();
         }
 
+        /** Takes the store down or brings it back. */
+        synchronized void setDown(boolean next) {
+            down = next;
+            journal.line("store: %s", next ? "down, all calls get 503" : "back");
+            notifyAll();
+        }
+
         /** Returns a row's value, an empty string if there is none. */
         synchronized String value(String table, String key) {
             Row row = rows.get(table + '\0' + '\0' + key);
