--- a/review/standins-2/DepartureForgotten.java
+++ b/review/standins-2/DepartureForgotten.java
@@ -71,11 +71,18 @@
             }
             journal.line("all processes killed");
             Kit.sleep(0.3);
+            deployment.store.turnedAway.clear();
             for (Kit.Node node : deployment.nodes) {
                 node.start();
             }
             double startedS = journal.now();
-            Kit.sleep(0.9);
+            // The store is back between two attempts of the node to read its saved report, which are 1.5 s apart.
+            boolean asked = Kit.await(5, () -> deployment.store.turnedAway.stream()
+                    .anyMatch(target -> target.startsWith("/rows-get") && target.contains("from=" + leavingNode.name)));
+            if (!asked) {
+                return Deployment.COULD_NOT_RUN;
+            }
+            Kit.sleep(0.2);
             deployment.store.setDown(false);
             inTouchS[0] = Math.max(startedS, journal.now()) + CONTACT_S;
             journal.line("all machines are in touch from %.3f s on", inTouchS[0]);
--- a/review/standins-2/Kit.java
+++ b/review/standins-2/Kit.java
@@ -283,6 +283,9 @@
         /** Whether all calls are turned away with 503, which says that nothing was done. */
         volatile boolean down;
 
+        /** Targets of the calls that were turned away. */
+        final List<String> turnedAway = new CopyOnWriteArrayList<>();
+
         private long ver;
 
         Store(Journal journal) throws IOException {
@@ -302,7 +305,10 @@
                 String path = down ? "down" : call.target().split("\\?")[0];
                 Map<String, String> query = query(call.target());
                 switch (path) {
-                    case "down" -> sendJson(out, 503, "{}");
+                    case "down" -> {
+                        turnedAway.add(call.target());
+                        sendJson(out, 503, "{}");
+                    }
                     case "/rows-get" -> sendJson(out, 200, get(query));
                     case "/rows-feed" -> sendJson(out, 200, feed(query));
                     case "/rows-tx" -> {
