--- a/review/standins-2/Kit.java
+++ b/review/standins-2/Kit.java
@@ -565,6 +565,18 @@
         final OutputStream out;
 
         Caller(String address, int timeoutMs) throws IOException {
+            this(address, timeoutMs, 0);
+        }
+
+        /** Opens a connection with a small window, as that of a narrow link. */
+        static Caller behindNarrowLink(String address, int timeoutMs) throws IOException {
+            return new Caller(address, timeoutMs, 8_192);
+        }
+
+        private Caller(String address, int timeoutMs, int windowBytes) throws IOException {
+            if (windowBytes > 0) {
+                socket.setReceiveBufferSize(windowBytes);
+            }
             int colon = address.lastIndexOf(':');
             socket.setTcpNoDelay(true);
             socket.connect(
