--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -1,5 +1,5 @@
 #!/bin/sh
-# Builds the stand-ins of the scripts review/6 to review/8. The build of the deploy file comes first.
+# Builds the stand-ins of the scripts review/6 to review/9. The build of the deploy file comes first.
 set -eu
 cd "$(dirname "$0")/.."
 mkdir -p target/review-2
