Ask a backend server before a report is used that may precede its departure

Cause: the departure was only in the memory of processes that have ended. The saved report still said that the endpoint was ready, and the restarted node used it for two heartbeats from the read. A heartbeat from before the departure that arrives after the restart does the same.

Ruled out: that the pause between two reads is the cause.

Change: a restored report, and the first received one, make an endpoint ready only once the backend server has responded to a health check of this process, or has reported again half a heartbeat later (ServerConfirmation). A leaving backend server responds with 503. Without a report, a restored one counts for two heartbeats from the start of the process, not from the read. This does not rest on what the store keeps, which a restored copy of it may lose. The reports of the local backend server move from FleetControlPlane to LocalServerReports.

In PeersTest a restored report is no longer ready by itself, so the test confirms it first; its times now count from the start, with rows for a late read.

--- a/daemon/src/main/java/org/mimosahinge/daemon/fleet/EndpointLog.java
+++ b/daemon/src/main/java/org/mimosahinge/daemon/fleet/EndpointLog.java
@@ -1,7 +1,9 @@
 package org.mimosahinge.daemon.fleet;
 
+import java.util.Optional;
 import org.mimosahinge.api.world.Endpoint;
 import org.mimosahinge.api.world.NodeId;
+import org.mimosahinge.core.membership.ServerReport;
 import org.mimosahinge.net.log.EventLog;
 
 /** Log lines about the states of endpoints. */
@@ -31,6 +33,32 @@
                 cause);
     }
 
+    /** Logs that a report of the endpoint beside this node is not used until the backend server confirms it. */
+    static void unconfirmed(ServerReport report, String cause) {
+        LOG.info(
+                "endpoint_unconfirmed",
+                "endpoint",
+                report.id(),
+                "born",
+                report.timestamp().incarnation(),
+                "sequence",
+                report.timestamp().sequence(),
+                "cause",
+                cause);
+    }
+
+    /** Logs the result of a health check of the backend server beside this node. */
+    static void checked(String endpointId, Optional<String> healthy, Throwable failure) {
+        LOG.info(
+                "endpoint_checked",
+                "endpoint",
+                endpointId,
+                "healthy",
+                failure == null ? healthy.orElse("none") : "no response",
+                "reason",
+                failure == null ? "" : failure.getMessage());
+    }
+
     /** Logs the state of an endpoint that the node beside it has sent. */
     static void told(Endpoint endpoint, NodeId node) {
         LOG.info(
--- a/daemon/src/main/java/org/mimosahinge/daemon/fleet/FleetConfig.java
+++ b/daemon/src/main/java/org/mimosahinge/daemon/fleet/FleetConfig.java
@@ -13,6 +13,7 @@
  * @param version configuration version
  * @param routes all routes
  * @param maxConnectionsByService connections that each endpoint of a service accepts, by service
+ * @param healthPathByService path of the health check of a service's backend servers, by service
  * @param callerLimits limits on callers
  * @param organisations organisations of the callers
  * @param coldStarts limits of cold backend servers, by service
@@ -21,6 +22,7 @@
         long version,
         List<Route> routes,
         Map<String, Integer> maxConnectionsByService,
+        Map<String, String> healthPathByService,
         CallerLimits callerLimits,
         Organisations organisations,
         Map<String, ColdStart> coldStarts) {
@@ -29,6 +31,7 @@
     public FleetConfig {
         routes = List.copyOf(routes);
         maxConnectionsByService = Map.copyOf(maxConnectionsByService);
+        healthPathByService = Map.copyOf(healthPathByService);
         coldStarts = Map.copyOf(coldStarts);
     }
 }
--- a/daemon/src/main/java/org/mimosahinge/daemon/fleet/FleetControlPlane.java
+++ b/daemon/src/main/java/org/mimosahinge/daemon/fleet/FleetControlPlane.java
@@ -7,13 +7,11 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
-import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
 import java.util.concurrent.TimeUnit;
 import java.util.function.LongSupplier;
 import org.mimosahinge.api.world.Endpoint;
 import org.mimosahinge.api.world.EndpointState;
-import org.mimosahinge.api.world.LogicalTimestamp;
 import org.mimosahinge.api.world.Node;
 import org.mimosahinge.api.world.NodeId;
 import org.mimosahinge.core.fanout.RowSourcePolicy;
@@ -56,10 +54,8 @@
     private final LongSupplier nanoTime;
     private final RowReplicator rowReplicator;
     private final Set<Fingerprint> quarantinedRequests = new HashSet<>();
-    private final Set<String> deregistered = new HashSet<>();
     private final Peers peers;
-    private final LocalBackendServer localServer;
-    private final ReportWriter reportWriter;
+    private final LocalServerReports localServer;
     private final MoveRegistry moveRegistry;
     private final FleetReadiness readiness = new FleetReadiness();
     private final RevocationGuard revocationGuard;
@@ -76,7 +72,6 @@
     private boolean snapshotStale;
     private long publishedNanos;
     private long lastTickNanos;
-    private volatile Optional<ServerReport> serverReport = Optional.empty();
     private volatile boolean fleetRowsUrgent = true;
     private volatile long newestRevision;
 
@@ -86,8 +81,7 @@
      * @param self this node
      * @param settings limits of the fleet
      * @param snapshots holds the snapshot in force
-     * @param store writes to the platform
-     * @param decoder decodes rows
+     * @param platform the platform
      * @param sources decides which nodes read rows from the platform
      * @param nanoTime monotonic clock
      */
@@ -95,22 +89,21 @@
             Node self,
             FleetSettings settings,
             SnapshotReference snapshots,
-            FleetStore store,
-            RowDecoder decoder,
+            FleetPlatform platform,
             RowSourcePolicy sources,
             LongSupplier nanoTime) {
         this.self = self;
         this.settings = settings;
         this.snapshots = snapshots;
-        this.store = store;
-        this.decoder = decoder;
+        store = platform.store();
+        decoder = platform.decoder();
         this.nanoTime = nanoTime;
         peers = new Peers(self.id());
         revocationGuard = new RevocationGuard(settings.organisationBounds(), nanoTime);
         snapshots.setKeyProof(revocationGuard::covers);
         rowReplicator = new RowReplicator(self, sources, new PeerRowTransport(), nanoTime.getAsLong());
-        localServer = new LocalBackendServer(self);
-        reportWriter = new ReportWriter(self, store, nanoTime, this::reportRestored);
+        localServer = new LocalServerReports(
+                self, settings.heartbeat(), store, platform.healthCheck(), nanoTime, this::publishLocalEndpoint);
         moveRegistry = new MoveRegistry(nanoTime.getAsLong());
         nextRegistrationNanos = nanoTime.getAsLong();
         lastTickNanos = nanoTime.getAsLong();
@@ -287,6 +280,7 @@
         readiness.configurationApplied(nowNanos());
         config = Optional.of(next);
         fleetSnapshots.apply(next);
+        localServer.setHealthPaths(next.healthPathByService());
         LOG.info(
                 "update_applied",
                 "version",
@@ -310,53 +304,19 @@
      *     nodes while the platform is away
      */
     public CompletionStage<Void> reportReceived(ServerReport report) {
-        boolean changed = localServer.recordReport(report, nowNanos());
-        serverReport = localServer.newestReport();
-        if (changed) {
-            logEndpoint("report");
-            publishLocalEndpoint();
-            reportWriter.write(report);
-        }
-        return report.isLeaving() ? reportWriter.settledOrOverdue() : CompletableFuture.completedFuture(null);
+        return localServer.received(report);
     }
 
     /**
      * Restores the report that an earlier process of this node has saved, so that a restart need not wait for the next
-     * one. A report that was received since then is replaced only by one of a later start or state.
-     *
-     * <p>If the backend server is gone by now, a call to it is refused by whatever listens at its address.
+     * one. A report that was received since then is replaced only by one of a later start or state. The backend server
+     * gets no calls until it confirms that it has not left since.
      *
      * @param report the report
      * @param revision revision of its row
      */
     public void savedReportRead(ServerReport report, long revision) {
-        reportWriter.rowRead(revision);
-        reportRestored(report);
-    }
-
-    private void reportRestored(ServerReport report) {
-        // A report that has been received since may be of a later start under the same identifier.
-        if (deregistered.contains(report.id()) && localServer.newestReport().isEmpty()) {
-            LogicalTimestamp stamp = new LogicalTimestamp(report.timestamp().incarnation(), Long.MAX_VALUE);
-            reportReceived(new ServerReport(report.id(), report.server(), EndpointState.GONE, stamp, 0));
-        } else if (localServer.recordRestored(report, nowNanos())) {
-            serverReport = localServer.newestReport();
-            logEndpoint("remembered");
-            publishLocalEndpoint();
-        }
-    }
-
-    /** Takes over departures of the local backend server that were acknowledged by an earlier process of this node. */
-    private void departuresReceived(List<Endpoint> endpoints) {
-        for (Endpoint endpoint : endpoints) {
-            Optional<ServerReport> departure = ServerReport.departureOf(endpoint);
-            if (departure.isPresent() && localServer.recordReport(departure.get(), nowNanos())) {
-                serverReport = localServer.newestReport();
-                logEndpoint("told by another node");
-                publishLocalEndpoint();
-                reportWriter.write(departure.get());
-            }
-        }
+        localServer.savedReportRead(report, revision);
     }
 
     /**
@@ -365,7 +325,7 @@
      * @param endpointId the endpoint of the backend server
      */
     public void deregistered(String endpointId) {
-        deregistered.add(endpointId);
+        localServer.deregistered(endpointId);
     }
 
     /**
@@ -374,11 +334,7 @@
      * @return the report, empty before the first
      */
     public Optional<ServerReport> serverReport() {
-        return serverReport;
-    }
-
-    private void logEndpoint(String cause) {
-        localServer.endpoint().ifPresent(endpoint -> EndpointLog.state(endpoint, cause));
+        return localServer.newest();
     }
 
     private void publishLocalEndpoint() {
@@ -397,9 +353,9 @@
         if (event instanceof TrafficEvent.CallEvidence outcomes) {
             moveRegistry.addLocalOutcomes(outcomes.outcomes());
         } else if (event instanceof TrafficEvent.ConnectionRefused refused) {
-            connectionRefused(refused.endpointId());
+            localServer.connectionRefused(refused.endpointId());
         } else if (event instanceof TrafficEvent.EndpointDied died) {
-            connectionRefused(died.endpointId());
+            localServer.connectionRefused(died.endpointId());
         } else if (event instanceof TrafficEvent.RequestQuarantined request) {
             requestQuarantined(request.fingerprint(), request.refusedFor());
         } else if (event instanceof TrafficEvent.PeerUp opened) {
@@ -413,13 +369,6 @@
         }
     }
 
-    private void connectionRefused(String endpointId) {
-        if (localServer.markUnreachable(endpointId)) {
-            logEndpoint("connection refused");
-            publishLocalEndpoint();
-        }
-    }
-
     private void requestQuarantined(Fingerprint request, Duration duration) {
         if (quarantinedRequests.add(request)) {
             LOG.warn("request_quarantined", "route", request.route(), "method", request.method(), "uri", request.uri());
@@ -462,7 +411,7 @@
                     .filter(endpoint ->
                             endpoint.node().id().equals(received.node().id()))
                     .toList();
-            departuresReceived(endpoints.endpoints().stream()
+            localServer.departuresTold(endpoints.endpoints().stream()
                     .filter(endpoint -> endpoint.node().id().equals(self.id()))
                     .toList());
             List<Endpoint> outdated = peers.departedBefore(received.node().id(), sentEndpoints);
@@ -515,6 +464,7 @@
      */
     public void reload(FleetSettings changed) {
         settings = changed;
+        localServer.setHeartbeat(changed.heartbeat());
         revocationGuard.reload(changed.organisationBounds());
         publishSnapshot();
     }
@@ -523,10 +473,7 @@
     public void tick() {
         long nowNanos = nowNanos();
         register(nowNanos);
-        if (localServer.expire(nowNanos, settings.heartbeat())) {
-            logEndpoint("reports missing");
-            publishLocalEndpoint();
-        }
+        localServer.tick();
         moveRegistry
                 .takeUnsent()
                 .forEach((service, outcomes) -> traffic.sendToInbound(CallOutcomeFrames.toFrame(service, outcomes)));
@@ -540,7 +487,6 @@
         lastTickNanos = nowNanos;
         fleetRowsUrgent = !registered || nowNanos - registeredNanos < JOINING_NANOS || moveRegistry.hasUnsettledMoves();
         publishMoveOutcomes(nowNanos);
-        reportWriter.tick();
         rowReplicator.tick(peers.connected(), peers.connectionsVersion(), nowNanos);
         removeUnreachable(nowNanos);
         quotas.tick(snapshots.get().rules().organisations(), settings.organisationBounds(), nowNanos);
@@ -613,7 +559,6 @@
     public void shutDown() {
         withdrawReadiness();
         localServer.shutDown();
-        publishLocalEndpoint();
         LOG.info("leaving", "node", self.id());
     }
 
--- a/daemon/src/main/java/org/mimosahinge/daemon/fleet/LocalBackendServer.java
+++ b/daemon/src/main/java/org/mimosahinge/daemon/fleet/LocalBackendServer.java
@@ -1,12 +1,15 @@
 package org.mimosahinge.daemon.fleet;
 
 import java.time.Duration;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import org.mimosahinge.api.world.Endpoint;
 import org.mimosahinge.api.world.EndpointState;
 import org.mimosahinge.api.world.Node;
+import org.mimosahinge.core.membership.ServerConfirmation;
 import org.mimosahinge.core.membership.ServerReport;
 import org.mimosahinge.core.pace.Coldness;
 import org.mimosahinge.net.log.EventLog;
@@ -20,12 +23,14 @@
     private static final int MISSED_REPORTS = 4;
 
     /**
-     * A restored report may precede a departure that could not be saved, so it counts only until a backend server that
-     * still runs has had the time for a report of its own.
+     * A restored report is of no use once a backend server that still runs has had the time for a report of its own.
+     * The time counts from the start of this process, however late the report is read.
      */
     private static final int MISSED_REPORTS_AFTER_RESTORE = 2;
 
     private final Node self;
+    private final Set<String> deregistered = new HashSet<>();
+    private ServerConfirmation confirmation = ServerConfirmation.NONE;
     private ServerReport newestReport;
     private long lastReportNanos;
     private boolean restored;
@@ -34,31 +39,85 @@
     private boolean reportedCold;
     private volatile Coldness coldness = Coldness.UNKNOWN;
 
-    LocalBackendServer(Node self) {
+    LocalBackendServer(Node self, long startedNanos) {
         this.self = self;
+        lastReportNanos = startedNanos;
     }
 
-    /** Records a report and returns whether the endpoint changed for other nodes. */
-    boolean recordReport(ServerReport report, long nowNanos) {
-        return record(report, nowNanos, false);
+    /** Records a report of the backend server and returns whether the endpoint changed for other nodes. */
+    boolean recordReport(ServerReport report, long nowNanos, Duration heartbeat) {
+        Optional<Endpoint> endpointBefore = endpoint();
+        if (!isNewest(report)) {
+            return false;
+        }
+        // This process has heard of its departure, but cannot tell whether the report is an older one or a later start.
+        ServerConfirmation before = deregistered.remove(report.id()) ? ServerConfirmation.NONE : confirmation;
+        confirmation = before.reported(report, nowNanos, heartbeat);
+        lastReportNanos = nowNanos;
+        replaceNewest(report, false);
+        return !endpointBefore.equals(endpoint());
     }
 
-    private boolean record(ServerReport report, long nowNanos, boolean fromStore) {
-        if (newestReport != null && !report.replaces(newestReport)) {
+    /** Records a departure that another node has heard of; returns whether the endpoint changed for other nodes. */
+    boolean recordDeparture(ServerReport report, long nowNanos) {
+        Optional<Endpoint> before = endpoint();
+        if (!isNewest(report)) {
             return false;
         }
+        lastReportNanos = nowNanos;
+        replaceNewest(report, false);
+        return !before.equals(endpoint());
+    }
+
+    /**
+     * Records a report that was received by an earlier process of this node, and returns whether the endpoint changed
+     * for other nodes.
+     */
+    boolean recordRestored(ServerReport report) {
         Optional<Endpoint> before = endpoint();
+        if (!isNewest(report)) {
+            return false;
+        }
+        replaceNewest(report, true);
+        return !before.equals(endpoint());
+    }
+
+    private boolean isNewest(ServerReport report) {
+        return newestReport == null || report.replaces(newestReport);
+    }
+
+    private void replaceNewest(ServerReport report, boolean fromStore) {
         newestReport = report;
-        lastReportNanos = nowNanos;
         restored = fromStore;
         unreachable = false;
         recordColdness();
+    }
+
+    /** Returns whether the newest report says that the backend server is ready, and nothing confirms it yet. */
+    boolean isUnconfirmed() {
+        return newestReport != null
+                && newestReport.state() == EndpointState.READY
+                && !unreachable
+                && !confirmation.isConfirmed();
+    }
+
+    /** Records that the endpoint has responded to a health check; returns whether it changed for other nodes. */
+    boolean confirm(String endpointId) {
+        if (newestReport == null || !newestReport.id().equals(endpointId)) {
+            return false;
+        }
+        Optional<Endpoint> before = endpoint();
+        confirmation = confirmation.checked();
         return !before.equals(endpoint());
     }
 
-    /** Records a report that was received by an earlier process of this node. */
-    boolean recordRestored(ServerReport report, long nowNanos) {
-        return record(report, nowNanos, true);
+    /** Records that an endpoint has deregistered whose start is not known, so that older reports may still arrive. */
+    void deregistered(String endpointId) {
+        deregistered.add(endpointId);
+    }
+
+    boolean hasDeregistered(String endpointId) {
+        return deregistered.contains(endpointId);
     }
 
     /** A restored report is too old to tell whether the backend server has become cold since. */
@@ -112,8 +171,9 @@
         shuttingDown = true;
     }
 
+    /** Returns the endpoint, empty while it is not known whether it has left. */
     Optional<Endpoint> endpoint() {
-        if (newestReport == null) {
+        if (newestReport == null || isUnconfirmed()) {
             return Optional.empty();
         }
         return Optional.of(new Endpoint(
--- a/daemon/src/test/java/org/mimosahinge/daemon/fleet/PeersTest.java
+++ b/daemon/src/test/java/org/mimosahinge/daemon/fleet/PeersTest.java
@@ -27,6 +27,12 @@
 
     private static final AvailabilityZone ZONE = new AvailabilityZone("a", new Region("west"));
 
+    private static final Duration HEARTBEAT = Duration.ofSeconds(1);
+
+    private static ServerReport report(EndpointState state, long born, long sequence) {
+        return new ServerReport("e", server(), state, new LogicalTimestamp(born, sequence), 0);
+    }
+
     private static Node node(String id, long incarnation, int port) {
         return new Node(new NodeId(id), incarnation, ZONE, new HostPort("10.0.0.1", port));
     }
@@ -74,18 +80,15 @@
     @ParameterizedTest(name = "{0} ms after the last report: {1}")
     @CsvSource({"3900, READY", "4100, GONE"})
     void backendServerWithoutReportsIsGone(long silentMs, EndpointState expected) {
-        LocalBackendServer local = new LocalBackendServer(node("self", 1, 5));
-        assertTrue(local.recordReport(
-                new ServerReport("e", server(), EndpointState.READY, new LogicalTimestamp(9, 1), 0), 0));
-        local.expire(TimeUnit.MILLISECONDS.toNanos(silentMs), Duration.ofSeconds(1));
+        LocalBackendServer local = new LocalBackendServer(node("self", 1, 5), 0);
+        assertFalse(local.recordReport(report(EndpointState.READY, 9, 1), 0, HEARTBEAT));
+        assertTrue(local.confirm("e"));
+        local.expire(TimeUnit.MILLISECONDS.toNanos(silentMs), HEARTBEAT);
         assertEquals(expected, local.endpoint().orElseThrow().state());
         // The next report revives the endpoint; a repeated one does not.
-        assertFalse(local.recordReport(
-                new ServerReport("e", server(), EndpointState.READY, new LogicalTimestamp(9, 1), 0), 1));
+        assertFalse(local.recordReport(report(EndpointState.READY, 9, 1), 1, HEARTBEAT));
         assertEquals(
-                expected == EndpointState.GONE,
-                local.recordReport(
-                        new ServerReport("e", server(), EndpointState.READY, new LogicalTimestamp(9, 2), 0), 1));
+                expected == EndpointState.GONE, local.recordReport(report(EndpointState.READY, 9, 2), 1, HEARTBEAT));
     }
 
     @ParameterizedTest(name = "{0} of start {1} after the departure in start 5: current {2}, outdated {3}")
@@ -152,23 +155,33 @@
 
     /** The state as the node of the endpoint sends it after a report of its backend server. */
     private static Endpoint reported(Node node, EndpointState state, long born) {
-        LocalBackendServer local = new LocalBackendServer(node);
-        local.recordReport(new ServerReport("e", server(), state, new LogicalTimestamp(born, 1), 0), 0);
+        LocalBackendServer local = new LocalBackendServer(node, 0);
+        local.recordReport(report(state, born, 1), 0, HEARTBEAT);
+        local.confirm("e");
         return local.endpoint().orElseThrow();
     }
 
     /** A restored report may precede a departure that was acknowledged and could not be saved. */
-    @ParameterizedTest(name = "{0} ms after the restore, {1} ms after a report: {2}")
-    @CsvSource({"1900, -1, READY", "2100, -1, GONE", "2100, 1000, READY", "3900, 0, READY", "4100, 0, GONE"})
-    void restoredReportCountsForAShorterTime(long silentMs, long reportedMs, EndpointState expected) {
-        LocalBackendServer local = new LocalBackendServer(node("self", 1, 5));
-        local.recordRestored(new ServerReport("e", server(), EndpointState.READY, new LogicalTimestamp(9, 1), 0), 0);
+    @ParameterizedTest(name = "restored after {0} ms and confirmed, report after {1} ms, now {2} ms after start: {3}")
+    @CsvSource({
+        "0, -1, 1900, READY",
+        "0, -1, 2100, GONE",
+        "1900, -1, 2100, GONE",
+        "5000, -1, 5000, GONE",
+        "0, 1000, 2100, READY",
+        "0, 0, 3900, READY",
+        "0, 0, 4100, GONE"
+    })
+    void restoredReportCountsForAShorterTimeFromTheStart(
+            long restoredMs, long reportedMs, long nowMs, EndpointState expected) {
+        LocalBackendServer local = new LocalBackendServer(node("self", 1, 5), 0);
+        local.expire(TimeUnit.MILLISECONDS.toNanos(restoredMs), HEARTBEAT);
+        local.recordRestored(report(EndpointState.READY, 9, 1));
+        local.confirm("e");
         if (reportedMs >= 0) {
-            local.recordReport(
-                    new ServerReport("e", server(), EndpointState.READY, new LogicalTimestamp(9, 2), 0),
-                    TimeUnit.MILLISECONDS.toNanos(reportedMs));
+            local.recordReport(report(EndpointState.READY, 9, 2), TimeUnit.MILLISECONDS.toNanos(reportedMs), HEARTBEAT);
         }
-        local.expire(TimeUnit.MILLISECONDS.toNanos(silentMs), Duration.ofSeconds(1));
+        local.expire(TimeUnit.MILLISECONDS.toNanos(nowMs), HEARTBEAT);
         assertEquals(expected, local.endpoint().orElseThrow().state());
     }
 
@@ -177,15 +190,13 @@
     @CsvSource({"4100, 3000, DRAINING", "4100, 0, GONE"})
     void reportsKeepADepartureAliveThatWasTold(long silentMs, long reportedMs, EndpointState expected) {
         Node self = node("self", 1, 5);
-        LocalBackendServer local = new LocalBackendServer(self);
-        local.recordReport(
+        LocalBackendServer local = new LocalBackendServer(self, 0);
+        local.recordDeparture(
                 ServerReport.departureOf(reported(self, EndpointState.DRAINING, 9))
                         .orElseThrow(),
                 0);
-        local.recordReport(
-                new ServerReport("e", server(), EndpointState.DRAINING, new LogicalTimestamp(9, 2), 0),
-                TimeUnit.MILLISECONDS.toNanos(reportedMs));
-        local.expire(TimeUnit.MILLISECONDS.toNanos(silentMs), Duration.ofSeconds(1));
+        local.recordReport(report(EndpointState.DRAINING, 9, 2), TimeUnit.MILLISECONDS.toNanos(reportedMs), HEARTBEAT);
+        local.expire(TimeUnit.MILLISECONDS.toNanos(silentMs), HEARTBEAT);
         assertEquals(expected, local.endpoint().orElseThrow().state());
     }
 }
