Drop the endpoints of a node that has started again

Callers would see: calls to the endpoint of a restarted node before that node knows whether it has left, from a node that a partition had kept from hearing of the departure.

Cause: the other nodes kept the endpoints of the ended process until the first message of the new one.

Change: with a later start of a node, only endpoints that have reported their departure are kept.

Tests: PeersTest.restartedNodeHasOnlyDepartedEndpointsUntilItSendsOthers; the case READY failed before the change.

--- a/daemon/src/main/java/org/mimosahinge/daemon/fleet/Peers.java
+++ b/daemon/src/main/java/org/mimosahinge/daemon/fleet/Peers.java
@@ -51,6 +51,10 @@
         /** Endpoints that have reported their departure, by id; the oldest first. */
         private final Map<String, Endpoint> departed = new LinkedHashMap<>();
 
+        private Peer(long downSinceNanos) {
+            this.downSinceNanos = downSinceNanos;
+        }
+
         private boolean hasDeparted(Endpoint endpoint) {
             Endpoint departure = departed.get(endpoint.id());
             return departure != null && endpoint.timestamp().compareTo(departure.timestamp()) < 0;
@@ -72,17 +76,17 @@
         if (node.id().equals(self)) {
             return false;
         }
-        Peer peer = peers.get(node.id());
-        if (peer != null && peer.node.incarnation() >= node.incarnation()) {
+        Peer known = peers.get(node.id());
+        if (known != null && known.node.incarnation() >= node.incarnation()) {
             return false;
         }
-        boolean addressChanged = peer == null || !peer.node.address().equals(node.address());
-        if (peer == null) {
-            peer = new Peer();
-            peer.downSinceNanos = nowNanos;
-            peers.put(node.id(), peer);
-        }
+        boolean addressChanged = known == null || !known.node.address().equals(node.address());
+        Peer peer = peers.computeIfAbsent(node.id(), id -> new Peer(nowNanos));
         peer.node = node;
+        // The new process may have to ask its backend server first, so only departures outlive the old one.
+        peer.endpoints = peer.endpoints.stream()
+                .filter(endpoint -> peer.departed.containsKey(endpoint.id()))
+                .toList();
         connectionsVersion++;
         return addressChanged;
     }
--- a/daemon/src/test/java/org/mimosahinge/daemon/fleet/PeersTest.java
+++ b/daemon/src/test/java/org/mimosahinge/daemon/fleet/PeersTest.java
@@ -185,6 +185,22 @@
         assertEquals(expected, local.endpoint().orElseThrow().state());
     }
 
+    /** A restarted node asks its backend server before it is used; until then its old endpoint must get no calls. */
+    @ParameterizedTest(name = "{0} before the restart: {1} endpoints after it")
+    @CsvSource({"READY, 0", "DRAINING, 1", "GONE, 1"})
+    void restartedNodeHasOnlyDepartedEndpointsUntilItSendsOthers(EndpointState state, int kept) {
+        Peers peers = new Peers(new NodeId("self"));
+        Node node = node("n", 1, 5);
+        peers.addOrUpdate(node, 0);
+        peers.connectionOpened(node, 1);
+        peers.endpointsReceived(node, List.of(reported(node, state, 5)), 1);
+        Node restarted = node("n", 2, 5);
+        peers.addOrUpdate(restarted, 0);
+        peers.connectionOpened(restarted, 2);
+        assertEquals(kept, peers.endpoints(0).size());
+        assertTrue(peers.endpoints(0).stream().allMatch(endpoint -> endpoint.state() == state));
+    }
+
     /** A departure that another node has told must not make later reports of the draining backend server look old. */
     @ParameterizedTest(name = "{0} ms after the departure was told, {1} ms after a report: {2}")
     @CsvSource({"4100, 3000, DRAINING", "4100, 0, GONE"})
