Reject responses whose status line is malformed

Cause: the library's decoder accepts any number as the status, and nothing behind it checked.

Change: PendingResponseDecoder, which decodes the responses of backend servers, of the store and to health checks, rejects such status lines (HttpStatusLine). As with other bytes outside the protocol, the call ends at once with 502 and an unknown outcome, the connection is closed, a failure is recorded, and only idempotent calls are repeated.

--- a/daemon/src/main/java/org/mimosahinge/daemon/traffic/BackendAdmission.java
+++ b/daemon/src/main/java/org/mimosahinge/daemon/traffic/BackendAdmission.java
@@ -165,7 +165,7 @@
     }
 
     /** Logs that the connection of a call was lost, and whether the backend server crashed. */
-    void logConnectionLost(Frame.CallStart start, boolean crashed, long slotNanos) {
+    void logConnectionLost(Frame.CallStart start, boolean crashed, String reason, long slotNanos) {
         LOG.info(
                 "backend_lost",
                 "request",
@@ -174,6 +174,8 @@
                 endpoint.id(),
                 "crashed",
                 crashed,
+                "reason",
+                reason,
                 "ms",
                 Math.round(slotNanos / 1e6));
     }
--- a/daemon/src/main/java/org/mimosahinge/daemon/traffic/BackendCall.java
+++ b/daemon/src/main/java/org/mimosahinge/daemon/traffic/BackendCall.java
@@ -55,6 +55,7 @@
     private boolean responseStarted;
     private int responseStatus;
     private Map<String, String> responseHeaders = Map.of();
+    private String lossReason = "";
 
     BackendCall(
             BackendAdmission admission,
@@ -312,8 +313,9 @@
     }
 
     @Override
-    public void connectionLost() {
+    public void connectionLost(String reason) {
         state = State.LOST;
+        lossReason = reason;
         admission.connectionLost(this);
     }
 
@@ -323,7 +325,7 @@
             return;
         }
         end();
-        admission.logConnectionLost(start, crashed, System.nanoTime() - admittedNanos);
+        admission.logConnectionLost(start, crashed, lossReason, System.nanoTime() - admittedNanos);
         admission.recordOutcome(
                 start.callClass(),
                 Optional.of(crashed ? FailureKind.CRASH : FailureKind.CONNECTION_LOSS),
@@ -334,8 +336,7 @@
         } else {
             code = (responseStarted ? ErrorCode.ANSWER_TRUNCATED : ErrorCode.CONNECTION_LOST).code();
         }
-        fail(new Frame.CallFailure(
-                start.callId(), code, false, "Backend server closed the connection before the end of the response"));
+        fail(new Frame.CallFailure(start.callId(), code, false, lossReason));
     }
 
     private void fail(Frame.CallFailure failure) {
--- a/daemon/src/main/java/org/mimosahinge/daemon/traffic/BackendConnection.java
+++ b/daemon/src/main/java/org/mimosahinge/daemon/traffic/BackendConnection.java
@@ -35,10 +35,13 @@
 
         void readComplete();
 
-        void connectionLost();
+        /** The connection is of no further use; {@code reason} is a text for the caller and the log. */
+        void connectionLost(String reason);
     }
 
     private static final byte[] EMPTY = {};
+    private static final String CLOSED = "Backend server closed the connection before the end of the response";
+    private static final String MALFORMED = "Backend server sent a malformed response";
     private static final String TIMEOUT = "timeout=";
     private static final int MAX_TIMEOUT_DIGITS = 9;
     private static final int MIN_SERVER_ERROR_STATUS = 500;
@@ -150,7 +153,7 @@
     public void channelRead(ChannelHandlerContext context, Object message) {
         try {
             if (listener == null || ((HttpObject) message).decoderResult().isFailure()) {
-                connectionLost();
+                connectionLost(MALFORMED);
                 context.close();
                 return;
             }
@@ -240,20 +243,20 @@
 
     @Override
     public void channelInactive(ChannelHandlerContext context) {
-        connectionLost();
+        connectionLost(CLOSED);
     }
 
     @Override
     public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
-        connectionLost();
+        connectionLost(CLOSED);
         context.close();
     }
 
-    private void connectionLost() {
+    private void connectionLost(String reason) {
         Listener last = listener;
         listener = null;
         if (last != null) {
-            last.connectionLost();
+            last.connectionLost(reason);
         }
     }
 }
--- a/net/src/main/java/org/mimosahinge/net/http/PendingResponseDecoder.java
+++ b/net/src/main/java/org/mimosahinge/net/http/PendingResponseDecoder.java
@@ -20,6 +20,8 @@
  *
  * <p>Unsolicited bytes could otherwise be decoded as the start of the next response, or be read without limit.
  *
+ * <p>A response with a malformed status line is passed on as a failed message, and its bytes as no message at all.
+ *
  * <p>A body without a length is complete only if the server has ended its stream. A reset, a failed write and a close by
  * this process also make the channel inactive, but leave the body truncated.
  */
@@ -68,6 +70,15 @@
         }
     }
 
+    /** Rejects status lines outside the protocol, which the parent class accepts as responses. */
+    @Override
+    protected HttpMessage createMessage(String[] initialLine) {
+        if (!HttpStatusLine.isValid(initialLine[0], initialLine[1])) {
+            throw new IllegalArgumentException("malformed status line: " + initialLine[0] + ' ' + initialLine[1]);
+        }
+        return super.createMessage(initialLine);
+    }
+
     @Override
     protected boolean isContentAlwaysEmpty(HttpMessage message) {
         HttpResponseStatus status = ((HttpResponse) message).status();
