Limit how long a backend server is used that has not reported repeatedly

Cause: a health check was trusted like repeated reports, and two heartbeats from the start of the process end after the machine counts as in touch.

Change: a restored report counts for one heartbeat from the start of the process, by which a backend server that runs has reported, and a single report for two; four as before once it has reported repeatedly, and while it leaves.

Tests: LocalServerReportsTest.singleReportCountsForTwoHeartbeatsDespiteAHealthCheck is new; the bounds of PeersTest and LocalServerReportsTest became shorter.

--- a/core/src/main/java/org/mimosahinge/core/membership/ServerConfirmation.java
+++ b/core/src/main/java/org/mimosahinge/core/membership/ServerConfirmation.java
@@ -18,6 +18,12 @@
     /** Before the backend server has shown anything. */
     public static final ServerConfirmation NONE = new ServerConfirmation(Evidence.NONE, Optional.empty());
 
+    /** Reports may be late, so several must be missing before the backend server counts as gone. */
+    private static final int MISSED_REPORTS = 4;
+
+    /** A single report may be a late one, and a health check may be wrong. */
+    private static final int MISSED_REPORTS_UNTIL_REPEATED = 2;
+
     /** Reports that were held up together arrive together, so the second one must follow at a distance. */
     private static final int MIN_REPORT_DISTANCES_PER_HEARTBEAT = 2;
 
@@ -87,4 +93,13 @@
     public boolean isConfirmed() {
         return evidence != Evidence.NONE;
     }
+
+    /**
+     * Returns how many reports must be missing before a backend server counts as gone that was ready.
+     *
+     * @return the number of heartbeat intervals since the last report
+     */
+    public int toleratedMissedReports() {
+        return evidence == Evidence.REPEATED_REPORTS ? MISSED_REPORTS : MISSED_REPORTS_UNTIL_REPEATED;
+    }
 }
--- a/daemon/src/main/java/org/mimosahinge/daemon/fleet/LocalBackendServer.java
+++ b/daemon/src/main/java/org/mimosahinge/daemon/fleet/LocalBackendServer.java
@@ -19,14 +19,14 @@
 
     private static final EventLog LOG = EventLog.of("fleet");
 
-    /** Reports may be late, so several must be missing before the backend server counts as gone. */
-    private static final int MISSED_REPORTS = 4;
+    /** Reports may be late, so several must be missing before a backend server that leaves counts as gone. */
+    private static final int MISSED_REPORTS_WHILE_LEAVING = 4;
 
     /**
-     * A restored report is of no use once a backend server that still runs has had the time for a report of its own.
-     * The time counts from the start of this process, however late the report is read.
+     * A backend server that still runs has reported by then. The time counts from the start of this process, however
+     * late the restored report is read.
      */
-    private static final int MISSED_REPORTS_AFTER_RESTORE = 2;
+    private static final int MISSED_REPORTS_AFTER_RESTORE = 1;
 
     private final Node self;
     private final Set<String> deregistered = new HashSet<>();
@@ -161,9 +161,16 @@
 
     /** Marks the endpoint as gone when several reports are missing. */
     boolean expire(long nowNanos, Duration heartbeat) {
-        int missed = restored ? MISSED_REPORTS_AFTER_RESTORE : MISSED_REPORTS;
-        boolean silent = newestReport != null && nowNanos - lastReportNanos > heartbeat.toNanos() * missed;
-        return silent && markUnreachable(newestReport.id());
+        return newestReport != null
+                && nowNanos - lastReportNanos > heartbeat.toNanos() * toleratedMissedReports()
+                && markUnreachable(newestReport.id());
+    }
+
+    private int toleratedMissedReports() {
+        if (newestReport.isLeaving()) {
+            return MISSED_REPORTS_WHILE_LEAVING;
+        }
+        return restored ? MISSED_REPORTS_AFTER_RESTORE : confirmation.toleratedMissedReports();
     }
 
     /** Drains the endpoint because the node is stopping and must get no new calls. */
--- a/daemon/src/test/java/org/mimosahinge/daemon/fleet/LocalServerReportsTest.java
+++ b/daemon/src/test/java/org/mimosahinge/daemon/fleet/LocalServerReportsTest.java
@@ -128,13 +128,13 @@
         return new ServerReport("e", SERVER, state, new LogicalTimestamp(born, sequence), 0);
     }
 
-    @ParameterizedTest(name = "saved READY read after {0} ms, health check {1}: used {2} at once, {3} after 3.2 s")
+    @ParameterizedTest(name = "saved READY read after {0} ms, health check {1}: used {2} at once, {3} after 1.8 s")
     @CsvSource({
         "0, HEALTHY, true, false",
-        "2900, HEALTHY, true, false",
-        "3300, HEALTHY, false, false",
+        "1400, HEALTHY, true, false",
+        "1600, HEALTHY, false, false",
         "0, LEAVING, false, false",
-        "2900, LEAVING, false, false",
+        "1400, LEAVING, false, false",
         "0, OTHER_ENDPOINT, false, false",
         "0, NO_RESPONSE, false, false",
         "0, CONNECTION_REFUSED, false, false"
@@ -144,7 +144,7 @@
         node.advanceTo(readMs);
         node.reports.savedReportRead(report(EndpointState.READY, 5, 1), 7);
         assertEquals(atOnce, node.used());
-        node.advanceTo(3_200);
+        node.advanceTo(1_800);
         assertEquals(later, node.used());
     }
 
@@ -168,9 +168,21 @@
         assertEquals(afterSecond, node.used());
     }
 
+    /** A health check may wrongly say that a leaving backend server accepts calls; a report that follows does not. */
+    @ParameterizedTest(name = "report at {0} ms, then none: last used before {1} ms")
+    @CsvSource({"100, 3400", "2500, 5800", "9000, 12300"})
+    void singleReportCountsForTwoHeartbeatsDespiteAHealthCheck(long reportedMs, long endMs) {
+        NodeProcess node = new NodeProcess(Health.HEALTHY).configured();
+        node.advanceTo(reportedMs);
+        node.report(EndpointState.READY, 5, 1);
+        assertTrue(node.used());
+        node.advanceTo(endMs);
+        assertTrue(!node.used());
+    }
+
     /** A node must not spend calls on a backend server that has left. */
     @ParameterizedTest(name = "{0}: at most {1} checks in 20 s")
-    @CsvSource({"LEAVING, 13", "CONNECTION_REFUSED, 13", "NO_RESPONSE, 1"})
+    @CsvSource({"LEAVING, 7", "CONNECTION_REFUSED, 7", "NO_RESPONSE, 1"})
     void checksEndWithTheReport(Health health, int most) {
         NodeProcess node = new NodeProcess(health).configured();
         node.report(EndpointState.READY, 5, 1);
@@ -179,7 +191,7 @@
     }
 
     @ParameterizedTest(name = "configuration after {0} ms: used {1}")
-    @CsvSource({"0, true", "1000, true", "3500, false"})
+    @CsvSource({"0, true", "1000, true", "1800, false"})
     void checkWaitsForTheConfigurationThatNamesItsPath(long configuredMs, boolean used) {
         NodeProcess node = new NodeProcess(Health.HEALTHY);
         node.reports.savedReportRead(report(EndpointState.READY, 5, 1), 7);
--- a/daemon/src/test/java/org/mimosahinge/daemon/fleet/PeersTest.java
+++ b/daemon/src/test/java/org/mimosahinge/daemon/fleet/PeersTest.java
@@ -77,18 +77,21 @@
         assertEquals(accepted, peers.endpointsReceived(node, List.of(endpoint(node)), connectionId));
     }
 
-    @ParameterizedTest(name = "{0} ms after the last report: {1}")
-    @CsvSource({"3900, READY", "4100, GONE"})
-    void backendServerWithoutReportsIsGone(long silentMs, EndpointState expected) {
+    @ParameterizedTest(name = "{0} reports, {1} ms after the last one: {2}")
+    @CsvSource({"2, 3900, READY", "2, 4100, GONE", "1, 1900, READY", "1, 2100, GONE"})
+    void backendServerWithoutReportsIsGone(int reports, long silentMs, EndpointState expected) {
         LocalBackendServer local = new LocalBackendServer(node("self", 1, 5), 0);
-        assertFalse(local.recordReport(report(EndpointState.READY, 9, 1), 0, HEARTBEAT));
-        assertTrue(local.confirm("e"));
+        for (int i = 1 - reports; i <= 0; i++) {
+            local.recordReport(report(EndpointState.READY, 9, i), HEARTBEAT.toNanos() * i, HEARTBEAT);
+        }
+        assertEquals(reports == 1, local.confirm("e"));
+        assertEquals(EndpointState.READY, local.endpoint().orElseThrow().state());
         local.expire(TimeUnit.MILLISECONDS.toNanos(silentMs), HEARTBEAT);
         assertEquals(expected, local.endpoint().orElseThrow().state());
         // The next report revives the endpoint; a repeated one does not.
-        assertFalse(local.recordReport(report(EndpointState.READY, 9, 1), 1, HEARTBEAT));
+        assertFalse(local.recordReport(report(EndpointState.READY, 9, 0), 1, HEARTBEAT));
         assertEquals(
-                expected == EndpointState.GONE, local.recordReport(report(EndpointState.READY, 9, 2), 1, HEARTBEAT));
+                expected == EndpointState.GONE, local.recordReport(report(EndpointState.READY, 9, 1), 1, HEARTBEAT));
     }
 
     @ParameterizedTest(name = "{0} of start {1} after the departure in start 5: current {2}, outdated {3}")
@@ -164,13 +167,14 @@
     /** A restored report may precede a departure that was acknowledged and could not be saved. */
     @ParameterizedTest(name = "restored after {0} ms and confirmed, report after {1} ms, now {2} ms after start: {3}")
     @CsvSource({
-        "0, -1, 1900, READY",
-        "0, -1, 2100, GONE",
-        "1900, -1, 2100, GONE",
+        "0, -1, 900, READY",
+        "0, -1, 1100, GONE",
+        "900, -1, 1100, GONE",
         "5000, -1, 5000, GONE",
-        "0, 1000, 2100, READY",
-        "0, 0, 3900, READY",
-        "0, 0, 4100, GONE"
+        "0, 900, 2800, READY",
+        "0, 900, 3000, GONE",
+        "0, 0, 1900, READY",
+        "0, 0, 2100, GONE"
     })
     void restoredReportCountsForAShorterTimeFromTheStart(
             long restoredMs, long reportedMs, long nowMs, EndpointState expected) {
