--- a/daemon/src/test/java/org/mimosahinge/daemon/fleet/LocalServerReportsTest.java
+++ b/daemon/src/test/java/org/mimosahinge/daemon/fleet/LocalServerReportsTest.java
@@ -50,7 +50,7 @@
     }
 
     /** A process of the node in virtual time, with a store that is away. */
-    private static final class NodeProcess implements FleetStore {
+    private static final class NodeProcess implements ReportStore {
 
         private final List<CompletableFuture<Optional<String>>> pendingChecks = new ArrayList<>();
         private Health health;
@@ -107,21 +107,6 @@
         public CompletionStage<SavedReport> saveReport(Node self, ServerReport report, long replacedRevision) {
             return CompletableFuture.failedFuture(new IllegalStateException("away"));
         }
-
-        @Override
-        public CompletionStage<Void> registerNode(Node self) {
-            throw new AssertionError("not expected");
-        }
-
-        @Override
-        public CompletionStage<Void> removeNode(Node node, long revision) {
-            throw new AssertionError("not expected");
-        }
-
-        @Override
-        public CompletionStage<Boolean> publishOutcome(MoveOutcome outcome, long replacedRevision) {
-            throw new AssertionError("not expected");
-        }
     }
 
     private static ServerReport report(EndpointState state, long born, long sequence) {
--- a/daemon/src/test/java/org/mimosahinge/daemon/fleet/ReportWriterTest.java
+++ b/daemon/src/test/java/org/mimosahinge/daemon/fleet/ReportWriterTest.java
@@ -49,7 +49,7 @@
     private record Write(ServerReport report, long replacedRevision) {}
 
     /** The store with one row, in virtual time. */
-    private static final class Store implements FleetStore {
+    private static final class Store implements ReportStore {
 
         private final List<ServerReport> rows = new ArrayList<>();
         private final List<Write> late = new ArrayList<>();
@@ -113,21 +113,6 @@
         Optional<ServerReport> row() {
             return rows.isEmpty() ? Optional.empty() : Optional.of(rows.get(rows.size() - 1));
         }
-
-        @Override
-        public CompletionStage<Void> registerNode(Node self) {
-            throw new AssertionError("not expected");
-        }
-
-        @Override
-        public CompletionStage<Void> removeNode(Node node, long revision) {
-            throw new AssertionError("not expected");
-        }
-
-        @Override
-        public CompletionStage<Boolean> publishOutcome(MoveOutcome outcome, long replacedRevision) {
-            throw new AssertionError("not expected");
-        }
     }
 
     private static ServerReport report(EndpointState state, long born, long sequence) {
