--- a/review/standins-3/Http.java
+++ b/review/standins-3/Http.java
@@ -97,7 +97,7 @@
         out.flush();
     }
 
-    private static Response readResponse(InputStream in) throws IOException {
+    static Response readResponse(InputStream in) throws IOException {
         String line = line(in);
         int status = Integer.parseInt(line.split(" ")[1]);
         Map<String, String> headers = headers(in);
