Correct the exit code and the addresses of the review scripts

Each case has a loopback address of its own, so that connections of one do not take a port of another.

--- a/review/standins-3/Case.java
+++ b/review/standins-3/Case.java
@@ -1,3 +1,4 @@
+import java.io.IOException;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -32,33 +33,30 @@
         return resource;
     }
 
-    static void main(Case current, String recordFolder) throws Exception {
-        int code;
-        Path folder = Files.createTempDirectory("review");
+    static void main(Case current, String recordFolder) {
+        int code = NOT_RUN;
         try (Record record = new Record(Path.of(recordFolder, "record.txt"))) {
             current.record = record;
-            current.folder = folder;
+            current.folder = Files.createTempDirectory("review");
             current.trouble = !"0".equals(System.getenv("TROUBLE"));
             Runtime.getRuntime().addShutdownHook(new Thread(current::closeAll));
             Thread limit = new Thread(() -> endAfterLimit(current));
             limit.setDaemon(true);
             limit.start();
             record.add("case", "trouble", current.trouble);
-            try {
-                List<String> breaches = current.run();
-                breaches.forEach(text -> record.add("breach", "text", text));
-                code = breaches.isEmpty() ? HELD : BROKEN;
-                record.add("result", "breaches", breaches.size(), "exit", code);
-                System.out.println(breaches.isEmpty() ? "held" : "broken: " + breaches.size() + ", first: "
-                        + breaches.get(0));
-            } catch (Exception e) {
-                code = NOT_RUN;
-                record.add("result", "error", e, "exit", code);
-                System.out.println("could not run: " + e);
-            }
-            current.closeAll();
+            List<String> breaches = current.run();
+            breaches.forEach(text -> record.add("breach", "text", text));
+            code = breaches.isEmpty() ? HELD : BROKEN;
+            record.add("result", "breaches", breaches.size(), "exit", code);
+            System.out.println(
+                    breaches.isEmpty() ? "held" : "broken: " + breaches.size() + ", first: " + breaches.get(0));
+        } catch (Throwable e) {
+            // An error must not end with the code of a broken rule.
+            code = NOT_RUN;
+            System.out.println("could not run: " + e);
         }
-        deleteAll(folder);
+        current.closeAll();
+        current.deleteLogs();
         Runtime.getRuntime().halt(code);
     }
 
@@ -83,7 +81,10 @@
         }
     }
 
-    private static void deleteAll(Path folder) throws Exception {
+    private void deleteLogs() {
+        if (folder == null) {
+            return;
+        }
         if (System.getenv("KEEP") != null) {
             System.out.println("logs in " + folder);
             return;
@@ -92,8 +93,10 @@
             for (Path file : files.toList()) {
                 Files.delete(file);
             }
+            Files.delete(folder);
+        } catch (IOException e) {
+            System.out.println("not deleted: " + e);
         }
-        Files.delete(folder);
     }
 
     /** Sends a client's request to a machine and records it with its answer; returns the status, 0 without an answer. */
--- a/review/standins-3/CrashCase.java
+++ b/review/standins-3/CrashCase.java
@@ -22,13 +22,13 @@
 
     private int riders;
 
-    public static void main(String[] args) throws Exception {
+    public static void main(String[] args) {
         main(new CrashCase(), args[0]);
     }
 
     @Override
     List<String> run() throws Exception {
-        Store store = use(new Store("127.0.0.1"));
+        Store store = use(new Store("127.0.15.1"));
         store.put("op", "config", config("r7", List.of(
                 route("r-order", HOST, "/order/", "non_idempotent", "orders", 0.5, 1, 2),
                 route("r-page", HOST, "/page/", "idempotent", "storefront", 0.4, 0.8, 2),
@@ -88,13 +88,13 @@
     }
 
     private Machine machine(String name, String zone, String region, String service, Store store) throws Exception {
-        Machine machine = use(new Machine(folder, name, "127.0.0.1", zone, service, store.address(), record));
+        Machine machine = use(new Machine(folder, name, "127.0.15.1", zone, service, store.address(), record));
         machine.change("region", region);
         return machine;
     }
 
     private Endpoint endpoint(String id, String service, String zone, Machine machine) throws Exception {
-        return use(new Endpoint(id, service, zone, "127.0.0.1", machine.appPort(), 12, path -> WORK_MS, record))
+        return use(new Endpoint(id, service, zone, "127.0.15.1", machine.appPort(), 12, path -> WORK_MS, record))
                 .reportTo(machine.control(), HEARTBEAT_MS);
     }
 
--- a/review/standins-3/DrainCase.java
+++ b/review/standins-3/DrainCase.java
@@ -12,23 +12,23 @@
     private static final int CALLS = 60;
     private static final String HOST = "reports.example";
 
-    public static void main(String[] args) throws Exception {
+    public static void main(String[] args) {
         main(new DrainCase(), args[0]);
     }
 
     @Override
     List<String> run() throws Exception {
-        Store store = use(new Store("127.0.0.1"));
+        Store store = use(new Store("127.0.14.1"));
         store.put("op", "config", config("r7", List.of(
                 route("r-report", HOST, "/report/", "non_idempotent", "reports", 3.008, 10.026, 2),
                 service("reports"),
                 service("shop"))));
-        Machine callers = use(new Machine(folder, "sidecar-a-1", "127.0.0.1", "zone-a", "shop", store.address(), record));
+        Machine callers = use(new Machine(folder, "sidecar-a-1", "127.0.14.1", "zone-a", "shop", store.address(), record));
         Machine servers =
-                use(new Machine(folder, "sidecar-b-1", "127.0.0.1", "zone-b", "reports", store.address(), record));
-        Endpoint shop = use(new Endpoint("i-shop", "shop", "zone-a", "127.0.0.1", callers.appPort(), 6, path -> 20, record));
+                use(new Machine(folder, "sidecar-b-1", "127.0.14.1", "zone-b", "reports", store.address(), record));
+        Endpoint shop = use(new Endpoint("i-shop", "shop", "zone-a", "127.0.14.1", callers.appPort(), 6, path -> 20, record));
         Endpoint reports =
-                use(new Endpoint("i-reports", "reports", "zone-b", "127.0.0.1", servers.appPort(), 4, path -> 200, record));
+                use(new Endpoint("i-reports", "reports", "zone-b", "127.0.14.1", servers.appPort(), 4, path -> 200, record));
         callers.start();
         servers.start();
         shop.reportTo(callers.control(), HEARTBEAT_MS);
--- a/review/standins-3/LostCase.java
+++ b/review/standins-3/LostCase.java
@@ -17,7 +17,7 @@
     private static final List<String> PREFIXES = List.of("/transcript/", "/index/");
     private static final String HOST = "transcripts.example";
 
-    public static void main(String[] args) throws Exception {
+    public static void main(String[] args) {
         main(new LostCase(), args[0]);
     }
 
@@ -27,15 +27,15 @@
 
     @Override
     List<String> run() throws Exception {
-        Store store = use(new Store("127.0.0.1"));
+        Store store = use(new Store("127.0.11.1"));
         store.put("op", "config", config("r7", List.of(
                 route("r-transcript", HOST, "/transcript/", "idempotent", "transcripts", 3.008, 10.026, 1),
                 route("r-index", HOST, "/index/", "idempotent", "index", 3.008, 10.026, 2),
                 service("transcripts"),
                 service("index"),
                 service("shop"))));
-        Machine callers = use(new Machine(folder, "sidecar-a-1", "127.0.0.1", "zone-a", "shop", store.address(), record));
-        use(new Endpoint("i-shop", "shop", "zone-a", "127.0.0.1", callers.appPort(), 6, path -> 20, record))
+        Machine callers = use(new Machine(folder, "sidecar-a-1", "127.0.11.1", "zone-a", "shop", store.address(), record));
+        use(new Endpoint("i-shop", "shop", "zone-a", "127.0.11.1", callers.appPort(), 6, path -> 20, record))
                 .reportTo(callers.control(), HEARTBEAT_MS);
         callers.start();
         // Two endpoints and a route with one attempt; one endpoint and a route with two.
@@ -43,8 +43,8 @@
         for (String service : List.of("transcripts", "transcripts", "index")) {
             String number = String.valueOf(servers.size() + 1);
             Machine machine = use(new Machine(
-                    folder, "sidecar-b-" + number, "127.0.0.1", "zone-b", service, store.address(), record));
-            use(new Endpoint("i-" + number, service, "zone-b", "127.0.0.1", machine.appPort(), 6, LostCase::work,
+                    folder, "sidecar-b-" + number, "127.0.11.1", "zone-b", service, store.address(), record));
+            use(new Endpoint("i-" + number, service, "zone-b", "127.0.11.1", machine.appPort(), 6, LostCase::work,
                             record))
                     .reportTo(machine.control(), HEARTBEAT_MS);
             servers.add(machine.start());
--- a/review/standins-3/RolloutCase.java
+++ b/review/standins-3/RolloutCase.java
@@ -27,19 +27,19 @@
     private final AtomicBoolean stopped = new AtomicBoolean();
     private Store store;
 
-    public static void main(String[] args) throws Exception {
+    public static void main(String[] args) {
         main(new RolloutCase(), args[0]);
     }
 
     @Override
     List<String> run() throws Exception {
-        store = use(new Store("127.0.0.1"));
+        store = use(new Store("127.0.13.1"));
         store.put("op", "config", config("r7", List.of(
                 route("r-page", HOST, "/page/", "idempotent", "storefront", 0.4, 0.8, 2),
                 service("storefront"),
                 service("orders"))));
         Machine callers = machine("sidecar-a-1", "zone-a", "region-1", "orders");
-        use(new Endpoint("i-orders", "orders", "zone-a", "127.0.0.1", callers.appPort(), 12, path -> WORK_MS, record))
+        use(new Endpoint("i-orders", "orders", "zone-a", "127.0.13.1", callers.appPort(), 12, path -> WORK_MS, record))
                 .reportTo(callers.control(), HEARTBEAT_MS);
         Machine old = machine("sidecar-b-1", "zone-b", "region-2", "storefront");
         endpoint("i-v1", "zone-b", old, "v1", 0);
@@ -108,14 +108,14 @@
     }
 
     private Machine machine(String name, String zone, String region, String service) throws Exception {
-        Machine machine = use(new Machine(folder, name, "127.0.0.1", zone, service, store.address(), record));
+        Machine machine = use(new Machine(folder, name, "127.0.13.1", zone, service, store.address(), record));
         machine.change("region", region);
         return machine;
     }
 
     private Endpoint endpoint(String id, String zone, Machine machine, String version, double failingShare)
             throws Exception {
-        return use(new Endpoint(id, "storefront", zone, "127.0.0.1", machine.appPort(), 12, path -> WORK_MS, record))
+        return use(new Endpoint(id, "storefront", zone, "127.0.13.1", machine.appPort(), 12, path -> WORK_MS, record))
                 .with(version, failingShare, BODY_BYTES)
                 .reportTo(machine.control(), HEARTBEAT_MS);
     }
--- a/review/standins-3/SlowReaderCase.java
+++ b/review/standins-3/SlowReaderCase.java
@@ -26,23 +26,23 @@
     private static final long SIGNAL_AFTER_MS = 1_500;
     private static final String HOST = "transcripts.example";
 
-    public static void main(String[] args) throws Exception {
+    public static void main(String[] args) {
         main(new SlowReaderCase(), args[0]);
     }
 
     @Override
     List<String> run() throws Exception {
-        Store store = use(new Store("127.0.0.1"));
+        Store store = use(new Store("127.0.12.1"));
         store.put("op", "config", config("r7", List.of(
                 route("r-transcript", HOST, "/transcript/", "idempotent", "transcripts", 3.008, 10.026, 2),
                 service("transcripts"),
                 service("shop"))));
-        Machine callers = use(new Machine(folder, "sidecar-a-1", "127.0.0.1", "zone-a", "shop", store.address(), record));
+        Machine callers = use(new Machine(folder, "sidecar-a-1", "127.0.12.1", "zone-a", "shop", store.address(), record));
         Machine servers =
-                use(new Machine(folder, "sidecar-b-1", "127.0.0.1", "zone-b", "transcripts", store.address(), record));
-        use(new Endpoint("i-shop", "shop", "zone-a", "127.0.0.1", callers.appPort(), 6, path -> 20, record))
+                use(new Machine(folder, "sidecar-b-1", "127.0.12.1", "zone-b", "transcripts", store.address(), record));
+        use(new Endpoint("i-shop", "shop", "zone-a", "127.0.12.1", callers.appPort(), 6, path -> 20, record))
                 .reportTo(callers.control(), HEARTBEAT_MS);
-        use(new Endpoint("i-1", "transcripts", "zone-b", "127.0.0.1", servers.appPort(), 12, path -> 5, record))
+        use(new Endpoint("i-1", "transcripts", "zone-b", "127.0.12.1", servers.appPort(), 12, path -> 5, record))
                 .with("v1", 0, BODY_BYTES)
                 .reportTo(servers.control(), HEARTBEAT_MS);
         callers.start();
