--- a/review/standins-3/Endpoint.java
+++ b/review/standins-3/Endpoint.java
@@ -30,7 +30,6 @@
     private volatile int bodyBytes = 20;
     private volatile String state = "ready";
     private volatile boolean closed;
-    private volatile long leaveAcknowledgedMs = -1;
 
     Endpoint(String id, String service, String zone, String host, int port, int slots, ToLongFunction<String> workMs,
             Record record)
@@ -57,15 +56,6 @@
         return server.address();
     }
 
-    String id() {
-        return id;
-    }
-
-    /** Returns when the node acknowledged that the endpoint leaves, in milliseconds of the record, -1 before. */
-    long leaveAcknowledgedMs() {
-        return leaveAcknowledgedMs;
-    }
-
     private Http.Response handle(Http.Request request) throws InterruptedException {
         Map<String, String> headers = new TreeMap<>();
         headers.put("X-Server-Load", slots - free.availablePermits() + "," + waiting.get() + "," + slots);
@@ -121,22 +111,17 @@
     }
 
     private synchronized boolean report(String control) {
-        String reported = state;
         Map<String, Object> body = new TreeMap<>();
         body.put("service", service);
         body.put("address", address());
         body.put("zone", zone);
         body.put("version", version);
         body.put("slots", slots);
-        body.put("state", reported);
+        body.put("state", state);
         body.put("coldLeftS", 0);
         body.put("seq", sequence.incrementAndGet());
         body.put("born", born);
         int status = post(control, "/instances/" + id + "/heartbeat", Json.text(body));
-        if (status / 100 == 2 && reported.equals("draining") && leaveAcknowledgedMs < 0) {
-            leaveAcknowledgedMs = record.nowMs();
-            record.add("leave_acknowledged", "endpoint", id);
-        }
         return status / 100 == 2;
     }
 
@@ -162,13 +147,6 @@
         report(control);
     }
 
-    /** Deregisters and ends. */
-    void deregister(String control) {
-        state = "draining";
-        post(control, "/instances/" + id + "/deregister", "{\"born\":" + born + "}");
-        close();
-    }
-
     /** Returns how many requests run now. */
     int running() {
         return slots - free.availablePermits();
