Keep a silent attempt beside its successor

Cause: an attempt was cancelled before its successor was known. The check counted the attempts without the running one.

Change: an attempt that is silent or has a 5xx response goes on while another one is started beside it; the first complete response is passed on, and the 5xx if there is none. CallAttempts holds the attempts of a call; each attempt holds back its own response. attempt_hedged and mimosahinge_attempts_hedged_total show it.

--- a/daemon/src/main/java/org/mimosahinge/daemon/traffic/CallLog.java
+++ b/daemon/src/main/java/org/mimosahinge/daemon/traffic/CallLog.java
@@ -83,6 +83,23 @@
                 failure.message());
     }
 
+    /** Logs that another attempt is started beside one that is silent or has a 5xx response. */
+    void attemptHedged(CallRequest request, CallPlan plan, Attempt attempt, String reason) {
+        metrics.attemptHedged();
+        LOG.info(
+                "attempt_hedged",
+                "request",
+                id(request),
+                "endpoint",
+                attempt.endpoint().id(),
+                "node",
+                attempt.endpoint().node().id(),
+                "ms",
+                plan.elapsedMs(),
+                "reason",
+                reason);
+    }
+
     /** Logs that no route matches, with the age of the configuration version on this node. */
     void noRoute(CallRequest request, Snapshot snapshot) {
         LOG.info(
--- a/daemon/src/main/java/org/mimosahinge/daemon/traffic/CallMetrics.java
+++ b/daemon/src/main/java/org/mimosahinge/daemon/traffic/CallMetrics.java
@@ -40,6 +40,7 @@
     private final Counter callersDisconnected;
     private final Counter responsesTruncated;
     private final Counter attemptsFailed;
+    private final Counter attemptsHedged;
     private final Counter callsReceived;
     private final Counter startedBehindOthers;
     private final Counter responsesHeld;
@@ -78,6 +79,7 @@
         callersDisconnected = registry.counter("mimosahinge_callers_left_total");
         responsesTruncated = registry.counter("mimosahinge_responses_cut_total");
         attemptsFailed = registry.counter("mimosahinge_attempts_failed_total");
+        attemptsHedged = registry.counter("mimosahinge_attempts_hedged_total");
         callsReceived = registry.counter("mimosahinge_calls_arrived_total");
         startedBehindOthers = registry.counter("mimosahinge_calls_started_behind_others_total");
         responsesHeld = registry.counter("mimosahinge_responses_held_total");
@@ -195,4 +197,8 @@
     void attemptFailed() {
         attemptsFailed.inc();
     }
+
+    void attemptHedged() {
+        attemptsHedged.inc();
+    }
 }
--- a/daemon/src/main/java/org/mimosahinge/daemon/traffic/CallPlan.java
+++ b/daemon/src/main/java/org/mimosahinge/daemon/traffic/CallPlan.java
@@ -169,6 +169,15 @@
 
     /** Returns whether a failed attempt may be retried. */
     boolean mayRetry(boolean notRun) {
+        return mayRetry(notRun, reachedAttempts);
+    }
+
+    /** Returns whether another attempt may be made beside a running one, which has probably reached its endpoint. */
+    boolean mayRetryBeside(Attempt running) {
+        return mayRetry(false, running.reachedCounted() ? reachedAttempts : reachedAttempts + 1);
+    }
+
+    private boolean mayRetry(boolean notRun, int reached) {
         boolean idempotent = route.idempotent() && !route.atMostOnce();
         RetryView view = new RetryView(
                 idempotent,
@@ -177,7 +186,7 @@
                 body.replayable(),
                 remainingMs(),
                 loop.retryBudgets().of(service),
-                reachedAttempts,
+                reached,
                 route.maxAttempts());
         return loop.context().policies().retry().shouldRetry(view);
     }
--- a/daemon/src/main/java/org/mimosahinge/daemon/traffic/EntryCall.java
+++ b/daemon/src/main/java/org/mimosahinge/daemon/traffic/EntryCall.java
@@ -37,8 +37,8 @@
     private AtMostOnceGuard atMostOnce;
     private ScheduledFuture<?> timer;
     private QuotaGates.Credit credit = QuotaGates.Credit.NONE;
-    private Attempt attempt;
-    private BufferedResponse bufferedResponse;
+    private final CallAttempts attempts = new CallAttempts();
+    private Attempt source;
     private long deadlineMs;
     private long estimatedWaitMs;
     private boolean awaitingBody;
@@ -123,21 +123,22 @@
     }
 
     private void attempt(EndpointChoice choice, Map<String, String> headers) {
-        attempt = plan.newAttempt(this, choice);
+        Attempt attempt = plan.newAttempt(this, choice);
+        attempts.add(attempt);
         plan.send(attempt, headers);
     }
 
     /** Returns whether a backend server may have received part of the request. */
     boolean forwarded() {
-        return attempt != null;
+        return attempts.lastStarted().isPresent();
     }
 
     /** Handles part of the request's body from the caller. */
     void requestBody(byte[] bytes, boolean last) {
         body.add(bytes, last);
-        if (attempt != null && !attempt.ended()) {
+        if (!attempts.isEmpty()) {
             if (request.hasBody()) {
-                attempt.requestBody(bytes, last);
+                attempts.newest().ifPresent(attempt -> attempt.requestBody(bytes, last));
             }
         } else if (awaitingBody && !ended && (last || !body.fitsWindow())) {
             admit();
@@ -145,25 +146,24 @@
     }
 
     void flushRequest() {
-        if (attempt != null) {
-            attempt.stream().flush();
-        }
+        attempts.newest().ifPresent(attempt -> attempt.stream().flush());
     }
 
     /** Handles the notice that the caller has consumed bytes of the response. */
     void responseCredit(int bytes) {
-        if (attempt != null && !attempt.ended()) {
-            attempt.credited(bytes);
+        if (source != null && !source.ended()) {
+            source.credited(bytes);
         }
     }
 
     /** Handles the disconnect of the caller. */
     void callerDisconnected() {
         if (!ended) {
-            loop.callLog().callerDisconnected(request, plan, attempt, delay.maxUnreadMs());
+            loop.callLog()
+                    .callerDisconnected(request, plan, attempts.lastStarted().orElse(null), delay.maxUnreadMs());
             end();
-            if (attempt != null) {
-                attempt.abandon();
+            if (forwarded()) {
+                attempts.endAll(Attempt::abandon);
             } else {
                 credit.giveBack();
             }
@@ -175,34 +175,44 @@
         if (ended) {
             return;
         }
-        if (attempt == null) {
+        if (!forwarded()) {
             notRun(ErrorCode.NOT_READY, NODE_STOPS);
             return;
         }
-        attempt.abandon();
+        attempts.endAll(Attempt::abandon);
         conclude(CallException.mayHaveRun(ErrorCode.CONNECTION_LOST, NODE_STOPS));
     }
 
     void started(Attempt from, Frame.ResponseStart start) {
-        if (from != attempt || ended) {
+        if (!attempts.contains(from) || ended) {
             return;
         }
         if (progress.begun()) {
-            if (!progress.resumes(start)) {
-                attempt.abandon();
-                truncateResponse();
-            }
-            return;
-        }
-        if (loop.context().policies().peering().responseBufferBytes() > 0
+            resume(from, start);
+        } else if (loop.context().policies().peering().responseBufferBytes() > 0
                 && plan.route().idempotent()) {
-            bufferedResponse = new BufferedResponse(start);
+            from.setBuffered(new BufferedResponse(start));
+        } else {
+            deliverStart(from, start);
+        }
+    }
+
+    private void resume(Attempt from, Frame.ResponseStart start) {
+        if (progress.resumes(start)) {
+            source = from;
+            attempts.keepOnly(from);
             return;
         }
-        deliverStart(from, start);
+        attempts.remove(from);
+        from.abandon();
+        if (attempts.isEmpty()) {
+            truncateResponse();
+        }
     }
 
     private void deliverStart(Attempt from, Frame.ResponseStart start) {
+        source = from;
+        attempts.keepOnly(from);
         progress.begin(start);
         if (atMostOnce != null) {
             atMostOnce.started(start);
@@ -214,26 +224,36 @@
     }
 
     void responseBody(Attempt from, byte[] bytes, boolean last) {
-        if (from != attempt || ended) {
+        if (!attempts.contains(from) || ended) {
             return;
         }
-        if (bufferedResponse == null) {
+        BufferedResponse buffered = from.buffered();
+        if (buffered == null) {
+            // It continues: an attempt that was to take over is not needed.
+            attempts.keepOnly(from);
             deliverBody(from, bytes, last);
             return;
         }
-        bufferedResponse.add(bytes);
-        if (!last
-                && bufferedResponse.bytes()
-                        <= loop.context().policies().peering().responseBufferBytes()) {
+        buffered.add(bytes);
+        boolean fits = buffered.bytes() <= loop.context().policies().peering().responseBufferBytes();
+        if (!last && fits) {
             from.credited(bytes.length);
-            return;
-        }
-        BufferedResponse buffered = bufferedResponse;
-        bufferedResponse = null;
-        if (last && !isComplete(buffered)) {
+        } else if (last && !isComplete(buffered)) {
             attemptFailed(from, CallFailures.mayHaveRun(0, ErrorCode.ANSWER_TRUNCATED, "The response is too short"));
-            return;
+        } else if (from.isServerError() && attempts.newest().orElseThrow() != from) {
+            if (last) {
+                attempts.keepServerError(from);
+            } else {
+                attempts.remove(from);
+                from.superseded();
+            }
+        } else {
+            from.setBuffered(null);
+            deliver(from, buffered, last);
         }
+    }
+
+    private void deliver(Attempt from, BufferedResponse buffered, boolean last) {
         deliverStart(from, buffered.start());
         buffered.parts().forEach(part -> deliverBody(from, part, false));
         if (last) {
@@ -287,16 +307,17 @@
         plan.attemptReached();
     }
 
-    /** Handles an attempt that ended without a complete response: retries or reports the failure. */
+    /** Handles an attempt that ended without a complete response: retries, waits for another one or reports the failure. */
     void attemptFailed(Attempt from, Frame.CallFailure failure) {
-        if (from != attempt || ended) {
+        if (!attempts.contains(from) || ended) {
             return;
         }
-        bufferedResponse = null;
+        boolean newest = attempts.newest().orElseThrow() == from;
+        attempts.remove(from);
         if (!failure.notRun()) {
             // A later refusal by another endpoint does not change that this attempt may have run.
             mayHaveRun = true;
-            plan.attemptReached();
+            from.countReached();
         }
         if (failure.estimatedWaitMs() > 0) {
             estimatedWaitMs = estimatedWaitMs == 0
@@ -309,34 +330,48 @@
                     ErrorCode.REQUEST_QUARANTINED, "The request crashed several backend servers"));
             return;
         }
-        Optional<Map<String, String>> headers = progress.begun()
-                ? progress.resumeHeaders().map(this::withRequestHeaders)
-                : Optional.of(request.headers());
-        if (headers.isEmpty() || loop.plane().endingCalls() || !plan.mayRetry(failure.notRun() && !progress.begun())) {
+        Optional<EndpointChoice> choice =
+                newest && mayContinue() && plan.mayRetry(failure.notRun() && !progress.begun())
+                        ? plan.choose()
+                        : Optional.empty();
+        if (choice.isPresent()) {
+            startNext(choice.get());
+        } else if (attempts.isEmpty()) {
             conclude(CallFailures.exception(failure, mayHaveRun));
-            return;
-        }
-        Optional<EndpointChoice> choice = plan.choose();
-        if (choice.isEmpty()) {
-            conclude(CallFailures.exception(failure, mayHaveRun));
-            return;
         }
-        if (plan.hasReachedEndpoint()) {
-            loop.retryBudgets().retried(plan.service());
-        }
-        attempt(choice.get(), headers.get());
     }
 
-    /** Returns whether an attempt that stopped responding may be replaced by another one. */
-    boolean mayRetryAfterSilence() {
-        return (!progress.begun() || progress.resumeHeaders().isPresent()) && plan.mayRetry(false);
+    /** Returns whether another attempt could still give the caller a complete response. */
+    private boolean mayContinue() {
+        return !loop.plane().endingCalls()
+                && (!progress.begun() || progress.resumeHeaders().isPresent());
+    }
+
+    /** Returns an endpoint for an attempt beside one that is silent, empty if there may be or is no other attempt. */
+    Optional<EndpointChoice> nextBeside(Attempt silent) {
+        boolean newest = !ended && attempts.newest().filter(silent::equals).isPresent();
+        return newest && mayContinue() && plan.mayRetryBeside(silent) ? plan.choose() : Optional.empty();
+    }
+
+    /** Returns an endpoint for an attempt that may have a better response than an endpoint's 5xx. */
+    Optional<EndpointChoice> nextBesideServerError(Attempt answered) {
+        return answered.buffered() == null ? Optional.empty() : nextBeside(answered);
     }
 
-    /** Returns whether another attempt may be made instead of passing on a backend server's 5xx response. */
-    boolean mayRetryServerError() {
-        return loop.context().policies().peering().responseBufferBytes() > 0
-                && !progress.begun()
-                && plan.mayRetry(false);
+    /** Starts another attempt beside one that goes on. */
+    void hedge(Attempt doubtful, EndpointChoice choice, String reason) {
+        loop.callLog().attemptHedged(request, plan, doubtful, reason);
+        startNext(choice);
+    }
+
+    private void startNext(EndpointChoice choice) {
+        Map<String, String> headers = progress.begun()
+                ? progress.resumeHeaders().map(this::withRequestHeaders).orElseThrow()
+                : request.headers();
+        if (plan.hasReachedEndpoint()) {
+            loop.retryBudgets().retried(plan.service());
+        }
+        attempt(choice, headers);
     }
 
     private Map<String, String> withRequestHeaders(Map<String, String> resumeHeaders) {
@@ -349,16 +384,21 @@
         if (ended) {
             return;
         }
-        if (attempt == null) {
+        if (!forwarded()) {
             refuse(ErrorCode.DEADLINE_EXCEEDED, "The deadline passed before the call was forwarded");
             return;
         }
-        attempt.timedOut();
+        attempts.endAll(Attempt::timedOut);
         conclude(CallException.mayHaveRun(ErrorCode.DEADLINE_EXCEEDED, "The deadline passed"));
     }
 
     private void conclude(CallException failure) {
-        if (progress.begun()) {
+        attempts.endAll(Attempt::abandon);
+        Optional<Attempt> serverError = attempts.serverError();
+        if (serverError.isPresent()) {
+            deliver(serverError.get(), serverError.get().buffered(), true);
+            flushResponse();
+        } else if (progress.begun()) {
             truncateResponse();
         } else if (failure.notRun()) {
             notRun(failure.code(), failure.getMessage());
