Count the starts of backend servers that a request was lost with

Cause: each node counted lost calls for itself, told the others only of the refusal, and a refused request cannot succeed.

Change: nodes share, from the first crash on, the set of starts of backend servers that ended while they ran such a request; a start counts once. A success anywhere clears those known there. After two losses a request is refused except for trials, which come later after each further loss; there is none after the fifth. The frame of quarantines carries the sets; frames of earlier releases are still understood.

--- a/bench/src/main/java/org/mimosahinge/bench/control/ControlNode.java
+++ b/bench/src/main/java/org/mimosahinge/bench/control/ControlNode.java
@@ -15,6 +15,7 @@
 import org.mimosahinge.daemon.control.NodeContext;
 import org.mimosahinge.daemon.control.PeerChannels;
 import org.mimosahinge.daemon.control.SnapshotReference;
+import org.mimosahinge.daemon.traffic.CrashKnowledge;
 
 /** The control plane of a daemon without a traffic plane, with its own control thread and connections. */
 final class ControlNode implements AutoCloseable {
@@ -40,7 +41,7 @@
         peers.setHandlers(plane.connectionListener(), hello -> {
             throw new UnsupportedOperationException("A control node accepts no calls");
         });
-        loop.execute(() -> plane.initialize(peers, (request, time) -> {}));
+        loop.execute(() -> plane.initialize(peers, CrashKnowledge.NONE));
         ticks = group.next()
                 .scheduleAtFixedRate(
                         () -> loop.offer(plane::tick), 0, ControlPlane.TICK.toMillis(), TimeUnit.MILLISECONDS);
--- a/daemon/src/main/java/org/mimosahinge/daemon/Daemon.java
+++ b/daemon/src/main/java/org/mimosahinge/daemon/Daemon.java
@@ -73,7 +73,7 @@
         peerChannels = new PeerChannels(controlIo, byteCounter);
         peerChannels.setHandlers(control.connectionListener(), hello -> traffic.newInboundHandler());
         peerAddress = peerChannels.listen(settings.peerAddress(), traffic.eventLoops());
-        controlLoop.execute(() -> control.initialize(peerChannels, traffic::quarantine));
+        controlLoop.execute(() -> control.initialize(peerChannels, traffic));
         DaemonMetrics metrics = new DaemonMetrics(snapshots, byteCounter, controlLoop);
         operatorServer = HttpMessageServer.start(
                 settings.operatorAddress(), controlIo, new OperatorHandler(self, control, snapshots, metrics::text));
@@ -116,8 +116,8 @@
             control.connectionRefused(refused.endpointId());
         } else if (event instanceof TrafficEvent.CallEvidence outcomes) {
             control.addCallOutcomes(outcomes.outcomes());
-        } else if (event instanceof TrafficEvent.RequestQuarantined request) {
-            control.requestQuarantined(request.fingerprint(), request.refusedFor());
+        } else if (event instanceof TrafficEvent.CrashesKnown known) {
+            control.crashesKnown(known);
         }
     }
 
--- a/daemon/src/main/java/org/mimosahinge/daemon/control/ControlPlane.java
+++ b/daemon/src/main/java/org/mimosahinge/daemon/control/ControlPlane.java
@@ -7,7 +7,6 @@
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
-import java.util.function.BiConsumer;
 import java.util.function.Function;
 import org.mimosahinge.api.operator.NodeList;
 import org.mimosahinge.api.settings.NodeSettings;
@@ -19,7 +18,8 @@
 import org.mimosahinge.core.lease.LeaseTiming;
 import org.mimosahinge.core.membership.FailureDetector;
 import org.mimosahinge.core.move.CallOutcomes;
-import org.mimosahinge.core.poison.Fingerprint;
+import org.mimosahinge.daemon.traffic.CrashKnowledge;
+import org.mimosahinge.daemon.traffic.TrafficEvent;
 import org.mimosahinge.net.frame.Frame;
 import org.mimosahinge.net.log.EventLog;
 
@@ -56,7 +56,7 @@
     private final NodeRegistration registration;
 
     private PeerChannels channels;
-    private QuarantineDistributor quarantineDistributor;
+    private CrashReports crashReports;
     private FailureDetector detector;
     private TokenBucket childAdmissions;
     private long nextHeartbeatNanos;
@@ -97,14 +97,14 @@
     }
 
     /**
-     * Sets the channels and the handler of quarantined requests; must be called before the first tick.
+     * Sets the channels and the knowledge of crashes; must be called before the first tick.
      *
      * @param peerChannels the channels of this daemon
-     * @param quarantineLocally rejects requests with a fingerprint on this node for a duration
+     * @param crashes what the traffic threads know of requests that were in flight at crashes
      */
-    public void initialize(PeerChannels peerChannels, BiConsumer<Fingerprint, Duration> quarantineLocally) {
+    public void initialize(PeerChannels peerChannels, CrashKnowledge crashes) {
         channels = peerChannels;
-        quarantineDistributor = new QuarantineDistributor(links, quarantineLocally, context.nanoTime());
+        crashReports = new CrashReports(crashes);
     }
 
     /**
@@ -253,8 +253,11 @@
             versionReports.reportReceived(link, report);
         } else if (frame instanceof Frame.CallOutcomes outcomes) {
             moveCoordinator.received(outcomes);
-        } else if (frame instanceof Frame.Quarantine quarantine) {
-            quarantineDistributor.received(quarantine, link);
+        } else if (frame instanceof Frame.RequestCrashes crashes) {
+            // What is known here already is not forwarded, which ends the distribution.
+            if (crashReports.received(crashes)) {
+                links.broadcast(crashes, link);
+            }
         } else if (frame instanceof Frame.Drain drain) {
             drain(drain.endpointId(), link);
         }
@@ -317,13 +320,12 @@
     }
 
     /**
-     * Distributes the fingerprint of a request that crashed backend servers.
+     * Tells the other nodes of a request that was in flight at a crash.
      *
-     * @param request the fingerprint, which this node rejects already
-     * @param duration how long it is rejected
+     * @param known what this node knows of the request
      */
-    public void requestQuarantined(Fingerprint request, Duration duration) {
-        quarantineDistributor.quarantinedLocally(request, duration);
+    public void crashesKnown(TrafficEvent.CrashesKnown known) {
+        links.broadcast(crashReports.toFrame(known), null);
     }
 
     /**
--- a/daemon/src/main/java/org/mimosahinge/daemon/fleet/FleetControlPlane.java
+++ b/daemon/src/main/java/org/mimosahinge/daemon/fleet/FleetControlPlane.java
@@ -3,10 +3,8 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.Collection;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
-import java.util.Set;
 import java.util.concurrent.CompletionStage;
 import java.util.concurrent.TimeUnit;
 import java.util.function.LongSupplier;
@@ -16,8 +14,8 @@
 import org.mimosahinge.api.world.NodeId;
 import org.mimosahinge.core.fanout.RowSourcePolicy;
 import org.mimosahinge.core.membership.ServerReport;
-import org.mimosahinge.core.poison.Fingerprint;
 import org.mimosahinge.daemon.control.CallOutcomeFrames;
+import org.mimosahinge.daemon.control.CrashReports;
 import org.mimosahinge.daemon.control.SnapshotReference;
 import org.mimosahinge.daemon.traffic.TrafficEvent;
 import org.mimosahinge.daemon.traffic.TrafficPlane;
@@ -53,13 +51,13 @@
     private final RowDecoder decoder;
     private final LongSupplier nanoTime;
     private final RowReplicator rowReplicator;
-    private final Set<Fingerprint> quarantinedRequests = new HashSet<>();
     private final Peers peers;
     private final LocalServerReports localServer;
     private final MoveRegistry moveRegistry;
     private final FleetReadiness readiness = new FleetReadiness();
     private final RevocationGuard revocationGuard;
     private TrafficPlane traffic;
+    private CrashReports crashReports;
     private QuotaCoordinator quotas;
     private PlatformRowFollower rowFollower;
     private final FleetSnapshots fleetSnapshots = new FleetSnapshots();
@@ -117,6 +115,7 @@
      */
     public void initialize(TrafficPlane trafficPlane) {
         traffic = trafficPlane;
+        crashReports = new CrashReports(trafficPlane);
         quotas = new QuotaCoordinator(self, peers, trafficPlane.quotas(), new PeerQuotaTransport(trafficPlane));
         trafficPlane.setRevisionSource(() -> newestRevision);
         trafficPlane.setColdnessSource(localServer::coldness);
@@ -356,8 +355,8 @@
             localServer.connectionRefused(refused.endpointId());
         } else if (event instanceof TrafficEvent.EndpointDied died) {
             localServer.connectionRefused(died.endpointId());
-        } else if (event instanceof TrafficEvent.RequestQuarantined request) {
-            requestQuarantined(request.fingerprint(), request.refusedFor());
+        } else if (event instanceof TrafficEvent.CrashesKnown known) {
+            traffic.sendToInbound(crashReports.toFrame(known));
         } else if (event instanceof TrafficEvent.PeerUp opened) {
             peerUp(opened);
         } else if (event instanceof TrafficEvent.PeerDown closed) {
@@ -369,14 +368,6 @@
         }
     }
 
-    private void requestQuarantined(Fingerprint request, Duration duration) {
-        if (quarantinedRequests.add(request)) {
-            LOG.warn("request_quarantined", "route", request.route(), "method", request.method(), "uri", request.uri());
-            traffic.sendToInbound(new Frame.Quarantine(
-                    request.route(), request.method(), request.uri(), request.bodyHash(), duration.toMillis()));
-        }
-    }
-
     private void peerUp(TrafficEvent.PeerUp opened) {
         boolean addressesChanged = peers.addOrUpdate(opened.node(), nowNanos());
         peers.connectionOpened(opened.node(), opened.connectionId());
@@ -393,6 +384,10 @@
             traffic.maintainPeers(peers.addresses());
         }
         sendDepartures(connected.node(), peers.departures(connected.node().id()));
+        List<Frame> crashes = crashReports.openReports();
+        if (!crashes.isEmpty()) {
+            traffic.sendToInbound(connected.node().id(), crashes);
+        }
     }
 
     /** Tells a node which of its endpoints have left, since a restarted node may have lost their reports. */
@@ -447,11 +442,8 @@
         } else if (received.frame() instanceof Frame.CallOutcomes outcomes) {
             moveRegistry.setPeerOutcomes(
                     received.node().id(), outcomes.service(), CallOutcomeFrames.fromFrame(outcomes));
-        } else if (received.frame() instanceof Frame.Quarantine request) {
-            Fingerprint fingerprint =
-                    new Fingerprint(request.route(), request.method(), request.uri(), request.bodyHash());
-            quarantinedRequests.add(fingerprint);
-            traffic.quarantine(fingerprint, Duration.ofMillis(request.refusedForMs()));
+        } else if (received.frame() instanceof Frame.RequestCrashes crashes) {
+            crashReports.received(crashes);
         } else {
             quotas.frameReceived(received.node(), received.frame(), nowNanos());
         }
--- a/daemon/src/main/java/org/mimosahinge/daemon/traffic/EntryCall.java
+++ b/daemon/src/main/java/org/mimosahinge/daemon/traffic/EntryCall.java
@@ -325,7 +325,7 @@
                     : Math.min(estimatedWaitMs, failure.estimatedWaitMs());
         }
         loop.callLog().attemptFailed(request, plan, from, failure);
-        if (CallFailures.isCrash(failure) && poisonRequests.crashed()) {
+        if (CallFailures.isCrash(failure) && poisonRequests.crashed(from.endpoint())) {
             conclude(CallException.mayHaveRun(
                     ErrorCode.REQUEST_QUARANTINED, "The request crashed several backend servers"));
             return;
--- a/daemon/src/main/java/org/mimosahinge/daemon/traffic/TrafficEvent.java
+++ b/daemon/src/main/java/org/mimosahinge/daemon/traffic/TrafficEvent.java
@@ -1,11 +1,10 @@
 package org.mimosahinge.daemon.traffic;
 
-import java.time.Duration;
 import java.util.Map;
 import org.mimosahinge.api.world.HostPort;
 import org.mimosahinge.api.world.Node;
 import org.mimosahinge.core.move.CallOutcomes;
-import org.mimosahinge.core.poison.Fingerprint;
+import org.mimosahinge.core.poison.CrashReport;
 import org.mimosahinge.net.frame.Frame;
 
 /** An event that a traffic thread reports to the control thread. */
@@ -39,12 +38,12 @@
     record EndpointDied(String endpointId, int callsInFlight) implements TrafficEvent {}
 
     /**
-     * A request was in flight at a second crash and is refused on this node; the control thread informs other nodes.
+     * A request was in flight at a crash, or has succeeded after one; the control thread informs other nodes.
      *
-     * @param fingerprint the request
-     * @param refusedFor how long it is refused
+     * @param report what this node knows of the request
+     * @param refused whether such requests are refused
      */
-    record RequestQuarantined(Fingerprint fingerprint, Duration refusedFor) implements TrafficEvent {}
+    record CrashesKnown(CrashReport report, boolean refused) implements TrafficEvent {}
 
     /**
      * An outbound connection to another node is open.
--- a/daemon/src/main/java/org/mimosahinge/daemon/traffic/TrafficPlane.java
+++ b/daemon/src/main/java/org/mimosahinge/daemon/traffic/TrafficPlane.java
@@ -26,6 +26,7 @@
 import java.util.function.Consumer;
 import java.util.function.LongSupplier;
 import java.util.function.Supplier;
+import java.util.function.UnaryOperator;
 import org.mimosahinge.api.contract.Route;
 import org.mimosahinge.api.platform.TableService;
 import org.mimosahinge.api.world.HostPort;
@@ -33,6 +34,7 @@
 import org.mimosahinge.core.admission.ShutdownAdmission;
 import org.mimosahinge.core.pace.Coldness;
 import org.mimosahinge.core.poison.CrashRegistry;
+import org.mimosahinge.core.poison.CrashReport;
 import org.mimosahinge.core.poison.Fingerprint;
 import org.mimosahinge.core.retry.RunningRepeats;
 import org.mimosahinge.net.frame.Frame;
@@ -41,7 +43,7 @@
 import org.mimosahinge.net.tcp.ReceiveAllocators;
 
 /** Forwards a node's calls: from callers, to and from other nodes, and to the backend servers on this node. */
-public final class TrafficPlane implements AutoCloseable {
+public final class TrafficPlane implements AutoCloseable, CrashKnowledge {
 
     private static final ShutdownAdmission SHUTDOWN = ShutdownAdmission.internalChecksThatEndInTime();
 
@@ -186,12 +188,21 @@
         return new InboundPeerConnection(this);
     }
 
-    /**
-     * Refuses a request that crashed backend servers according to another node.
-     *
-     * @param fingerprint the request
-     * @param time how long it is refused
-     */
+    @Override
+    public boolean learn(CrashReport report) {
+        long now = TrafficLoop.nowMs();
+        UnaryOperator<CrashRegistry> merge =
+                registry -> registry.merge(report, now, context.policies().random());
+        CrashRegistry before = context.crashes().getAndUpdate(merge);
+        return merge.apply(before) != before;
+    }
+
+    @Override
+    public List<CrashReport> crashReports() {
+        return context.crashes().get().openReports();
+    }
+
+    @Override
     public void quarantine(Fingerprint fingerprint, Duration time) {
         long now = TrafficLoop.nowMs();
         context.crashes().updateAndGet(registry -> registry.refuse(fingerprint, now, now + time.toMillis()));
--- a/daemon/src/test/java/org/mimosahinge/daemon/traffic/ConnectionTest.java
+++ b/daemon/src/test/java/org/mimosahinge/daemon/traffic/ConnectionTest.java
@@ -15,12 +15,17 @@
 import java.net.ConnectException;
 import java.net.ServerSocket;
 import java.net.Socket;
+import java.net.http.HttpRequest;
 import java.net.http.HttpResponse;
 import java.nio.charset.StandardCharsets;
+import java.util.List;
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicLong;
+import java.util.concurrent.atomic.AtomicReference;
 import java.util.regex.Pattern;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
@@ -80,6 +85,37 @@
         }
     }
 
+    /** Review case 15: one crash with two equal calls in flight had all nodes refuse such calls. */
+    @ParameterizedTest(name = "endpoint on node {0}, calls enter at nodes 0 and {1}")
+    @CsvSource({"0, 0", "1, 0", "0, 1", "1, 1"})
+    void callsInFlightAtOneCrashAreServedLater(int node, int otherEntry) throws Exception {
+        AtomicInteger running = new AtomicInteger();
+        AtomicReference<ScriptedBackend> backend = new AtomicReference<>();
+        backend.set(ScriptedBackend.start((request, out) -> {
+            if (running.incrementAndGet() == 2) {
+                backend.get().close();
+            }
+            TimeUnit.DAYS.sleep(1);
+        }));
+        try (ScriptedBackend other = ScriptedBackend.echo("other");
+                TestMesh mesh = new TestMesh(2, null)
+                        .route(TestMesh.route("/x", false, false))
+                        .endpoint(node, "svc", backend.get().address(), 10)) {
+            HttpRequest.BodyPublisher order = HttpRequest.BodyPublishers.ofString("order");
+            CompletableFuture<HttpResponse<String>> one =
+                    mesh.send(mesh.request(0, "/x").POST(order));
+            CompletableFuture<HttpResponse<String>> two =
+                    mesh.send(mesh.request(otherEntry, "/x").POST(order));
+            assertEquals("502 unknown", TestMesh.outcome(one.get()));
+            assertEquals("502 unknown", TestMesh.outcome(two.get()));
+            mesh.endpoint(0, "svc", other.address(), 1000);
+            for (int entry : new int[] {0, otherEntry}) {
+                HttpRequest.Builder later = mesh.request(entry, "/x").POST(order);
+                assertEquals("200 -", TestMesh.outcome(mesh.send(later).get()));
+            }
+        }
+    }
+
     @ParameterizedTest(name = "endpoints on node {0}")
     @ValueSource(ints = {0, 1})
     void poisonRequestIsRefusedAfterSecondCrash(int node) throws Exception {
@@ -100,7 +136,12 @@
             assertEquals("503 unknown", TestMesh.outcome(mesh.post("/x", "poison")));
             assertEquals("503 not-run", TestMesh.outcome(mesh.post("/x", "poison")));
             assertEquals("200 -", TestMesh.outcome(mesh.post("/x", "harmless")));
-            assertTrue(mesh.events.stream().anyMatch(TrafficEvent.RequestQuarantined.class::isInstance));
+            assertEquals(
+                    List.of(false, true),
+                    mesh.events.stream()
+                            .filter(TrafficEvent.CrashesKnown.class::isInstance)
+                            .map(event -> ((TrafficEvent.CrashesKnown) event).refused())
+                            .toList());
             assertEquals(
                     2,
                     mesh.events.stream()
--- a/net/src/main/java/org/mimosahinge/net/frame/Frame.java
+++ b/net/src/main/java/org/mimosahinge/net/frame/Frame.java
@@ -122,16 +122,34 @@
             List<Long> callsByLatency) {}
 
     /**
-     * Announces the quarantine of a request that has crashed backend servers. Nodes forward the frame along the
-     * distribution tree.
+     * Tells at which crashes of backend servers a request was in flight. In a distribution tree, nodes forward it.
      *
      * @param route the route
      * @param method HTTP method
      * @param uri path and query
      * @param bodyHash SHA-256 hash of the body in hexadecimal, empty when there is no body
      * @param refusedForMs duration for which matching requests are refused, in milliseconds
+     * @param lost starts of backend servers that ended while they ran such a request, none in frames of earlier releases
+     * @param cleared those of them after which such a request has succeeded
+     */
+    record RequestCrashes(
+            String route,
+            String method,
+            String uri,
+            String bodyHash,
+            long refusedForMs,
+            List<LostStart> lost,
+            List<LostStart> cleared)
+            implements Frame {}
+
+    /**
+     * A start of a backend server that ended with a crash.
+     *
+     * @param endpointId its endpoint
+     * @param birth incarnation under which it was announced
+     * @param ordinal number of crashes under that incarnation before
      */
-    record Quarantine(String route, String method, String uri, String bodyHash, long refusedForMs) implements Frame {}
+    record LostStart(String endpointId, long birth, int ordinal) {}
 
     /**
      * A row that an operator or the fleet has written to the platform, sent to nodes that cannot read the platform.
--- a/net/src/main/java/org/mimosahinge/net/frame/FrameCodec.java
+++ b/net/src/main/java/org/mimosahinge/net/frame/FrameCodec.java
@@ -93,12 +93,8 @@
             out.text(drain.endpointId());
         } else if (frame instanceof Frame.CallOutcomes outcomes) {
             out.text(outcomes.service()).list(outcomes.counts(), ConfigFields::packOutcomeCounts);
-        } else if (frame instanceof Frame.Quarantine quarantine) {
-            out.text(quarantine.route())
-                    .text(quarantine.method())
-                    .text(quarantine.uri())
-                    .text(quarantine.bodyHash());
-            out.integer(quarantine.refusedForMs());
+        } else if (frame instanceof Frame.RequestCrashes crashes) {
+            CrashFields.packCrashes(out, crashes);
         } else if (frame instanceof Frame.OperatorRow row) {
             RowFields.packRow(out, row);
         } else if (frame instanceof Frame.RowSubscription subscription) {
@@ -181,7 +177,7 @@
             case HALT_MARKS -> new Frame.HaltMarks(Set.copyOf(in.list(ConfigFields::unpackHaltMark)));
             case DRAIN -> new Frame.Drain(in.text());
             case CALL_OUTCOMES -> new Frame.CallOutcomes(in.text(), in.list(ConfigFields::unpackOutcomeCounts));
-            case QUARANTINE -> new Frame.Quarantine(in.text(), in.text(), in.text(), in.text(), in.integer());
+            case REQUEST_CRASHES -> CrashFields.unpackCrashes(in);
             case OPERATOR_ROW -> RowFields.unpackRow(in);
             case ROW_SUBSCRIPTION -> RowFields.unpackSubscription(in);
             case ROW_DELTA -> RowFields.unpackDelta(in);
--- a/net/src/main/java/org/mimosahinge/net/frame/FrameType.java
+++ b/net/src/main/java/org/mimosahinge/net/frame/FrameType.java
@@ -14,7 +14,7 @@
     VERSION_REPORT(8, Frame.VersionReport.class),
     DRAIN(9, Frame.Drain.class),
     CALL_OUTCOMES(10, Frame.CallOutcomes.class),
-    QUARANTINE(11, Frame.Quarantine.class),
+    REQUEST_CRASHES(11, Frame.RequestCrashes.class),
     OPERATOR_ROW(12, Frame.OperatorRow.class),
     ROW_SUBSCRIPTION(13, Frame.RowSubscription.class),
     ROW_DELTA(14, Frame.RowDelta.class),
--- a/net/src/test/java/org/mimosahinge/net/frame/FrameCodecTest.java
+++ b/net/src/test/java/org/mimosahinge/net/frame/FrameCodecTest.java
@@ -108,7 +108,14 @@
                 new Frame.HaltMarks(Set.of(new HaltMark("listings", "v2", 3))),
                 new Frame.VersionReport(new TreeMap<>(Map.of(4L, 2, 5L, 9))),
                 new Frame.Drain("n1/a"),
-                new Frame.Quarantine("browse", "GET", "/listings/9", "", 600_000),
+                new Frame.RequestCrashes(
+                        "browse",
+                        "GET",
+                        "/listings/9",
+                        "",
+                        600_000,
+                        List.of(new Frame.LostStart("i-1", 1_765_152_000_000L, 0), new Frame.LostStart("i-2", 7, 1)),
+                        List.of(new Frame.LostStart("i-1", 1_765_152_000_000L, 0))),
                 new Frame.CallOutcomes(
                         "listings",
                         List.of(new Frame.OutcomeCounts("v2", "browse", "ch-west-1", 9, List.of(0L, 2L), List.of(7L)))),
