Remember the versions that were taken back

Cause: a node holds the newest order of a service, and kept an earlier version shut out only if its order was undecided when the next one came. The platform's rows hold the newest order and state alone, so a node that started later knew nothing of it. The reverse as well: a version whose replaced order was completed after all stayed shut out.

Change: WithheldVersions keeps, for each service, the versions that were taken back or replaced while undecided. The row that publishes a state to the nodes carries them.

--- a/daemon/src/main/java/org/mimosahinge/daemon/fleet/FleetControlPlane.java
+++ b/daemon/src/main/java/org/mimosahinge/daemon/fleet/FleetControlPlane.java
@@ -8,6 +8,7 @@
 import java.util.concurrent.CompletionStage;
 import java.util.concurrent.TimeUnit;
 import java.util.function.LongSupplier;
+import org.mimosahinge.api.config.Snapshot;
 import org.mimosahinge.api.world.Endpoint;
 import org.mimosahinge.api.world.EndpointState;
 import org.mimosahinge.api.world.Node;
@@ -473,7 +474,7 @@
         if (changed
                 || snapshotStale
                 || peers.anyReconnectTimedOut(nowNanos, lastTickNanos)
-                || !snapshots.get().haltMarks().isEmpty()) {
+                || haltMarksChanged(nowNanos)) {
             publishSnapshot();
         }
         lastTickNanos = nowNanos;
@@ -489,6 +490,12 @@
         readiness.update(peers, nowNanos);
     }
 
+    private boolean haltMarksChanged(long nowNanos) {
+        Snapshot snapshot = snapshots.get();
+        return !snapshot.haltMarks().isEmpty()
+                && !snapshot.haltMarks().equals(moveRegistry.haltMarks(snapshot.endpoints(), nowNanos));
+    }
+
     private void register(long nowNanos) {
         if (registered || registering || readiness.withdrawn() || nowNanos - nextRegistrationNanos < 0) {
             return;
--- a/daemon/src/main/java/org/mimosahinge/daemon/fleet/MoveOutcome.java
+++ b/daemon/src/main/java/org/mimosahinge/daemon/fleet/MoveOutcome.java
@@ -1,5 +1,6 @@
 package org.mimosahinge.daemon.fleet;
 
+import java.util.Set;
 import org.mimosahinge.api.config.MovePhase;
 
 /**
@@ -8,5 +9,11 @@
  * @param service the service
  * @param to the version of the order
  * @param phase running, done or taken back
+ * @param withheldVersions versions of earlier orders that must get no calls; for nodes, not for operators
  */
-public record MoveOutcome(String service, String to, MovePhase phase) {}
+public record MoveOutcome(String service, String to, MovePhase phase, Set<String> withheldVersions) {
+    /** Copies the versions. */
+    public MoveOutcome {
+        withheldVersions = Set.copyOf(withheldVersions);
+    }
+}
--- a/daemon/src/main/java/org/mimosahinge/daemon/fleet/MoveRegistry.java
+++ b/daemon/src/main/java/org/mimosahinge/daemon/fleet/MoveRegistry.java
@@ -7,8 +7,8 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
-import java.util.TreeSet;
 import java.util.concurrent.TimeUnit;
+import java.util.stream.Collectors;
 import org.mimosahinge.api.config.HaltMark;
 import org.mimosahinge.api.config.MovePhase;
 import org.mimosahinge.api.config.MoveState;
@@ -42,7 +42,7 @@
     private final Map<String, Move> moves = new HashMap<>();
     private final Map<String, PublishedOutcome> publishedOutcomes = new HashMap<>();
     private final Map<String, Map<String, Long>> versionFirstSeenNanos = new HashMap<>();
-    private final Map<String, Set<String>> supersededVersions = new HashMap<>();
+    private final Map<String, WithheldVersions> withheldVersions = new HashMap<>();
     private final long startedNanos;
 
     MoveRegistry(long startedNanos) {
@@ -58,6 +58,7 @@
         private final MoveOrder order;
         private final long orderRevision;
         private final long orderedNanos;
+        private final WithheldVersions withheld;
         private final Map<NodeId, CallOutcomes> peerOutcomes = new HashMap<>();
         private CallOutcomes localOutcomes = CallOutcomes.EMPTY;
         private CallOutcomes lastSent = CallOutcomes.EMPTY;
@@ -68,8 +69,9 @@
         private boolean writing;
         private long nextWriteNanos;
 
-        private Move(MoveOrder order, long orderRevision, long orderedNanos) {
+        private Move(MoveOrder order, long orderRevision, long orderedNanos, WithheldVersions withheld) {
             this.order = order;
+            this.withheld = withheld;
             this.orderRevision = orderRevision;
             this.orderedNanos = orderedNanos;
             decidedNanos = orderedNanos;
@@ -89,7 +91,14 @@
             if (writing || isSettled() || step.phase() == publishedPhase) {
                 return Optional.empty();
             }
-            return Optional.of(new MoveOutcome(order.service(), order.to(), step.phase()));
+            return Optional.of(outcome(step.phase()));
+        }
+
+        /** Returns the content of the row that publishes a phase. */
+        MoveOutcome outcome(MovePhase phase) {
+            Set<String> earlier = withheld.versions();
+            earlier.remove(order.to());
+            return new MoveOutcome(order.service(), order.to(), phase, earlier);
         }
 
         /** Returns whether a published outcome ends the move. */
@@ -136,15 +145,17 @@
         if (existing != null && existing.orderRevision >= revision) {
             return;
         }
-        if (existing != null && !existing.isDecided() && !existing.order.to().equals(order.to())) {
-            supersededVersions
-                    .computeIfAbsent(order.service(), key -> new TreeSet<>())
-                    .add(existing.order.to());
+        WithheldVersions withheld = withheld(order.service());
+        if (existing != null && existing.step.phase() != MovePhase.DONE) {
+            withheld.withhold(existing.order.to(), revision, nowNanos);
         }
-        supersededVersions.getOrDefault(order.service(), new TreeSet<>()).remove(order.to());
-        Move move = new Move(order, revision, nowNanos);
-        moves.put(order.service(), move);
         PublishedOutcome published = publishedOutcomes.get(order.service());
+        if (published != null && published.outcome.phase() != MovePhase.DONE) {
+            withheld.withhold(published.outcome.to(), published.revision, nowNanos);
+        }
+        withheld.use(order.to());
+        Move move = new Move(order, revision, nowNanos, withheld);
+        moves.put(order.service(), move);
         if (published != null) {
             adoptOutcome(move, published.outcome, published.revision, nowNanos);
         }
@@ -171,9 +182,28 @@
         }
         publishedOutcomes.put(outcome.service(), new PublishedOutcome(outcome, revision));
         Move move = moves.get(outcome.service());
+        withheld(outcome.service()).adopt(withheldBy(outcome, move), revision, nowNanos);
         return move != null && adoptOutcome(move, outcome, revision, nowNanos);
     }
 
+    private WithheldVersions withheld(String service) {
+        return withheldVersions.computeIfAbsent(service, key -> new WithheldVersions());
+    }
+
+    /** Returns the versions that must get no calls according to a published state and a move, null if none is known. */
+    private static Set<String> withheldBy(MoveOutcome outcome, Move move) {
+        Set<String> versions = new HashSet<>(outcome.withheldVersions());
+        boolean replaced = move != null && !move.order.to().equals(outcome.to());
+        if (outcome.phase() == MovePhase.TAKEN_BACK || outcome.phase() == MovePhase.RUNNING && replaced) {
+            versions.add(outcome.to());
+        }
+        if (move != null) {
+            // The phase of its move says what it gets.
+            versions.remove(move.order.to());
+        }
+        return versions;
+    }
+
     private static boolean adoptOutcome(Move move, MoveOutcome outcome, long revision, long nowNanos) {
         move.publishedRevision = revision;
         if (revision < move.orderRevision || !outcome.to().equals(move.order.to())) {
@@ -291,13 +321,19 @@
     }
 
     /**
-     * Returns halt marks of versions that must get no calls: those of replaced orders, and those whose order is not
-     * known yet.
+     * Returns halt marks of versions that must get no calls: those that were taken back, those of replaced orders, and
+     * those whose order is not known yet.
      */
     Set<HaltMark> haltMarks(Map<String, List<Endpoint>> endpoints, long nowNanos) {
         Set<HaltMark> haltMarks = new HashSet<>();
-        supersededVersions.forEach((service, versions) ->
-                versions.forEach(version -> haltMarks.add(new HaltMark(service, version, NO_REVISION))));
+        withheldVersions.forEach((service, withheld) -> {
+            withheld.update(
+                    endpoints.getOrDefault(service, List.of()).stream()
+                            .map(endpoint -> endpoint.server().version())
+                            .collect(Collectors.toSet()),
+                    nowNanos);
+            withheld.versions().forEach(version -> haltMarks.add(new HaltMark(service, version, NO_REVISION)));
+        });
         endpoints.forEach((service, list) -> {
             Map<String, Long> firstSeenByVersion =
                     versionFirstSeenNanos.computeIfAbsent(service, key -> new HashMap<>());
