--- a/daemon/src/main/java/org/mimosahinge/daemon/fleet/Evacuations.java
+++ b/daemon/src/main/java/org/mimosahinge/daemon/fleet/Evacuations.java
@@ -3,6 +3,7 @@
 import java.util.Set;
 import java.util.TreeSet;
 import java.util.function.Consumer;
+import org.mimosahinge.api.platform.StorePosition;
 import org.mimosahinge.net.log.EventLog;
 
 /** The availability zones that operators have ordered to be evacuated; only the control thread may use it. */
@@ -30,7 +31,7 @@
      * @param source node that sent the row, or the platform
      * @return whether the evacuated zones have changed
      */
-    boolean apply(DecodedRow.EvacuationRow row, long revision, String source) {
+    boolean apply(DecodedRow.EvacuationRow row, StorePosition revision, String source) {
         boolean changed = row.ended() ? zones.remove(row.zone()) : zones.add(row.zone());
         if (changed) {
             LOG.info(
--- a/daemon/src/main/java/org/mimosahinge/daemon/fleet/FleetControlPlane.java
+++ b/daemon/src/main/java/org/mimosahinge/daemon/fleet/FleetControlPlane.java
@@ -9,6 +9,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.LongSupplier;
 import org.mimosahinge.api.config.Snapshot;
+import org.mimosahinge.api.platform.StorePosition;
 import org.mimosahinge.api.world.Endpoint;
 import org.mimosahinge.api.world.EndpointState;
 import org.mimosahinge.api.world.Node;
@@ -31,9 +32,6 @@
 
     private static final EventLog LOG = EventLog.of("fleet");
 
-    /** Additional delay per rank before a node does work that any node could do, so that usually one node does it. */
-    private static final long RANK_DELAY_NANOS = TimeUnit.MILLISECONDS.toNanos(300);
-
     private static final long REGISTRATION_RETRY_NANOS = TimeUnit.MILLISECONDS.toNanos(500);
 
     /** Nodes that start at the same time learn of each other from rows that are read after both have registered. */
@@ -45,6 +43,8 @@
      */
     private static final long MIN_PUBLICATION_INTERVAL_NANOS = TimeUnit.MILLISECONDS.toNanos(100);
 
+    private static final long UNKNOWN_ERA = -1;
+
     private final Node self;
     private FleetSettings settings;
     private final SnapshotReference snapshots;
@@ -55,6 +55,7 @@
     private final Peers peers;
     private final LocalServerReports localServer;
     private final MoveRegistry moveRegistry;
+    private final MovePublisher movePublisher;
     private final FleetReadiness readiness = new FleetReadiness();
     private final RevocationGuard revocationGuard;
     private TrafficPlane traffic;
@@ -63,7 +64,8 @@
     private PlatformRowFollower rowFollower;
     private final FleetSnapshots fleetSnapshots = new FleetSnapshots();
     private final Evacuations evacuations = new Evacuations(fleetSnapshots::evacuate);
-    private Optional<FleetConfig> config = Optional.empty();
+    private final ConfigInForce config = new ConfigInForce(this::configApplied);
+    private long fleetEra = UNKNOWN_ERA;
     private long nextRegistrationNanos;
     private boolean registered;
     private long registeredNanos;
@@ -72,7 +74,7 @@
     private long publishedNanos;
     private long lastTickNanos;
     private volatile boolean fleetRowsUrgent = true;
-    private volatile long newestRevision;
+    private volatile StorePosition newestRevision = StorePosition.NONE;
 
     /**
      * Creates the control state.
@@ -104,6 +106,7 @@
         localServer = new LocalServerReports(
                 self, settings.heartbeat(), store, platform.healthCheck(), nanoTime, this::publishLocalEndpoint);
         moveRegistry = new MoveRegistry(nanoTime.getAsLong());
+        movePublisher = new MovePublisher(store, peers, nanoTime);
         nextRegistrationNanos = nanoTime.getAsLong();
         lastTickNanos = nanoTime.getAsLong();
         publishedNanos = nanoTime.getAsLong();
@@ -118,7 +121,7 @@
         traffic = trafficPlane;
         crashReports = new CrashReports(trafficPlane);
         quotas = new QuotaCoordinator(self, peers, trafficPlane.quotas(), new PeerQuotaTransport(trafficPlane));
-        trafficPlane.setRevisionSource(() -> newestRevision);
+        trafficPlane.setRevisionSource(() -> newestRevision.number());
         trafficPlane.setColdnessSource(localServer::coldness);
     }
 
@@ -145,7 +148,7 @@
         }
 
         @Override
-        public void followPlatform(boolean enabled, long afterRevision) {
+        public void followPlatform(boolean enabled, StorePosition afterRevision) {
             rowFollower.follow(enabled, afterRevision);
         }
     }
@@ -174,13 +177,13 @@
      * Applies the operators' rows that this node has read from the platform.
      *
      * @param rows the rows, in any order
-     * @param readRevision revision of the platform at its response
+     * @param readRevision position of the platform at its response
      * @param platformMs the platform's clock at its response, in milliseconds
      * @param allRows whether these are all rows, so that those that are missing were removed
      * @param sentNanos monotonic clock before the request was sent
      */
     public void operatorRowsRead(
-            Collection<StoredRow> rows, long readRevision, long platformMs, boolean allRows, long sentNanos) {
+            Collection<StoredRow> rows, StorePosition readRevision, long platformMs, boolean allRows, long sentNanos) {
         if (allRows) {
             applyRows(rowReplicator.missingFrom(rows, readRevision), Optional.empty());
         }
@@ -209,12 +212,31 @@
      * Applies the rows of nodes and of outcomes of moves that this node has read from the platform.
      *
      * @param rows the rows, in any order
+     * @param readRevision position of the platform at its response
+     * @param allRows whether these are all rows of the table
      */
-    public void fleetRowsRead(Collection<StoredRow> rows) {
+    public void fleetRowsRead(Collection<StoredRow> rows, StorePosition readRevision, boolean allRows) {
         readiness.nodesRead();
+        if (allRows && readRevision.era() > fleetEra) {
+            storeCameBack(rows, readRevision);
+        }
         applyRows(rows, Optional.empty());
     }
 
+    /** Prepares to write again what a store has lost that came back from an older copy. */
+    private void storeCameBack(Collection<StoredRow> rows, StorePosition readRevision) {
+        if (fleetEra != UNKNOWN_ERA) {
+            LOG.warn("store_came_back", "revision", readRevision, "held_era", fleetEra);
+            moveRegistry.forgetPublished(nowNanos());
+            registered &= rows.stream()
+                    .map(decoder::decode)
+                    .flatMap(Optional::stream)
+                    .anyMatch(row -> row instanceof DecodedRow.NodeRow nodeRow
+                            && nodeRow.node().equals(self));
+        }
+        fleetEra = readRevision.era();
+    }
+
     private void applyRows(Collection<StoredRow> rows, Optional<NodeId> from) {
         boolean changed = false;
         boolean addressesChanged = false;
@@ -225,6 +247,12 @@
                 peers.recordRow(nodeRow.node(), row.revision());
             } else if (decoded.isPresent() && decoded.get() instanceof DecodedRow.InvalidConfigRow) {
                 revocationGuard.configurationRejected(row.revision());
+            } else if (decoded.isPresent()
+                    && decoded.get() instanceof DecodedRow.ConfigRow configRow
+                    && config.isLaterThan(configRow.config())) {
+                // The platform came back from an older copy: other nodes must not get this row from here.
+                revocationGuard.configurationRead(row.revision());
+                config.logIgnored(configRow.config(), row.revision());
             } else if (decoded.isPresent()
                     && rowReplicator.accept(
                             row, !(decoded.get() instanceof DecodedRow.MoveOutcomeRow), from, nowNanos())) {
@@ -256,10 +284,10 @@
         }
     }
 
-    private boolean applyRow(DecodedRow row, long revision, String source) {
+    private boolean applyRow(DecodedRow row, StorePosition revision, String source) {
         if (row instanceof DecodedRow.ConfigRow configRow) {
             revocationGuard.configurationRead(revision);
-            return applyConfig(configRow.config(), revision, source);
+            return config.apply(configRow.config(), revision, source);
         }
         if (row instanceof DecodedRow.MoveOrderRow orderRow) {
             moveRegistry.addOrder(orderRow.order(), revision, nowNanos());
@@ -271,29 +299,10 @@
         return row instanceof DecodedRow.EvacuationRow evacuation && evacuations.apply(evacuation, revision, source);
     }
 
-    private boolean applyConfig(FleetConfig next, long revision, String source) {
-        long currentVersion = config.map(FleetConfig::version).orElse(0L);
-        if (next.version() <= currentVersion) {
-            LOG.info("update_ignored", "version", next.version(), "held", currentVersion, "revision", revision);
-            return false;
-        }
+    private void configApplied(FleetConfig next) {
         readiness.configurationApplied(nowNanos());
-        config = Optional.of(next);
         fleetSnapshots.apply(next);
         localServer.setHealthPaths(next.healthPathByService());
-        LOG.info(
-                "update_applied",
-                "version",
-                next.version(),
-                "before",
-                currentVersion,
-                "routes",
-                next.routes().size(),
-                "revision",
-                revision,
-                "source",
-                source);
-        return true;
     }
 
     /**
@@ -479,7 +488,7 @@
         }
         lastTickNanos = nowNanos;
         fleetRowsUrgent = !registered || nowNanos - registeredNanos < JOINING_NANOS || moveRegistry.hasUnsettledMoves();
-        publishMoveOutcomes(nowNanos);
+        movePublisher.publish(moveRegistry.moves());
         rowReplicator.tick(peers.connected(), peers.connectionsVersion(), nowNanos);
         removeUnreachable(nowNanos);
         quotas.tick(snapshots.get().rules().organisations(), settings.organisationBounds(), nowNanos);
@@ -512,40 +521,13 @@
         });
     }
 
-    private void publishMoveOutcomes(long nowNanos) {
-        for (MoveRegistry.Move move : moveRegistry.moves()) {
-            Optional<MoveOutcome> outcome = move.unpublishedOutcome();
-            long earliestNanos = move.decidedNanos() + peers.rank(move.order().service()) * RANK_DELAY_NANOS;
-            if (outcome.isEmpty() || nowNanos - earliestNanos < 0 || nowNanos - move.nextWriteNanos() < 0) {
-                continue;
-            }
-            move.setWriting(true);
-            store.publishOutcome(outcome.get(), move.publishedRevision()).whenComplete((written, failure) -> {
-                move.setWriting(false);
-                if (failure != null || !written) {
-                    move.writeFailed(nowNanos());
-                }
-                LOG.info(
-                        "move_published",
-                        "service",
-                        outcome.get().service(),
-                        "to",
-                        outcome.get().to(),
-                        "phase",
-                        outcome.get().phase(),
-                        "outcome",
-                        failure == null ? written ? "written" : "another node was first" : "unknown");
-            });
-        }
-    }
-
     private void removeUnreachable(long nowNanos) {
         peers.findUnreachable(nowNanos)
                 .filter(entry -> peers.rank("remove") == 0)
                 .ifPresent(entry -> {
                     LOG.info("node_unreachable", "node", entry.getKey().id());
-                    peers.recordRow(entry.getKey(), 0);
-                    store.removeNode(entry.getKey(), entry.getValue());
+                    peers.recordRow(entry.getKey(), StorePosition.NONE);
+                    store.removeNode(entry.getKey(), entry.getValue().version());
                 });
     }
 
--- a/daemon/src/main/java/org/mimosahinge/daemon/fleet/MoveRegistry.java
+++ b/daemon/src/main/java/org/mimosahinge/daemon/fleet/MoveRegistry.java
@@ -12,6 +12,7 @@
 import org.mimosahinge.api.config.HaltMark;
 import org.mimosahinge.api.config.MovePhase;
 import org.mimosahinge.api.config.MoveState;
+import org.mimosahinge.api.platform.StorePosition;
 import org.mimosahinge.api.world.Endpoint;
 import org.mimosahinge.api.world.EndpointState;
 import org.mimosahinge.api.world.NodeId;
@@ -50,13 +51,13 @@
     }
 
     /** The newest published state; a restarted node may receive it before the order. */
-    private record PublishedOutcome(MoveOutcome outcome, long revision) {}
+    private record PublishedOutcome(MoveOutcome outcome, StorePosition revision) {}
 
     /** An order and its state on this node. */
     static final class Move {
 
         private final MoveOrder order;
-        private final long orderRevision;
+        private StorePosition orderRevision;
         private final long orderedNanos;
         private final WithheldVersions withheld;
         private final Map<NodeId, CallOutcomes> peerOutcomes = new HashMap<>();
@@ -64,12 +65,12 @@
         private CallOutcomes lastSent = CallOutcomes.EMPTY;
         private RapidMoveStep step = new RapidMoveStep(MovePhase.RUNNING, 0, "ordered");
         private MovePhase publishedPhase;
-        private long publishedRevision;
+        private StorePosition publishedRevision = StorePosition.NONE;
         private long decidedNanos;
         private boolean writing;
         private long nextWriteNanos;
 
-        private Move(MoveOrder order, long orderRevision, long orderedNanos, WithheldVersions withheld) {
+        private Move(MoveOrder order, StorePosition orderRevision, long orderedNanos, WithheldVersions withheld) {
             this.order = order;
             this.withheld = withheld;
             this.orderRevision = orderRevision;
@@ -106,7 +107,7 @@
             return publishedPhase == MovePhase.DONE || publishedPhase == MovePhase.TAKEN_BACK;
         }
 
-        long publishedRevision() {
+        StorePosition publishedRevision() {
             return publishedRevision;
         }
 
@@ -140,9 +141,14 @@
         return moves.values().stream().anyMatch(move -> !move.isSettled());
     }
 
-    void addOrder(MoveOrder order, long revision, long nowNanos) {
+    void addOrder(MoveOrder order, StorePosition revision, long nowNanos) {
         Move existing = moves.get(order.service());
-        if (existing != null && existing.orderRevision >= revision) {
+        if (existing != null && !revision.isAfter(existing.orderRevision)) {
+            return;
+        }
+        if (existing != null && existing.orderRevision.era() != revision.era() && existing.order.equals(order)) {
+            // The store has come back, and the operator has written the order again.
+            existing.orderRevision = revision;
             return;
         }
         WithheldVersions withheld = withheld(order.service());
@@ -175,9 +181,9 @@
      * Applies a published state; it overrides this node's own decision. Returns whether the phase of its move changed
      * here.
      */
-    boolean applyOutcome(MoveOutcome outcome, long revision, long nowNanos) {
+    boolean applyOutcome(MoveOutcome outcome, StorePosition revision, long nowNanos) {
         PublishedOutcome published = publishedOutcomes.get(outcome.service());
-        if (published != null && revision <= published.revision) {
+        if (published != null && !revision.isAfter(published.revision)) {
             return false;
         }
         publishedOutcomes.put(outcome.service(), new PublishedOutcome(outcome, revision));
@@ -204,9 +210,9 @@
         return versions;
     }
 
-    private static boolean adoptOutcome(Move move, MoveOutcome outcome, long revision, long nowNanos) {
+    private static boolean adoptOutcome(Move move, MoveOutcome outcome, StorePosition revision, long nowNanos) {
         move.publishedRevision = revision;
-        if (revision < move.orderRevision || !outcome.to().equals(move.order.to())) {
+        if (move.orderRevision.isAfter(revision) || !outcome.to().equals(move.order.to())) {
             return false;
         }
         move.publishedPhase = outcome.phase();
@@ -218,6 +224,19 @@
         return false;
     }
 
+    /**
+     * Has all states published again that the platform may have lost. Nodes take their turns as after a decision, and the
+     * rows that are still there are applied next.
+     */
+    void forgetPublished(long nowNanos) {
+        publishedOutcomes.clear();
+        for (Move move : moves.values()) {
+            move.publishedPhase = null;
+            move.publishedRevision = StorePosition.NONE;
+            move.decidedNanos = nowNanos;
+        }
+    }
+
     void addLocalOutcomes(Map<String, CallOutcomes> outcomesByService) {
         outcomesByService.forEach((service, outcomes) -> {
             Move move = moves.get(service);
--- a/daemon/src/main/java/org/mimosahinge/daemon/fleet/Peers.java
+++ b/daemon/src/main/java/org/mimosahinge/daemon/fleet/Peers.java
@@ -8,6 +8,7 @@
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.stream.Collectors;
+import org.mimosahinge.api.platform.StorePosition;
 import org.mimosahinge.api.world.Endpoint;
 import org.mimosahinge.api.world.HostPort;
 import org.mimosahinge.api.world.Node;
@@ -42,7 +43,7 @@
     private static final class Peer {
 
         private Node node;
-        private long rowRevision;
+        private StorePosition rowRevision = StorePosition.NONE;
         private long connectionId;
         private boolean connected;
         private long downSinceNanos;
@@ -91,10 +92,10 @@
         return addressChanged;
     }
 
-    void recordRow(Node node, long rowRevision) {
+    void recordRow(Node node, StorePosition rowRevision) {
         Peer peer = peers.get(node.id());
         if (peer != null) {
-            peer.rowRevision = Math.max(peer.rowRevision, rowRevision);
+            peer.rowRevision = StorePosition.latest(peer.rowRevision, rowRevision);
         }
     }
 
@@ -212,10 +213,10 @@
     }
 
     /** Returns a registered node that has been unreachable for too long, with the revision of its row. */
-    Optional<Map.Entry<Node, Long>> findUnreachable(long nowNanos) {
+    Optional<Map.Entry<Node, StorePosition>> findUnreachable(long nowNanos) {
         return peers.values().stream()
                 .filter(peer -> !peer.connected
-                        && peer.rowRevision > 0
+                        && peer.rowRevision.version() > 0
                         && nowNanos - peer.downSinceNanos > REMOVAL_TIMEOUT_NANOS)
                 .map(peer -> Map.entry(peer.node, peer.rowRevision))
                 .findFirst();
--- a/daemon/src/main/java/org/mimosahinge/daemon/fleet/PlatformRowFollower.java
+++ b/daemon/src/main/java/org/mimosahinge/daemon/fleet/PlatformRowFollower.java
@@ -1,5 +1,7 @@
 package org.mimosahinge.daemon.fleet;
 
+import org.mimosahinge.api.platform.StorePosition;
+
 /** Reads changes of the operators' rows from the platform. */
 @FunctionalInterface
 public interface PlatformRowFollower {
@@ -8,7 +10,7 @@
      * Starts or stops reading changes.
      *
      * @param enabled whether this node reads changes from the platform
-     * @param afterRevision platform revision up to which this node has all rows, 0 if unknown
+     * @param afterRevision platform revision up to which this node has all rows, {@link StorePosition#NONE} if unknown
      */
-    void follow(boolean enabled, long afterRevision);
+    void follow(boolean enabled, StorePosition afterRevision);
 }
--- a/daemon/src/main/java/org/mimosahinge/daemon/fleet/RevocationGuard.java
+++ b/daemon/src/main/java/org/mimosahinge/daemon/fleet/RevocationGuard.java
@@ -4,6 +4,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.LongSupplier;
 import org.mimosahinge.api.config.Snapshot;
+import org.mimosahinge.api.platform.StorePosition;
 import org.mimosahinge.core.organisation.ConfigurationProof;
 import org.mimosahinge.core.organisation.OrganisationBounds;
 import org.mimosahinge.core.organisation.PlatformClock;
@@ -30,8 +31,8 @@
 
     private final LongSupplier nanoTime;
     private PlatformClock clock = PlatformClock.UNKNOWN;
-    private long appliedRevision;
-    private long rejectedRevision;
+    private StorePosition appliedRevision = StorePosition.NONE;
+    private StorePosition rejectedRevision = StorePosition.NONE;
     private long provenPlatformMs;
     private long clockRequestedNanos;
     private boolean covered = true;
@@ -64,13 +65,13 @@
     }
 
     /** Records a row with a configuration that this node can decode. */
-    void configurationRead(long revision) {
-        appliedRevision = Math.max(appliedRevision, revision);
+    void configurationRead(StorePosition revision) {
+        appliedRevision = StorePosition.latest(appliedRevision, revision);
     }
 
     /** Records a row with a configuration that this node cannot decode. */
-    void configurationRejected(long revision) {
-        rejectedRevision = Math.max(rejectedRevision, revision);
+    void configurationRejected(StorePosition revision) {
+        rejectedRevision = StorePosition.latest(rejectedRevision, revision);
     }
 
     /**
@@ -78,7 +79,7 @@
      * neither use keys nor tell other nodes that all rows have arrived.
      */
     boolean newestConfigurationHeld() {
-        return !state.bounds().strictRevocation() || rejectedRevision <= appliedRevision;
+        return !state.bounds().strictRevocation() || !rejectedRevision.isAfter(appliedRevision);
     }
 
     /** Records a response of the platform to a request of this node. */
@@ -131,7 +132,7 @@
                         "clock_known",
                         clock.known(),
                         "rejected_revision",
-                        newestConfigurationHeld() ? 0 : rejectedRevision);
+                        newestConfigurationHeld() ? StorePosition.NONE : rejectedRevision);
             }
         }
         return next;
--- a/daemon/src/main/java/org/mimosahinge/daemon/fleet/RowCache.java
+++ b/daemon/src/main/java/org/mimosahinge/daemon/fleet/RowCache.java
@@ -1,6 +1,7 @@
 package org.mimosahinge.daemon.fleet;
 
 import java.util.ArrayDeque;
+import java.util.Arrays;
 import java.util.Collection;
 import java.util.Deque;
 import java.util.HashMap;
@@ -8,6 +9,7 @@
 import java.util.Optional;
 import java.util.stream.Collectors;
 import org.mimosahinge.api.config.ContentDelta;
+import org.mimosahinge.api.platform.StorePosition;
 
 /** The newest rows that nodes replicate to each other, with earlier revisions to compute deltas from. */
 final class RowCache {
@@ -17,25 +19,38 @@
 
     private final Map<String, Deque<StoredRow>> revisionsByKey = new HashMap<>();
     private final Map<String, CachedDelta> deltas = new HashMap<>();
-    private long newestRevision;
+    private StorePosition newestRevision = StorePosition.NONE;
 
-    private record CachedDelta(long baseRevision, long revision, ContentDelta delta) {}
+    private record CachedDelta(StorePosition baseRevision, StorePosition revision, ContentDelta delta) {}
 
     /** Adds a row unless the cache has the same revision or a newer one. */
     boolean add(StoredRow row) {
         Deque<StoredRow> revisions = revisionsByKey.computeIfAbsent(row.key(), key -> new ArrayDeque<>());
-        if (!revisions.isEmpty() && revisions.getFirst().revision() >= row.revision()) {
+        if (!revisions.isEmpty() && !row.revision().isAfter(revisions.getFirst().revision())) {
             return false;
         }
         revisions.addFirst(row);
         if (revisions.size() > MAX_REVISIONS_PER_ROW) {
             revisions.removeLast();
         }
-        newestRevision = Math.max(newestRevision, row.revision());
+        newestRevision = StorePosition.latest(newestRevision, row.revision());
         return true;
     }
 
-    long newestRevision() {
+    /**
+     * Returns whether a row of a store that has come back is an earlier write than the newest one in the cache. In the
+     * copy, a row has the version of its write, so it is in the cache under an earlier era.
+     */
+    boolean isReplacedCopy(StoredRow row) {
+        return revisionsByKey.getOrDefault(row.key(), new ArrayDeque<>()).stream()
+                .skip(1)
+                .anyMatch(known -> known.revision().era() < row.revision().era()
+                        && known.revision().version() == row.revision().version()
+                        && known.removed() == row.removed()
+                        && Arrays.equals(known.content(), row.content()));
+    }
+
+    StorePosition newestRevision() {
         return newestRevision;
     }
 
@@ -44,16 +59,16 @@
     }
 
     /** Returns the newest revision of each row, by key. */
-    Map<String, Long> newestRevisions() {
+    Map<String, StorePosition> newestRevisions() {
         return revisionsByKey.entrySet().stream()
                 .collect(Collectors.toMap(
                         Map.Entry::getKey, entry -> entry.getValue().getFirst().revision()));
     }
 
     /** Returns the content of a row at a revision that is still in the cache. */
-    Optional<byte[]> content(String key, long revision) {
+    Optional<byte[]> content(String key, StorePosition revision) {
         return revisionsByKey.getOrDefault(key, new ArrayDeque<>()).stream()
-                .filter(row -> row.revision() == revision)
+                .filter(row -> row.revision().equals(revision))
                 .map(StoredRow::content)
                 .findFirst();
     }
@@ -62,9 +77,9 @@
      * Returns a row as a delta to an earlier revision, or empty if that is not in the cache or the delta is not
      * smaller.
      */
-    Optional<ContentDelta> deltaFrom(StoredRow row, long baseRevision) {
+    Optional<ContentDelta> deltaFrom(StoredRow row, StorePosition baseRevision) {
         CachedDelta cached = deltas.get(row.key());
-        if (cached == null || cached.baseRevision != baseRevision || cached.revision != row.revision()) {
+        if (cached == null || !cached.baseRevision.equals(baseRevision) || !cached.revision.equals(row.revision())) {
             Optional<byte[]> baseContent = content(row.key(), baseRevision);
             if (baseContent.isEmpty()) {
                 return Optional.empty();
--- a/daemon/src/main/java/org/mimosahinge/daemon/fleet/RowReplicator.java
+++ b/daemon/src/main/java/org/mimosahinge/daemon/fleet/RowReplicator.java
@@ -9,6 +9,7 @@
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import org.mimosahinge.api.config.ContentDelta;
+import org.mimosahinge.api.platform.StorePosition;
 import org.mimosahinge.api.world.Node;
 import org.mimosahinge.api.world.NodeId;
 import org.mimosahinge.core.fanout.RowSourcePolicy;
@@ -60,14 +61,14 @@
     private final Map<NodeId, Child> children = new HashMap<>();
     private final Map<NodeId, Parent> parents = new HashMap<>();
     private RowSourcePolicy.Sources sources;
-    private TableRead tableRead = new TableRead("", 0);
+    private TableRead tableRead = new TableRead("", StorePosition.NONE);
     private long connectionsVersion = -1;
     private boolean readingPlatform = true;
     /** When a parent last showed that it gets rows from the platform. */
     private long parentsFreshNanos;
 
-    private long newestOperatorRevision;
-    private long readRevision;
+    private StorePosition newestOperatorRevision = StorePosition.NONE;
+    private StorePosition readRevision = StorePosition.NONE;
     /** The newest known time of the platform's clock up to which all rows have arrived here. */
     private long platformMs;
 
@@ -77,21 +78,29 @@
     private int nextParentIndex;
 
     /** The last read of all rows of the operators' table. */
-    private record TableRead(String prefix, long revision) {
+    private record TableRead(String prefix, StorePosition revision) {
 
         private static String prefix(String key) {
             return key.substring(0, key.indexOf('/') + 1);
         }
 
         /** Returns whether a row that is unknown here was removed before the read. */
-        boolean removed(String key, long heldRevision) {
-            return heldRevision < revision && key.startsWith(prefix);
+        boolean removed(String key, StorePosition heldRevision) {
+            return precedes(heldRevision, revision) && key.startsWith(prefix);
         }
     }
 
+    /**
+     * Returns whether a read of the whole table shows that a row was removed that it lacks. A store that has come back
+     * from a copy lacks rows that were not removed, and gets them again.
+     */
+    private static boolean precedes(StorePosition row, StorePosition read) {
+        return row.era() == read.era() && read.isAfter(row);
+    }
+
     /** A node that has subscribed to rows of this node. */
     private static final class Child {
-        private final Map<String, Long> heldRevisions = new HashMap<>();
+        private final Map<String, StorePosition> heldRevisions = new HashMap<>();
         private long expiryNanos;
     }
 
@@ -117,7 +126,7 @@
         platformMsUpdatedNanos = nowNanos;
     }
 
-    long newestRevision() {
+    StorePosition newestRevision() {
         return cache.newestRevision();
     }
 
@@ -125,13 +134,19 @@
      * Adds a decoded row and forwards it to the children; returns false if the same revision or a newer one is known.
      */
     boolean accept(StoredRow row, boolean operatorRow, Optional<NodeId> from, long nowNanos) {
+        if (operatorRow && cache.isReplacedCopy(row)) {
+            // The operator writes the later row again.
+            LOG.info("row_copy_ignored", "row", row.key(), "revision", row.revision());
+            return false;
+        }
         if (!cache.add(row)) {
             return false;
         }
         if (operatorRow) {
-            newestOperatorRevision = Math.max(newestOperatorRevision, row.revision());
+            newestOperatorRevision = StorePosition.latest(newestOperatorRevision, row.revision());
         }
-        from.map(children::get).ifPresent(child -> child.heldRevisions.merge(row.key(), row.revision(), Math::max));
+        from.map(children::get)
+                .ifPresent(child -> child.heldRevisions.merge(row.key(), row.revision(), StorePosition::latest));
         activeChildren(nowNanos).forEach((id, child) -> sendRow(row, id, child));
         return true;
     }
@@ -144,12 +159,12 @@
      * @param revision revision of the platform at the read
      * @return removed rows with the revision of the read; rows of other tables are among them
      */
-    List<StoredRow> missingFrom(Collection<StoredRow> rows, long revision) {
+    List<StoredRow> missingFrom(Collection<StoredRow> rows, StorePosition revision) {
         rows.stream().findAny().ifPresent(row -> tableRead = new TableRead(TableRead.prefix(row.key()), revision));
         Set<String> present = new HashSet<>();
         rows.forEach(row -> present.add(row.key()));
         return cache.newestRows().stream()
-                .filter(row -> !row.removed() && row.revision() < revision && !present.contains(row.key()))
+                .filter(row -> !row.removed() && precedes(row.revision(), revision) && !present.contains(row.key()))
                 .map(row -> new StoredRow(row.key(), revision, new byte[0], true))
                 .toList();
     }
@@ -159,8 +174,9 @@
      * they are missing.
      */
     private void sendMissing(NodeId id, Child child) {
-        Map<String, Long> held = cache.newestRevisions();
-        for (Map.Entry<String, Long> row : Map.copyOf(child.heldRevisions).entrySet()) {
+        Map<String, StorePosition> held = cache.newestRevisions();
+        for (Map.Entry<String, StorePosition> row :
+                Map.copyOf(child.heldRevisions).entrySet()) {
             if (!held.containsKey(row.getKey()) && tableRead.removed(row.getKey(), row.getValue())) {
                 sendRow(new StoredRow(row.getKey(), tableRead.revision, new byte[0], true), id, child);
             }
@@ -168,8 +184,8 @@
     }
 
     private void sendRow(StoredRow row, NodeId id, Child child) {
-        long baseRevision = child.heldRevisions.getOrDefault(row.key(), 0L);
-        if (baseRevision >= row.revision()) {
+        StorePosition baseRevision = child.heldRevisions.getOrDefault(row.key(), StorePosition.NONE);
+        if (!row.revision().isAfter(baseRevision)) {
             return;
         }
         child.heldRevisions.put(row.key(), row.revision());
@@ -186,7 +202,7 @@
                 "revision",
                 row.revision(),
                 "base",
-                deltaFrame.isPresent() ? baseRevision : 0,
+                deltaFrame.isPresent() ? baseRevision : StorePosition.NONE,
                 "removed",
                 row.removed());
         transport.send(
@@ -197,7 +213,7 @@
 
     /** Rebuilds a row from a delta; requests the whole row if the base revision is missing. */
     Optional<StoredRow> restoreRow(Frame.RowDelta rowDelta, Node parent) {
-        if (cache.newestRevisions().getOrDefault(rowDelta.key(), 0L) >= rowDelta.revision()) {
+        if (!rowDelta.revision().isAfter(cache.newestRevisions().getOrDefault(rowDelta.key(), StorePosition.NONE))) {
             return Optional.empty();
         }
         Optional<byte[]> content =
@@ -237,7 +253,7 @@
         if (parent == null || frame.platformMs() <= parent.platformMs) {
             return;
         }
-        if (frame.revision() > newestOperatorRevision) {
+        if (frame.revision().isAfter(newestOperatorRevision)) {
             // A row was lost on the way or could not be decoded here, so this node is not up to date.
             transport.request(node, new Frame.RowSubscription(cache.newestRevisions()));
             return;
@@ -252,7 +268,7 @@
     }
 
     /** Records that this node has read the platform up to a revision, and the platform's clock at that response. */
-    void platformRead(long revision, long readPlatformMs, long nowNanos) {
+    void platformRead(StorePosition revision, long readPlatformMs, long nowNanos) {
         locallyReadPlatformMs = Math.max(locallyReadPlatformMs, readPlatformMs);
         updateFreshness(revision, readPlatformMs, nowNanos);
     }
@@ -268,8 +284,8 @@
         transport.followPlatform(readingPlatform, readRevision);
     }
 
-    private void updateFreshness(long revision, long newPlatformMs, long nowNanos) {
-        readRevision = Math.max(readRevision, revision);
+    private void updateFreshness(StorePosition revision, long newPlatformMs, long nowNanos) {
+        readRevision = StorePosition.latest(readRevision, revision);
         if (newPlatformMs > platformMs) {
             platformMs = newPlatformMs;
             platformMsUpdatedNanos = nowNanos;
--- a/daemon/src/main/java/org/mimosahinge/daemon/fleet/RowTransport.java
+++ b/daemon/src/main/java/org/mimosahinge/daemon/fleet/RowTransport.java
@@ -1,5 +1,6 @@
 package org.mimosahinge.daemon.fleet;
 
+import org.mimosahinge.api.platform.StorePosition;
 import org.mimosahinge.api.world.Node;
 import org.mimosahinge.api.world.NodeId;
 import org.mimosahinge.net.frame.Frame;
@@ -29,5 +30,5 @@
      * @param enabled whether this node reads changes
      * @param afterRevision platform revision up to which this node has all rows
      */
-    void followPlatform(boolean enabled, long afterRevision);
+    void followPlatform(boolean enabled, StorePosition afterRevision);
 }
--- a/daemon/src/main/java/org/mimosahinge/daemon/fleet/WithheldVersions.java
+++ b/daemon/src/main/java/org/mimosahinge/daemon/fleet/WithheldVersions.java
@@ -5,6 +5,7 @@
 import java.util.Set;
 import java.util.TreeSet;
 import java.util.concurrent.TimeUnit;
+import org.mimosahinge.api.platform.StorePosition;
 
 /** The versions of one service that were taken back, or whose order was replaced before it was decided. */
 final class WithheldVersions {
@@ -20,11 +21,11 @@
      * @param revision revision of the row that withheld it
      * @param presentNanos when it last had an endpoint, or when it was withheld
      */
-    private record Entry(long revision, long presentNanos) {}
+    private record Entry(StorePosition revision, long presentNanos) {}
 
-    void withhold(String version, long revision, long nowNanos) {
+    void withhold(String version, StorePosition revision, long nowNanos) {
         Entry known = entries.get(version);
-        if (known == null || known.revision < revision) {
+        if (known == null || revision.isAfter(known.revision)) {
             entries.put(version, new Entry(revision, nowNanos));
         }
     }
@@ -34,10 +35,12 @@
         entries.remove(version);
     }
 
-    /** Adopts the versions of a row, which holds all that was withheld by earlier rows. */
-    void adopt(Set<String> versions, long revision, long nowNanos) {
+    /** Adopts the versions of a row, which holds all that was withheld by earlier rows of its era. */
+    void adopt(Set<String> versions, StorePosition revision, long nowNanos) {
         entries.entrySet()
-                .removeIf(entry -> entry.getValue().revision < revision && !versions.contains(entry.getKey()));
+                .removeIf(entry -> entry.getValue().revision.era() == revision.era()
+                        && revision.isAfter(entry.getValue().revision)
+                        && !versions.contains(entry.getKey()));
         versions.forEach(version -> withhold(version, revision, nowNanos));
     }
 
--- a/daemon/src/test/java/org/mimosahinge/daemon/fleet/MoveRegistryTest.java
+++ b/daemon/src/test/java/org/mimosahinge/daemon/fleet/MoveRegistryTest.java
@@ -13,6 +13,7 @@
 import org.junit.jupiter.params.provider.CsvSource;
 import org.mimosahinge.api.config.HaltMark;
 import org.mimosahinge.api.config.MovePhase;
+import org.mimosahinge.api.platform.StorePosition;
 import org.mimosahinge.api.world.AvailabilityZone;
 import org.mimosahinge.api.world.BackendServer;
 import org.mimosahinge.api.world.Endpoint;
@@ -28,6 +29,10 @@
 
     private static final MoveOrder ORDER = new MoveOrder("shop", "v2", Duration.ofSeconds(15));
 
+    private static StorePosition at(long version) {
+        return new StorePosition(0, version);
+    }
+
     @ParameterizedTest(
             name = "outcome {0} of version {1}, order at {2}, outcome at {3}, outcome first {4}: {5}, unpublished {6}")
     @CsvSource({
@@ -49,16 +54,16 @@
         MoveRegistry registry = new MoveRegistry(0);
         MoveOutcome outcome = new MoveOutcome("shop", version, phase, Set.of());
         if (outcomeFirst) {
-            registry.applyOutcome(outcome, outcomeRevision, 1);
+            registry.applyOutcome(outcome, at(outcomeRevision), 1);
         }
-        registry.addOrder(ORDER, orderRevision, 1);
+        registry.addOrder(ORDER, at(orderRevision), 1);
         if (!outcomeFirst) {
-            registry.applyOutcome(outcome, outcomeRevision, 1);
+            registry.applyOutcome(outcome, at(outcomeRevision), 1);
         }
         assertEquals(expected, registry.states().get("shop").phase());
         MoveRegistry.Move move = registry.moves().iterator().next();
         assertEquals(unpublished, move.unpublishedOutcome().isPresent());
-        assertEquals(outcomeRevision, move.publishedRevision());
+        assertEquals(at(outcomeRevision), move.publishedRevision());
     }
 
     /** Rows as the platform holds them: the newest order and the newest published state. */
@@ -66,21 +71,21 @@
         private final MoveRegistry writer = new MoveRegistry(0);
         private long revision;
         private MoveOrder order;
-        private long orderRevision;
+        private StorePosition orderRevision;
         private MoveOutcome outcome;
-        private long outcomeRevision;
+        private StorePosition outcomeRevision;
 
         private void apply(String event) {
             String[] parts = event.split(":", -1);
             revision++;
             if (parts[0].equals("order")) {
                 order = new MoveOrder("shop", parts[1], Duration.ofSeconds(15));
-                orderRevision = revision;
-                writer.addOrder(order, revision, 1);
+                orderRevision = at(revision);
+                writer.addOrder(order, at(revision), 1);
             } else {
                 outcome = writer.moves().iterator().next().outcome(MovePhase.valueOf(parts[0]));
-                outcomeRevision = revision;
-                writer.applyOutcome(outcome, revision, 1);
+                outcomeRevision = at(revision);
+                writer.applyOutcome(outcome, at(revision), 1);
             }
         }
 
@@ -165,6 +170,51 @@
         assertEquals(expected, halted(node, endpoints("v1", "v2", "v3", "v4"), 2));
     }
 
+    /** The operator writes again what a store has lost that came back from an older copy; that is no new order. */
+    @ParameterizedTest(name = "{0} at era.version {1}, then {2}: {3}")
+    @CsvSource({
+        "v2, 1.3, '', DONE",
+        "v2, 1.9, '', DONE",
+        "v2, 1.3, 1.9, RUNNING",
+        "v2, 0.9, '', RUNNING",
+        "v3, 1.3, '', RUNNING",
+        "v2, 0.3, '', DONE"
+    })
+    void orderWrittenAgainKeepsItsState(String to, String first, String second, MovePhase expected) {
+        MoveRegistry registry = new MoveRegistry(0);
+        registry.addOrder(ORDER, at(5), 1);
+        registry.applyOutcome(new MoveOutcome("shop", "v2", MovePhase.DONE, Set.of()), at(6), 1);
+        for (String position : List.of(first, second)) {
+            if (!position.isEmpty()) {
+                String[] parts = position.split("\\.", -1);
+                registry.addOrder(
+                        new MoveOrder("shop", to, ORDER.duration()),
+                        new StorePosition(Long.parseLong(parts[0]), Long.parseLong(parts[1])),
+                        2);
+            }
+        }
+        assertEquals(expected, registry.states().get("shop").phase());
+    }
+
+    /** Without it, the operator reads an older state, and later states are written under a version that is gone. */
+    @ParameterizedTest(name = "state in the copy: {0}")
+    @CsvSource({"'', 0", "RUNNING, 2", "TAKEN_BACK, 3"})
+    void publishedStateIsWrittenAgain(String copied, long version) {
+        MoveRegistry registry = new MoveRegistry(0);
+        registry.addOrder(ORDER, at(5), 1);
+        registry.applyOutcome(new MoveOutcome("shop", "v2", MovePhase.TAKEN_BACK, Set.of("v0")), at(6), 1);
+        registry.forgetPublished(2);
+        if (!copied.isEmpty()) {
+            MoveOutcome copy = new MoveOutcome("shop", "v2", MovePhase.valueOf(copied), Set.of());
+            registry.applyOutcome(copy, new StorePosition(1, version), 3);
+        }
+        MoveRegistry.Move move = registry.moves().iterator().next();
+        assertEquals(version, move.publishedRevision().version());
+        assertEquals(MovePhase.TAKEN_BACK, registry.states().get("shop").phase());
+        assertEquals(!copied.equals("TAKEN_BACK"), move.unpublishedOutcome().isPresent());
+        assertEquals("v0", halted(registry, endpoints("v0", "v1", "v2"), 4));
+    }
+
     @ParameterizedTest(name = "endpoint away for {0} s: still withheld {1}")
     @CsvSource({"5, true", "29, true", "31, false"})
     void versionIsForgottenWhenItsEndpointsAreGone(long seconds, boolean withheld) {
--- a/daemon/src/test/java/org/mimosahinge/daemon/fleet/RevocationGuardTest.java
+++ b/daemon/src/test/java/org/mimosahinge/daemon/fleet/RevocationGuardTest.java
@@ -17,6 +17,7 @@
 import org.mimosahinge.api.contract.Organisations;
 import org.mimosahinge.api.contract.Quota;
 import org.mimosahinge.api.contract.TrafficRules;
+import org.mimosahinge.api.platform.StorePosition;
 import org.mimosahinge.core.organisation.OrganisationBounds;
 
 /** Guards against keys that are used after a pause of the process, in which no periodic work can end their use. */
@@ -93,8 +94,8 @@
     @CsvSource({"true, 5, 0, true", "true, 5, 6, false", "true, 7, 6, true", "false, 5, 6, true"})
     void aRejectedConfigurationIsNotHeld(boolean strict, long applied, long rejected, boolean held) {
         RevocationGuard guard = guard(strict);
-        guard.configurationRead(applied);
-        guard.configurationRejected(rejected);
+        guard.configurationRead(new StorePosition(0, applied));
+        guard.configurationRejected(new StorePosition(0, rejected));
         assertEquals(held, guard.newestConfigurationHeld());
     }
 
--- a/daemon/src/test/java/org/mimosahinge/daemon/fleet/RowReplicationModel.java
+++ b/daemon/src/test/java/org/mimosahinge/daemon/fleet/RowReplicationModel.java
@@ -10,6 +10,7 @@
 import java.util.Random;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import org.mimosahinge.api.platform.StorePosition;
 import org.mimosahinge.api.world.AvailabilityZone;
 import org.mimosahinge.api.world.HostPort;
 import org.mimosahinge.api.world.Node;
@@ -40,6 +41,11 @@
     private static final int MAX_RETRY_MS = 1_200;
     private static final int ROUTES = 100;
 
+    /** The simulated platform has one era. */
+    private static StorePosition at(long revision) {
+        return new StorePosition(0, revision);
+    }
+
     private record Event(long atMs, long sequence, Runnable task) {}
 
     /** A simulated node. */
@@ -114,12 +120,12 @@
                             storeRevision = readRevision;
                             if (fullRead) {
                                 replicator
-                                        .missingFrom(rows, readRevision)
+                                        .missingFrom(rows, at(readRevision))
                                         .forEach(row -> applyRow(row, Optional.empty()));
                             }
                             rows.forEach(row -> applyRow(row, Optional.empty()));
                         }
-                        replicator.platformRead(readRevision, readMs, nowNanos());
+                        replicator.platformRead(at(readRevision), readMs, nowNanos());
                     }
                     pollEnded(process, hasRows ? COALESCE_MS : 0);
                 });
@@ -146,10 +152,10 @@
             }
             // As on a node: the removal of the configuration changes nothing.
             if (!row.removed() && replicator.accept(row, true, from, nowNanos())) {
-                if (row.revision() < heldRevision) {
+                if (row.revision().version() < heldRevision) {
                     throw new AssertionError(node.id() + " reverted to revision " + row.revision());
                 }
-                heldRevision = row.revision();
+                heldRevision = row.revision().version();
             }
         }
 
@@ -181,14 +187,14 @@
         }
 
         @Override
-        public void followPlatform(boolean enabled, long afterRevision) {
+        public void followPlatform(boolean enabled, StorePosition afterRevision) {
             reading = enabled;
-            storeRevision = Math.max(storeRevision, afterRevision);
+            storeRevision = Math.max(storeRevision, afterRevision.version());
             poll();
         }
     }
 
-    private static final StoredRow NO_ORDER = new StoredRow(ORDER_KEY, 0, new byte[0], true);
+    private static final StoredRow NO_ORDER = new StoredRow(ORDER_KEY, StorePosition.NONE, new byte[0], true);
 
     final Map<NodeId, Member> members = new HashMap<>();
     final Map<NodeId, Long> sentBytes = new HashMap<>();
@@ -239,12 +245,12 @@
                     + ".5,\"service\":\"s" + i % 3 + "\"},");
         }
         byte[] content = config.append("{}]}").toString().getBytes(StandardCharsets.UTF_8);
-        this.config = new StoredRow(KEY, newestRevision, content, false);
+        this.config = new StoredRow(KEY, at(newestRevision), content, false);
     }
 
     /** Writes or removes an operator's order, as a row of its own. */
     void setOrder(boolean present) {
-        order = new StoredRow(ORDER_KEY, ++newestRevision, new byte[0], !present);
+        order = new StoredRow(ORDER_KEY, at(++newestRevision), new byte[0], !present);
     }
 
     /** Sets whether the platform has dropped its history, so that nodes read all rows instead of the changes. */
@@ -263,7 +269,7 @@
 
     private List<StoredRow> rowsAfter(long revision) {
         return List.of(config, order).stream()
-                .filter(row -> row.revision() > revision)
+                .filter(row -> row.revision().version() > revision)
                 .toList();
     }
 
@@ -281,7 +287,7 @@
         return members.values().stream()
                 .filter(member -> !stoppedNodes.contains(member.node.id())
                         && !member.frozen
-                        && member.heldRevision < config.revision())
+                        && member.heldRevision < config.revision().version())
                 .count();
     }
 
--- a/daemon/src/test/java/org/mimosahinge/daemon/fleet/RowReplicatorTest.java
+++ b/daemon/src/test/java/org/mimosahinge/daemon/fleet/RowReplicatorTest.java
@@ -7,6 +7,7 @@
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
+import org.mimosahinge.api.platform.StorePosition;
 import org.mimosahinge.api.world.AvailabilityZone;
 import org.mimosahinge.api.world.HostPort;
 import org.mimosahinge.api.world.Node;
@@ -42,7 +43,7 @@
         }
 
         @Override
-        public void followPlatform(boolean enabled, long afterRevision) {
+        public void followPlatform(boolean enabled, StorePosition afterRevision) {
             if (enabled) {
                 readStartsMs.add(nowMs);
             }
@@ -67,7 +68,8 @@
         for (long endMs = transport.nowMs + 10_000; transport.nowMs < endMs; transport.nowMs += TICK_MS) {
             long nowNanos = TimeUnit.MILLISECONDS.toNanos(transport.nowMs);
             replicator.tick(List.of(other), 2, nowNanos);
-            replicator.freshnessReceived(other, new Frame.RowFreshness(0, 0, transport.nowMs), nowNanos);
+            replicator.freshnessReceived(
+                    other, new Frame.RowFreshness(StorePosition.NONE, StorePosition.NONE, transport.nowMs), nowNanos);
         }
         assertEquals(
                 1, transport.readStartsMs.size(), "the parent was removed; reads started at " + transport.readStartsMs);
--- a/net/src/main/java/org/mimosahinge/net/frame/Frame.java
+++ b/net/src/main/java/org/mimosahinge/net/frame/Frame.java
@@ -10,6 +10,7 @@
 import org.mimosahinge.api.config.ContentDelta;
 import org.mimosahinge.api.config.HaltMark;
 import org.mimosahinge.api.contract.CallClass;
+import org.mimosahinge.api.platform.StorePosition;
 import org.mimosahinge.api.world.Endpoint;
 import org.mimosahinge.api.world.Node;
 
@@ -159,13 +160,13 @@
      * @param content value of the row, empty if it was removed
      * @param removed whether the row was removed
      */
-    record OperatorRow(String key, long revision, byte[] content, boolean removed) implements Frame {
+    record OperatorRow(String key, StorePosition revision, byte[] content, boolean removed) implements Frame {
 
         @Override
         public boolean equals(Object other) {
             return other instanceof OperatorRow row
                     && key.equals(row.key)
-                    && revision == row.revision
+                    && revision.equals(row.revision)
                     && removed == row.removed
                     && Arrays.equals(content, row.content);
         }
@@ -181,7 +182,7 @@
      *
      * @param heldRevisions revisions of the rows that the sender already has, by key
      */
-    record RowSubscription(Map<String, Long> heldRevisions) implements Frame {}
+    record RowSubscription(Map<String, StorePosition> heldRevisions) implements Frame {}
 
     /**
      * A row, encoded as the difference from an earlier revision.
@@ -191,7 +192,8 @@
      * @param revision revision of the row on the platform
      * @param delta the difference between the two revisions
      */
-    record RowDelta(String key, long baseRevision, long revision, ContentDelta delta) implements Frame {}
+    record RowDelta(String key, StorePosition baseRevision, StorePosition revision, ContentDelta delta)
+            implements Frame {}
 
     /**
      * States when the sender's rows were last known to be the newest ones on the platform.
@@ -201,7 +203,7 @@
      * @param platformMs the platform's clock when it was last read, in milliseconds; a single clock measures freshness
      *     on all nodes, so that the nodes' own clocks do not matter
      */
-    record RowFreshness(long revision, long readRevision, long platformMs) implements Frame {}
+    record RowFreshness(StorePosition revision, StorePosition readRevision, long platformMs) implements Frame {}
 
     /**
      * Reports the calls of organisations with a quota to the quota coordinator.
--- a/net/src/main/java/org/mimosahinge/net/frame/FrameCodec.java
+++ b/net/src/main/java/org/mimosahinge/net/frame/FrameCodec.java
@@ -102,7 +102,9 @@
         } else if (frame instanceof Frame.RowDelta row) {
             RowFields.packDelta(out, row);
         } else if (frame instanceof Frame.RowFreshness freshness) {
-            out.integer(freshness.revision()).integer(freshness.readRevision()).integer(freshness.platformMs());
+            out.integer(freshness.revision().number())
+                    .integer(freshness.readRevision().number())
+                    .integer(freshness.platformMs());
         } else if (frame instanceof Frame.QuotaUse use) {
             QuotaFields.packUse(out, use);
         } else if (frame instanceof Frame.QuotaAllowances allowances) {
--- a/net/src/main/java/org/mimosahinge/net/frame/RowFields.java
+++ b/net/src/main/java/org/mimosahinge/net/frame/RowFields.java
@@ -4,6 +4,7 @@
 import java.util.Map;
 import org.mimosahinge.api.config.ContentDelta;
 import org.mimosahinge.api.error.FrameException;
+import org.mimosahinge.api.platform.StorePosition;
 
 /** Encodes and decodes operators' rows, their deltas, subscriptions and freshness. */
 final class RowFields {
@@ -13,41 +14,51 @@
     static void packRow(Packer out, Frame.OperatorRow row) {
         // A negative revision announces a removed row; a release that knows none takes it for outdated.
         out.text(row.key())
-                .integer(row.removed() ? -row.revision() : row.revision())
+                .integer(
+                        row.removed()
+                                ? -row.revision().number()
+                                : row.revision().number())
                 .bytes(Deflate.compress(row.content()));
     }
 
     static Frame.OperatorRow unpackRow(Unpacker in) {
         String key = in.text();
         long revision = in.integer();
-        return new Frame.OperatorRow(key, Math.abs(revision), Deflate.decompress(in.bytes()), revision < 0);
+        return new Frame.OperatorRow(
+                key, StorePosition.ofNumber(Math.abs(revision)), Deflate.decompress(in.bytes()), revision < 0);
     }
 
     static void packSubscription(Packer out, Frame.RowSubscription subscription) {
         out.list(subscription.heldRevisions().entrySet(), (packer, row) -> packer.text(row.getKey())
-                .integer(row.getValue()));
+                .integer(row.getValue().number()));
     }
 
     static Frame.RowSubscription unpackSubscription(Unpacker in) {
-        Map<String, Long> heldRevisions = new HashMap<>();
-        in.list(row -> heldRevisions.put(row.text(), row.integer()));
+        Map<String, StorePosition> heldRevisions = new HashMap<>();
+        in.list(row -> heldRevisions.put(row.text(), position(row)));
         return new Frame.RowSubscription(heldRevisions);
     }
 
     static void packDelta(Packer out, Frame.RowDelta row) {
         ContentDelta delta = row.delta();
-        out.text(row.key()).integer(row.baseRevision()).integer(row.revision());
+        out.text(row.key())
+                .integer(row.baseRevision().number())
+                .integer(row.revision().number());
         out.integer(delta.targetLength()).integer(delta.checksum()).list(delta.instructions(), RowFields::packPart);
     }
 
     static Frame.RowDelta unpackDelta(Unpacker in) {
         return new Frame.RowDelta(
                 in.text(),
-                in.integer(),
-                in.integer(),
+                position(in),
+                position(in),
                 new ContentDelta(in.smallInteger(), in.integer(), in.list(RowFields::unpackPart)));
     }
 
+    private static StorePosition position(Unpacker in) {
+        return StorePosition.ofNumber(in.integer());
+    }
+
     private static void packPart(Packer out, ContentDelta.Instruction part) {
         if (part instanceof ContentDelta.Copy copy) {
             out.flag(true).integer(copy.offset()).integer(copy.length());
@@ -63,7 +74,7 @@
     }
 
     static Frame.RowFreshness unpackFreshness(Unpacker in) {
-        Frame.RowFreshness freshness = new Frame.RowFreshness(in.integer(), in.integer(), in.integer());
+        Frame.RowFreshness freshness = new Frame.RowFreshness(position(in), position(in), in.integer());
         if (freshness.platformMs() < 0) {
             throw new FrameException("Malformed frame: negative platform clock of " + freshness.platformMs() + " ms");
         }
--- a/net/src/test/java/org/mimosahinge/net/frame/FrameCodecTest.java
+++ b/net/src/test/java/org/mimosahinge/net/frame/FrameCodecTest.java
@@ -44,6 +44,7 @@
 import org.mimosahinge.api.contract.ServiceLimits;
 import org.mimosahinge.api.contract.ServiceShare;
 import org.mimosahinge.api.error.FrameException;
+import org.mimosahinge.api.platform.StorePosition;
 import org.mimosahinge.api.world.AvailabilityZone;
 import org.mimosahinge.api.world.BackendServer;
 import org.mimosahinge.api.world.Endpoint;
@@ -119,12 +120,16 @@
                 new Frame.CallOutcomes(
                         "listings",
                         List.of(new Frame.OutcomeCounts("v2", "browse", "ch-west-1", 9, List.of(0L, 2L), List.of(7L)))),
-                new Frame.OperatorRow("operator/document", 17, new byte[3000], false),
-                new Frame.OperatorRow("operator/document", 18, new byte[0], false),
-                new Frame.OperatorRow("operator/document", 19, new byte[0], true),
-                new Frame.RowSubscription(Map.of("operator/document", 17L, "fleet/moves", Long.MAX_VALUE)),
-                new Frame.RowDelta("operator/document", 17, 18, DELTA),
-                new Frame.RowFreshness(18, 19, 350),
+                new Frame.OperatorRow("operator/document", at(17), new byte[3000], false),
+                new Frame.OperatorRow("operator/document", at(18), new byte[0], false),
+                new Frame.OperatorRow("operator/document", new StorePosition(3, 19), new byte[0], true),
+                new Frame.RowSubscription(Map.of(
+                        "operator/document",
+                        new StorePosition(3, 17),
+                        "fleet/moves",
+                        StorePosition.ofNumber(Long.MAX_VALUE))),
+                new Frame.RowDelta("operator/document", at(17), new StorePosition(1, 2), DELTA),
+                new Frame.RowFreshness(at(18), new StorePosition(1, 2), 350),
                 new Frame.QuotaUse(true, List.of()),
                 new Frame.QuotaUse(
                         false,
@@ -153,6 +158,10 @@
     }
 
     /** Guards against a share of repeats that no node may send and that would distort the retry budget for good. */
+    private static StorePosition at(long version) {
+        return new StorePosition(0, version);
+    }
+
     @ParameterizedTest(name = "share {0}: rejected {1}")
     @CsvSource({"-1, true", "0, false", "1000, false", "1001, true", "2147483647, true"})
     void shareOfRepeatsIsChecked(int permille, boolean rejected) {
@@ -240,7 +249,7 @@
     @ParameterizedTest
     @CsvSource({"1048576, true", "1048577, false"})
     void oversizedRowIsRejectedByTheEncoder(int length, boolean accepted) {
-        Frame row = new Frame.OperatorRow("operator/document", 17, new byte[length], false);
+        Frame row = new Frame.OperatorRow("operator/document", at(17), new byte[length], false);
         if (accepted) {
             assertEquals(row, FrameCodec.decode(FrameCodec.encode(row)));
         } else {
@@ -339,8 +348,8 @@
             target[i]++;
         }
         ContentDelta delta = ContentDelta.between(base, target);
-        int overheadBytes = FrameCodec.encode(new Frame.RowFreshness(17, 18, 19)).length + 2;
-        int encodedBytes = FrameCodec.encode(new Frame.RowDelta("k", 17, 18, delta)).length;
+        int overheadBytes = FrameCodec.encode(new Frame.RowFreshness(at(17), at(18), 19)).length + 2;
+        int encodedBytes = FrameCodec.encode(new Frame.RowDelta("k", at(17), at(18), delta)).length;
         assertTrue(
                 encodedBytes <= delta.maxEncodedBytes() + overheadBytes,
                 encodedBytes + " bytes, estimated " + delta.maxEncodedBytes());
