Move the choice of the next attempt out of EntryCall

NextAttempt decides whether a call gets another attempt, Refusal knows its retry-after time and BufferedResponse whether it is complete.

--- a/daemon/src/main/java/org/mimosahinge/daemon/traffic/Attempt.java
+++ b/daemon/src/main/java/org/mimosahinge/daemon/traffic/Attempt.java
@@ -220,9 +220,9 @@
         firstByteMs = (long) ((progressNanos - startedNanos) / NANOS_PER_MS);
         loop.recordFirstByte(route.name(), firstByteMs);
         call.started(this, start);
-        if (!ended && isServerError()) {
-            call.nextBesideServerError(this)
-                    .ifPresent(next -> hedge(next, "The backend server answered with status " + status));
+        // A response that is not held back has been passed on.
+        if (!ended && isServerError() && buffered != null) {
+            call.nextBeside(this).ifPresent(next -> hedge(next, "The backend server answered with status " + status));
         }
     }
 
--- a/daemon/src/main/java/org/mimosahinge/daemon/traffic/BufferedResponse.java
+++ b/daemon/src/main/java/org/mimosahinge/daemon/traffic/BufferedResponse.java
@@ -33,4 +33,11 @@
             bytes += part.length;
         }
     }
+
+    boolean isComplete(CallRequest request) {
+        ResponseProgress received = new ResponseProgress(request);
+        received.begin(start);
+        parts.forEach(received::accept);
+        return received.complete();
+    }
 }
--- a/daemon/src/main/java/org/mimosahinge/daemon/traffic/CallLog.java
+++ b/daemon/src/main/java/org/mimosahinge/daemon/traffic/CallLog.java
@@ -143,8 +143,11 @@
                 bounded(rejection.reason(), MAX_REASON_LENGTH));
     }
 
-    /** Logs a backend server's 3xx or 4xx response that is passed on to the caller. */
+    /** Logs a backend server's response that is passed on to the caller if its status is 3xx or 4xx. */
     void passedOn(CallRequest request, CallPlan plan, Attempt from, int status) {
+        if (status / 100 != 3 && status / 100 != 4) {
+            return;
+        }
         metrics.passedOn(status);
         LOG.info(
                 "answer_passed_on",
--- a/daemon/src/main/java/org/mimosahinge/daemon/traffic/CallRouting.java
+++ b/daemon/src/main/java/org/mimosahinge/daemon/traffic/CallRouting.java
@@ -8,10 +8,12 @@
 import org.mimosahinge.api.contract.Route;
 import org.mimosahinge.api.contract.Service;
 import org.mimosahinge.api.error.ErrorCode;
+import org.mimosahinge.core.admission.RetryAfterPolicy;
 import org.mimosahinge.core.deadline.RequestDelay;
 import org.mimosahinge.core.organisation.AccessDecision;
 import org.mimosahinge.core.organisation.AccessPolicy;
 import org.mimosahinge.core.organisation.RevocationPolicy;
+import org.mimosahinge.core.routing.RandomSource;
 
 /**
  * The route and organisation of a caller's request, or the reason for which it is refused before its first attempt.
@@ -30,7 +32,18 @@
      * @param reason text for the caller and the log
      * @param retryAfterMs time after which the caller should retry, 0 to derive it from the code
      */
-    record Refusal(ErrorCode code, String reason, long retryAfterMs) {}
+    record Refusal(ErrorCode code, String reason, long retryAfterMs) {
+
+        private static final int MIN_SERVER_ERROR_STATUS = 500;
+
+        /** Returns after which time the caller should retry, given when there is room and what it has left. */
+        long retryAfterMs(long estimatedWaitMs, long targetMs, long remainingMs, RandomSource random) {
+            boolean retryable = code.httpStatus() >= MIN_SERVER_ERROR_STATUS && code != ErrorCode.REQUEST_QUARANTINED;
+            return retryable
+                    ? RetryAfterPolicy.retryAfterMs(estimatedWaitMs, targetMs, remainingMs, random)
+                    : RetryAfterPolicy.limited(retryAfterMs, remainingMs);
+        }
+    }
 
     private static final String QUOTA_USED = "The organisation has used its quota";
 
--- a/daemon/src/main/java/org/mimosahinge/daemon/traffic/EntryCall.java
+++ b/daemon/src/main/java/org/mimosahinge/daemon/traffic/EntryCall.java
@@ -1,6 +1,5 @@
 package org.mimosahinge.daemon.traffic;
 
-import java.util.HashMap;
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.ScheduledFuture;
@@ -9,7 +8,6 @@
 import org.mimosahinge.api.contract.Route;
 import org.mimosahinge.api.error.CallException;
 import org.mimosahinge.api.error.ErrorCode;
-import org.mimosahinge.core.admission.RetryAfterPolicy;
 import org.mimosahinge.core.deadline.RequestDelay;
 import org.mimosahinge.core.once.ClaimStep;
 import org.mimosahinge.core.routing.EndpointChoice;
@@ -18,8 +16,6 @@
 /** A caller's call at its entry node, the node that the caller is connected to. */
 final class EntryCall {
 
-    private static final int MIN_SERVER_ERROR_STATUS = 500;
-
     /** Remaining time assumed for a call that is refused before its route is known. */
     private static final long ASSUMED_REMAINING_MS = 1_000;
 
@@ -33,6 +29,7 @@
     private final Snapshot snapshot;
     private final RequestDelay delay;
     private CallPlan plan;
+    private NextAttempt next;
     private PoisonRequestGuard poisonRequests;
     private AtMostOnceGuard atMostOnce;
     private ScheduledFuture<?> timer;
@@ -58,6 +55,7 @@
     void begin() {
         CallRouting routing = CallRouting.of(loop, request, snapshot, body, delay);
         plan = routing.plan();
+        next = new NextAttempt(loop, request, plan, progress, attempts);
         deadlineMs = routing.deadlineMs();
         credit = routing.credit();
         if (routing.refusal().isPresent()) {
@@ -179,7 +177,6 @@
             notRun(ErrorCode.NOT_READY, NODE_STOPS);
             return;
         }
-        attempts.endAll(Attempt::abandon);
         conclude(CallException.mayHaveRun(ErrorCode.CONNECTION_LOST, NODE_STOPS));
     }
 
@@ -217,9 +214,7 @@
         if (atMostOnce != null) {
             atMostOnce.started(start);
         }
-        if (start.status() / 100 == 3 || start.status() / 100 == 4) {
-            loop.callLog().passedOn(request, plan, from, start.status());
-        }
+        loop.callLog().passedOn(request, plan, from, start.status());
         sink.started(start);
     }
 
@@ -238,7 +233,7 @@
         boolean fits = buffered.bytes() <= loop.context().policies().peering().responseBufferBytes();
         if (!last && fits) {
             from.credited(bytes.length);
-        } else if (last && !isComplete(buffered)) {
+        } else if (last && !buffered.isComplete(request)) {
             attemptFailed(from, CallFailures.mayHaveRun(0, ErrorCode.ANSWER_TRUNCATED, "The response is too short"));
         } else if (from.isServerError() && attempts.newest().orElseThrow() != from) {
             if (last) {
@@ -261,13 +256,6 @@
         }
     }
 
-    private boolean isComplete(BufferedResponse buffered) {
-        ResponseProgress received = new ResponseProgress(request);
-        received.begin(buffered.start());
-        buffered.parts().forEach(received::accept);
-        return received.complete();
-    }
-
     private void deliverBody(Attempt from, byte[] bytes, boolean last) {
         byte[] newBytes = progress.accept(bytes);
         if (newBytes.length < bytes.length && !last) {
@@ -330,10 +318,7 @@
                     ErrorCode.REQUEST_QUARANTINED, "The request crashed several backend servers"));
             return;
         }
-        Optional<EndpointChoice> choice =
-                newest && mayContinue() && plan.mayRetry(failure.notRun() && !progress.begun())
-                        ? plan.choose()
-                        : Optional.empty();
+        Optional<EndpointChoice> choice = newest ? next.after(failure.notRun()) : Optional.empty();
         if (choice.isPresent()) {
             startNext(choice.get());
         } else if (attempts.isEmpty()) {
@@ -341,21 +326,9 @@
         }
     }
 
-    /** Returns whether another attempt could still give the caller a complete response. */
-    private boolean mayContinue() {
-        return !loop.plane().endingCalls()
-                && (!progress.begun() || progress.resumeHeaders().isPresent());
-    }
-
-    /** Returns an endpoint for an attempt beside one that is silent, empty if there may be or is no other attempt. */
-    Optional<EndpointChoice> nextBeside(Attempt silent) {
-        boolean newest = !ended && attempts.newest().filter(silent::equals).isPresent();
-        return newest && mayContinue() && plan.mayRetryBeside(silent) ? plan.choose() : Optional.empty();
-    }
-
-    /** Returns an endpoint for an attempt that may have a better response than an endpoint's 5xx. */
-    Optional<EndpointChoice> nextBesideServerError(Attempt answered) {
-        return answered.buffered() == null ? Optional.empty() : nextBeside(answered);
+    /** Returns an endpoint for an attempt beside one that is silent or has a 5xx response, empty if there is none. */
+    Optional<EndpointChoice> nextBeside(Attempt doubtful) {
+        return ended ? Optional.empty() : next.beside(doubtful);
     }
 
     /** Starts another attempt beside one that goes on. */
@@ -365,19 +338,10 @@
     }
 
     private void startNext(EndpointChoice choice) {
-        Map<String, String> headers = progress.begun()
-                ? progress.resumeHeaders().map(this::withRequestHeaders).orElseThrow()
-                : request.headers();
         if (plan.hasReachedEndpoint()) {
             loop.retryBudgets().retried(plan.service());
         }
-        attempt(choice, headers);
-    }
-
-    private Map<String, String> withRequestHeaders(Map<String, String> resumeHeaders) {
-        Map<String, String> headers = new HashMap<>(request.headers());
-        headers.putAll(resumeHeaders);
-        return headers;
+        attempt(choice, next.headers());
     }
 
     private void deadlinePassed() {
@@ -421,18 +385,14 @@
     /** Refuses the call, which has not run. */
     private void refuse(CallRouting.Refusal refusal) {
         credit.giveBack();
-        ErrorCode code = refusal.code();
-        boolean retryable = code.httpStatus() >= MIN_SERVER_ERROR_STATUS && code != ErrorCode.REQUEST_QUARANTINED;
         long remainingMs = plan == null ? ASSUMED_REMAINING_MS : Math.max(0, deadlineMs - plan.elapsedMs());
         long targetMs = plan == null ? 0 : plan.targetMs();
-        long retryAfterMs = retryable
-                ? RetryAfterPolicy.retryAfterMs(
-                        estimatedWaitMs,
-                        targetMs,
-                        remainingMs,
-                        loop.context().policies().random())
-                : RetryAfterPolicy.limited(refusal.retryAfterMs(), remainingMs);
-        fail(CallException.notRun(code, refusal.reason()).withRetryAfterMs(retryAfterMs));
+        long retryAfterMs = refusal.retryAfterMs(
+                estimatedWaitMs,
+                targetMs,
+                remainingMs,
+                loop.context().policies().random());
+        fail(CallException.notRun(refusal.code(), refusal.reason()).withRetryAfterMs(retryAfterMs));
     }
 
     private void fail(CallException failure) {
