Send no more of a request's body to an attempt that has ended

Found by reading the diff: since a call holds several attempts, the rest of a body went on to the one whose response was complete already. An order that the operator writes again after the store has come back has its state published again, as a node that starts would take the older one for that of an earlier order.

MoveRegistryTest.orderWrittenAgainKeepsItsState requires it.

--- a/daemon/src/main/java/org/mimosahinge/daemon/fleet/MoveRegistry.java
+++ b/daemon/src/main/java/org/mimosahinge/daemon/fleet/MoveRegistry.java
@@ -147,8 +147,11 @@
             return;
         }
         if (existing != null && existing.orderRevision.era() != revision.era() && existing.order.equals(order)) {
-            // The store has come back, and the operator has written the order again.
+            // The store has come back, and the operator has written the order again. A node that starts takes the state
+            // of a move for that of an earlier order unless it is published again.
             existing.orderRevision = revision;
+            existing.publishedPhase = null;
+            existing.decidedNanos = nowNanos;
             return;
         }
         WithheldVersions withheld = withheld(order.service());
--- a/daemon/src/main/java/org/mimosahinge/daemon/traffic/EntryCall.java
+++ b/daemon/src/main/java/org/mimosahinge/daemon/traffic/EntryCall.java
@@ -134,10 +134,9 @@
     /** Handles part of the request's body from the caller. */
     void requestBody(byte[] bytes, boolean last) {
         body.add(bytes, last);
-        if (!attempts.isEmpty()) {
-            if (request.hasBody()) {
-                attempts.newest().ifPresent(attempt -> attempt.requestBody(bytes, last));
-            }
+        Optional<Attempt> receiver = attempts.newest().filter(attempt -> !attempt.ended());
+        if (receiver.isPresent() && request.hasBody()) {
+            receiver.get().requestBody(bytes, last);
         } else if (awaitingBody && !ended && (last || !body.fitsWindow())) {
             admit();
         }
--- a/daemon/src/test/java/org/mimosahinge/daemon/fleet/MoveRegistryTest.java
+++ b/daemon/src/test/java/org/mimosahinge/daemon/fleet/MoveRegistryTest.java
@@ -194,6 +194,10 @@
             }
         }
         assertEquals(expected, registry.states().get("shop").phase());
+        // The state stands after the order again, so that a node that starts takes it for the order's.
+        boolean written = first.startsWith("1.") || expected == MovePhase.RUNNING;
+        assertEquals(
+                written, registry.moves().iterator().next().unpublishedOutcome().isPresent());
     }
 
     /** Without it, the operator reads an older state, and later states are written under a version that is gone. */
