Take a refusal of an earlier release again after it has ended

Found by reading the diff: since the frames carry starts of backend servers, a refusal without them, as nodes of an earlier release send, was remembered for good, so a second one after ten minutes was ignored and the memory grew. The registry now tells whether the request was refused already.

--- a/core/src/main/java/org/mimosahinge/core/poison/CrashRecord.java
+++ b/core/src/main/java/org/mimosahinge/core/poison/CrashRecord.java
@@ -29,8 +29,8 @@
 
     /**
      * Time to the next trial after two, three and four losses; there is none after more. An innocent request is served
-     * again soon after two backend servers were lost by a common cause, while a request that does crash them gets at
-     * most three in the ten minutes after the third loss.
+     * again soon after two backend servers were lost by a common cause, while a request that does crash them gets two
+     * more in the ten minutes after the third loss, and one for each further node that tries at the same moment.
      */
     private static final long[] TRIAL_DELAY_MS = {3_000, 30_000, 120_000};
 
--- a/daemon/src/main/java/org/mimosahinge/daemon/control/CrashReports.java
+++ b/daemon/src/main/java/org/mimosahinge/daemon/control/CrashReports.java
@@ -1,7 +1,6 @@
 package org.mimosahinge.daemon.control;
 
 import java.time.Duration;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
 import java.util.stream.Collectors;
@@ -21,9 +20,6 @@
 
     private final CrashKnowledge knowledge;
 
-    /** Requests that other nodes refuse without telling why. */
-    private final Set<Fingerprint> refusedElsewhere = new HashSet<>();
-
     /**
      * Creates the converter.
      *
@@ -69,11 +65,7 @@
     public boolean received(Frame.RequestCrashes frame) {
         Fingerprint request = new Fingerprint(frame.route(), frame.method(), frame.uri(), frame.bodyHash());
         if (frame.lost().isEmpty()) {
-            boolean added = refusedElsewhere.add(request);
-            if (added) {
-                knowledge.quarantine(request, Duration.ofMillis(frame.refusedForMs()));
-            }
-            return added;
+            return knowledge.quarantine(request, Duration.ofMillis(frame.refusedForMs()));
         }
         CrashReport report = new CrashReport(request, starts(frame.lost()), starts(frame.cleared()));
         boolean added = knowledge.learn(report);
--- a/daemon/src/main/java/org/mimosahinge/daemon/traffic/CrashKnowledge.java
+++ b/daemon/src/main/java/org/mimosahinge/daemon/traffic/CrashKnowledge.java
@@ -21,7 +21,9 @@
         }
 
         @Override
-        public void quarantine(Fingerprint fingerprint, Duration time) {}
+        public boolean quarantine(Fingerprint fingerprint, Duration time) {
+            return false;
+        }
     };
 
     /**
@@ -44,6 +46,7 @@
      *
      * @param fingerprint the request
      * @param time how long it is refused
+     * @return whether it was not refused before
      */
-    void quarantine(Fingerprint fingerprint, Duration time);
+    boolean quarantine(Fingerprint fingerprint, Duration time);
 }
--- a/daemon/src/main/java/org/mimosahinge/daemon/traffic/TrafficPlane.java
+++ b/daemon/src/main/java/org/mimosahinge/daemon/traffic/TrafficPlane.java
@@ -203,9 +203,11 @@
     }
 
     @Override
-    public void quarantine(Fingerprint fingerprint, Duration time) {
+    public boolean quarantine(Fingerprint fingerprint, Duration time) {
         long now = TrafficLoop.nowMs();
-        context.crashes().updateAndGet(registry -> registry.refuse(fingerprint, now, now + time.toMillis()));
+        return !context.crashes()
+                .getAndUpdate(registry -> registry.refuse(fingerprint, now, now + time.toMillis()))
+                .isRefused(fingerprint, now);
     }
 
     /**
--- a/daemon/src/test/java/org/mimosahinge/daemon/control/CrashReportsTest.java
+++ b/daemon/src/test/java/org/mimosahinge/daemon/control/CrashReportsTest.java
@@ -31,6 +31,7 @@
     private static final class Knowledge implements CrashKnowledge {
         private CrashRegistry registry = CrashRegistry.EMPTY;
         private final List<Duration> refusals = new ArrayList<>();
+        private long nowMs;
 
         @Override
         public boolean learn(CrashReport report) {
@@ -45,8 +46,11 @@
         }
 
         @Override
-        public void quarantine(Fingerprint fingerprint, Duration time) {
+        public boolean quarantine(Fingerprint fingerprint, Duration time) {
+            boolean added = !registry.isRefused(fingerprint, nowMs);
+            registry = registry.refuse(fingerprint, nowMs, nowMs + time.toMillis());
             refusals.add(time);
+            return added;
         }
     }
 
@@ -89,6 +93,10 @@
         }
         assertTrue(receiving.received(frame));
         assertFalse(receiving.received(frame));
-        assertEquals(List.of(Duration.ofMillis(refusedForMs)), receiver.refusals);
+        // The refusal ends, and the request crashes backend servers once more.
+        receiver.nowMs = refusedForMs;
+        assertTrue(receiving.received(frame));
+        Duration refusal = Duration.ofMillis(refusedForMs);
+        assertEquals(List.of(refusal, refusal, refusal), receiver.refusals);
     }
 }
